--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, load and measurements."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples of the coordination parts embedded in another program."""
--- /dev/null
+++ b/src/agatestile/__init__.py
@@ -0,0 +1,1 @@
+"""Router for backend servers that own keys exclusively."""
--- /dev/null
+++ b/src/agatestile/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and checks inside the running program."""
--- /dev/null
+++ b/src/agatestile/results/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered result codes and the values that carry expected failures."""
--- /dev/null
+++ b/src/agatestile/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift calls between the daemons."""
--- /dev/null
+++ b/src/agatestile/rpc/agatestile.thrift
@@ -0,0 +1,111 @@
+// Calls between the daemons. Regenerate with "make generate".
+namespace py agatestile_rpc
+
+struct Term {
+  1: i64 epoch
+  2: i32 step
+  3: string instance
+}
+
+struct RangeReference {
+  1: string service_name
+  2: i64 start
+  3: i64 end
+  4: i64 version
+}
+
+// Range whose owner the leader replaced by a successor and which the log
+// does not show yet.
+struct RangeStep {
+  1: string service_name
+  2: i64 start
+  3: i64 end
+  4: i64 version
+  5: i32 step
+  6: string server
+}
+
+// Observed by the gate of a server since its previous heartbeat.
+struct GateReport {
+  1: string server
+  2: string fence
+  3: i32 in_flight
+  4: double requests_per_second
+  5: double latency_ms
+}
+
+struct RangeLoad {
+  1: string service_name
+  2: i64 start
+  3: i64 end
+  4: double requests_per_second
+}
+
+struct HotKey {
+  1: string service_name
+  2: i64 position
+  3: double requests_per_second
+}
+
+// Stamp is the sender's clock in seconds; the gate leases in the reply run
+// from it.
+struct Heartbeat {
+  1: string domain
+  2: string host
+  3: string host_domain
+  4: string instance
+  5: double stamp
+  6: string forward_address
+  7: i64 offset
+  8: i64 route_sequence
+  9: Term route_term
+  10: bool leaving
+  11: list<GateReport> gates
+  12: list<RangeReference> released
+  13: list<RangeLoad> loads
+  14: list<HotKey> hot_keys
+}
+
+struct GateGrant {
+  1: string server
+  2: string fence
+}
+
+struct GateAddress {
+  1: string server
+  2: string host
+  3: string forward_address
+}
+
+struct RouteView {
+  1: string domain
+  2: Term term
+  3: i64 sequence
+  4: list<GateAddress> gates
+  5: list<RangeStep> steps
+}
+
+struct HeartbeatReply {
+  1: bool leads
+  2: string leader
+  3: Term term
+  4: double stamp
+  5: list<GateGrant> grants
+  6: list<RangeReference> release
+  7: optional RouteView view
+}
+
+struct Snapshot {
+  1: i64 offset
+  2: binary body
+}
+
+service Peer {
+  // To the leader of a domain. A host that does not lead names the leader
+  // that it knows, or the empty string.
+  HeartbeatReply heartbeat(1: Heartbeat heartbeat)
+  void announce(1: string domain, 2: Term term, 3: string host)
+  Snapshot snapshot()
+  // JSON text, as the admin interface shows it.
+  string status()
+}
--- /dev/null
+++ b/src/agatestile/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that every host derives from the platform's log."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
