Add ranges, services table and apply of records

Every host must derive the same owners from the log, whatever records lose their race, arrive late or twice.

What the design left open: an Assign without a server releases a range, a service can be removed only when it owns nothing, a server that owns ranges cannot change its domain, and successors that leave the domain are dropped when the table changes.

--- /dev/null
+++ b/src/agatestile/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Maps requests to keys, positions, owners and gates."""
--- /dev/null
+++ b/src/agatestile/state/table.py
@@ -0,0 +1,312 @@
+"""Services table: its CSV form, its checks and look-up by name."""
+
+from __future__ import annotations
+
+import csv
+import io
+import ipaddress
+import typing
+
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.state import records
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+COLUMNS = (
+    "kind",
+    "service",
+    "server",
+    "domain",
+    "address",
+    "weight",
+    "slots",
+    "connections",
+    "fenced",
+    "state",
+    "priority",
+    "timeout_ms",
+    "repeatable",
+    "queue",
+    "queue_ms",
+    "on_cut",
+    "body_limit",
+)
+_COLUMNS_BY_KIND = {
+    "service": (
+        "priority",
+        "timeout_ms",
+        "repeatable",
+        "queue",
+        "queue_ms",
+        "on_cut",
+        "body_limit",
+    ),
+    "server": (
+        "server",
+        "domain",
+        "address",
+        "weight",
+        "slots",
+        "connections",
+        "fenced",
+        "state",
+    ),
+}
+_CHOICES_BY_COLUMN = {
+    "kind": ("service", "server"),
+    "state": ("active", "leaving"),
+    "repeatable": ("always", "safe", "never"),
+    "on_cut": ("stay", "move"),
+}
+_LOWEST_BY_COLUMN = {
+    "weight": 1,
+    "slots": 1,
+    "connections": 1,
+    "priority": 0,
+    "timeout_ms": 1,
+    "queue": 0,
+    "queue_ms": 0,
+    "body_limit": 0,
+}
+_HIGHEST = 2**53
+_NAME_LIMIT = 128
+_DEFAULTS = records.TableRow(kind="", service="")
+
+
+class Table:
+    """The services table in force.
+
+    Attributes
+    ----------
+    version : int
+        Offset of the record that set the table, -1 without one.
+    rows : tuple of records.TableRow
+        All rows, in the operator's order.
+    services_by_name, servers_by_name : dict
+        The rows of each kind by name.
+    servers_by_service : dict of str to tuple of records.TableRow
+        The servers of each service, in the operator's order.
+    """
+
+    def __init__(
+        self, version: int, rows: tuple[records.TableRow, ...]
+    ) -> None:
+        self.version = version
+        self.rows = rows
+        self.services_by_name = {
+            row.service: row for row in rows if row.kind == "service"
+        }
+        self.servers_by_name = {
+            row.server: row for row in rows if row.kind == "server"
+        }
+        by_service: dict[str, list[records.TableRow]] = {
+            name: [] for name in self.services_by_name
+        }
+        for row in self.servers_by_name.values():
+            by_service[row.service].append(row)
+        self.servers_by_service = {
+            name: tuple(servers) for name, servers in by_service.items()
+        }
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Table):
+            return NotImplemented
+        return self.version == other.version and self.rows == other.rows
+
+    def domain_of(self, server: str) -> str:
+        """Return the failure domain of a server, empty if unknown."""
+        row = self.servers_by_name.get(server)
+        return "" if row is None else row.domain
+
+
+def from_csv(
+    text: str,
+) -> tuple[records.TableRow, ...] | outcomes.Refusal:
+    """Return the rows of a CSV sheet, or what is wrong with it.
+
+    Columns may be in any order and columns with defaults may be missing.
+    An empty cell stands for the default.
+    """
+    try:
+        sheet = list(csv.reader(io.StringIO(text), strict=True))
+    except csv.Error as error:
+        return _invalid(1, "", str(error), "a CSV sheet")
+    if not sheet:
+        return _invalid(1, "", "an empty sheet", "a line of column names")
+    header = [name.strip() for name in sheet[0]]
+    for name in header:
+        if name not in COLUMNS or header.count(name) > 1:
+            return _invalid(1, name, repr(name), "each known column once")
+    rows = []
+    for number, cells in enumerate(sheet[1:], start=2):
+        if not any(cell.strip() for cell in cells):
+            continue
+        row = _row_from_cells(number, header, cells)
+        if isinstance(row, outcomes.Refusal):
+            return row
+        rows.append((number, row))
+    return _check_numbered(rows) or tuple(row for _, row in rows)
+
+
+def to_csv(rows: collections.abc.Iterable[records.TableRow]) -> str:
+    """Return the CSV sheet of rows."""
+    sheet = io.StringIO()
+    writer = csv.writer(sheet, lineterminator="\n")
+    writer.writerow(COLUMNS)
+    for row in rows:
+        used = ("kind", "service", *_COLUMNS_BY_KIND[row.kind])
+        writer.writerow(
+            _cell(getattr(row, column)) if column in used else ""
+            for column in COLUMNS
+        )
+    return sheet.getvalue()
+
+
+def check(
+    rows: collections.abc.Sequence[records.TableRow],
+) -> outcomes.Refusal | None:
+    """Return what is wrong with rows, or None.
+
+    Rows are counted as lines of their CSV sheet, whose line 1 has the
+    column names.
+    """
+    return _check_numbered(list(enumerate(rows, start=2)))
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
+
+
+def _row_from_cells(
+    number: int, header: list[str], cells: list[str]
+) -> records.TableRow | outcomes.Refusal:
+    if len(cells) != len(header):
+        return _invalid(
+            number, "", f"{len(cells)} cells", f"{len(header)} cells"
+        )
+    values: dict[str, typing.Any] = {"kind": "", "service": ""}
+    for column, cell in zip(header, (cell.strip() for cell in cells)):
+        if not cell:
+            continue
+        default = getattr(_DEFAULTS, column)
+        if isinstance(default, bool):
+            if cell not in ("yes", "no"):
+                return _invalid(number, column, repr(cell), "yes or no")
+            values[column] = cell == "yes"
+        elif isinstance(default, int):
+            if not (cell.isascii() and cell.isdigit()):
+                return _invalid(number, column, repr(cell), "a whole number")
+            values[column] = int(cell[:20])
+        else:
+            values[column] = cell
+    return records.TableRow(**values)
+
+
+def _check_numbered(
+    rows: list[tuple[int, records.TableRow]],
+) -> outcomes.Refusal | None:
+    services: set[str] = set()
+    for number, row in rows:
+        refusal = _check_row(number, row)
+        if refusal is not None:
+            return refusal
+        if row.kind == "service":
+            if row.service in services:
+                return _invalid(
+                    number, "service", repr(row.service), "a unique name"
+                )
+            services.add(row.service)
+    servers: set[str] = set()
+    addresses: set[str] = set()
+    for number, row in rows:
+        if row.kind != "server":
+            continue
+        if row.service not in services:
+            return _invalid(
+                number,
+                "service",
+                repr(row.service),
+                "the name of a service row",
+            )
+        if row.server in servers:
+            return _invalid(
+                number, "server", repr(row.server), "a unique name"
+            )
+        if row.address in addresses:
+            return _invalid(
+                number, "address", repr(row.address), "a unique address"
+            )
+        servers.add(row.server)
+        addresses.add(row.address)
+    return None
+
+
+def _check_row(number: int, row: records.TableRow) -> outcomes.Refusal | None:
+    if row.kind not in _COLUMNS_BY_KIND:
+        return _invalid(number, "kind", repr(row.kind), "service or server")
+    used = ("kind", "service", *_COLUMNS_BY_KIND[row.kind])
+    for column in COLUMNS:
+        value = getattr(row, column)
+        if column not in used:
+            if value != getattr(_DEFAULTS, column):
+                return _invalid(
+                    number,
+                    column,
+                    repr(value),
+                    f"nothing in a {row.kind} row",
+                )
+            continue
+        expected = _expected(column, value)
+        if expected:
+            return _invalid(number, column, repr(value), expected)
+    return None
+
+
+def _expected(column: str, value: typing.Any) -> str:
+    """Return what a column takes, empty if the value is right."""
+    choices = _CHOICES_BY_COLUMN.get(column)
+    if choices is not None:
+        return "" if value in choices else " or ".join(choices)
+    lowest = _LOWEST_BY_COLUMN.get(column)
+    if lowest is not None:
+        if lowest <= value <= _HIGHEST:
+            return ""
+        return f"a whole number from {lowest} to {_HIGHEST}"
+    if column in ("service", "server", "domain"):
+        return (
+            "" if _is_name(value) else "a name of letters, digits, -, _ or ."
+        )
+    if column == "address":
+        return "" if _is_address(value) else "an IP address and a port"
+    return ""
+
+
+def _is_name(text: str) -> bool:
+    return (
+        0 < len(text) <= _NAME_LIMIT
+        and text.isascii()
+        and all(letter.isalnum() or letter in "-_." for letter in text)
+    )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+
+
+def _invalid(
+    number: int, column: str, found: str, expected: str
+) -> outcomes.Refusal:
+    place = f"row {number}" + (f", column {column}" if column else "")
+    return outcomes.Refusal(
+        codes.ResultCode.TABLE_INVALID,
+        f"{place}: found {found}, expected {expected}",
+    )
--- /dev/null
+++ b/tests/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that mirror the package."""
--- /dev/null
+++ b/tests/state/scenes.py
@@ -0,0 +1,68 @@
+"""A small table and records that tests of the state share."""
+
+from __future__ import annotations
+
+import typing
+
+from agatestile.state import cluster
+from agatestile.state import ranges
+from agatestile.state import records
+from agatestile.state import table
+
+DOMAINS = ("warszawa-a", "radom")
+TERMS = {name: records.Term(0, 1, f"{name}#1") for name in DOMAINS}
+CSV = """\
+kind,service,server,domain,address,slots,connections,timeout_ms,on_cut
+service,prices,,,,,,500,stay
+service,promotions,,,,,,500,move
+server,prices,p1,warszawa-a,127.0.0.1:9001,2,130,,
+server,prices,p2,warszawa-a,127.0.0.1:9002,2,130,,
+server,prices,p3,radom,127.0.0.1:9003,2,130,,
+server,promotions,q1,warszawa-a,127.0.0.1:9011,2,130,,
+server,promotions,q2,radom,127.0.0.1:9012,2,130,,
+"""
+
+
+def rows(text: str = CSV) -> tuple[records.TableRow, ...]:
+    """Return the rows of a sheet that must be right."""
+    found = table.from_csv(text)
+    assert isinstance(found, tuple) and not hasattr(found, "code"), found
+    return typing.cast(tuple[records.TableRow, ...], found)
+
+
+def change(
+    service: str,
+    start: int,
+    end: int,
+    bases: tuple[int, ...],
+    server: str,
+    *successors: str,
+) -> records.RangeChange:
+    """Return a change of one range."""
+    return records.RangeChange(service, start, end, bases, server, successors)
+
+
+def assign(domain: str, *changes: records.RangeChange) -> records.Assign:
+    """Return an Assign of the domain's leader."""
+    return records.Assign("a", domain, TERMS[domain], changes)
+
+
+def intent(domain: str, *changes: records.RangeChange) -> records.Intent:
+    """Return an Intent of the domain's leader."""
+    return records.Intent("i", domain, TERMS[domain], changes)
+
+
+def led_state() -> cluster.ClusterState:
+    """Return a state at offset 4 in which p1 and q1 own all positions."""
+    state = cluster.ClusterState()
+    whole = (0, ranges.END, (0,))
+    setup: list[records.Record] = [
+        records.TableChange("t", "anna", -1, rows()),
+        records.Lead("l1", "warszawa-a", TERMS["warszawa-a"]),
+        records.Lead("l2", "radom", TERMS["radom"]),
+        assign("warszawa-a", change("prices", *whole, "p1", "p2")),
+        assign("warszawa-a", change("promotions", *whole, "q1")),
+    ]
+    for offset, record in enumerate(setup):
+        assert isinstance(state.apply(offset, record), cluster.Applied)
+    return state
--- /dev/null
+++ b/tests/state/test_cluster.py
@@ -0,0 +1,222 @@
+"""Records that conflict, arrive late or twice."""
+
+from __future__ import annotations
+
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.state import cluster
+from agatestile.state import ranges
+from agatestile.state import records
+from tests.state import scenes
+
+HALF = ranges.END // 2
+
+
+def refused(
+    state: cluster.ClusterState, offset: int, record: records.Record
+) -> codes.ResultCode:
+    """Apply a record that must be refused and return the code."""
+    answer = state.apply(offset, record)
+    assert isinstance(answer, outcomes.Refusal), answer
+    return answer.code
+
+
+def applied(
+    state: cluster.ClusterState, offset: int, record: records.Record
+) -> None:
+    """Apply a record that must take effect."""
+    answer = state.apply(offset, record)
+    assert isinstance(answer, cluster.Applied), answer
+
+
+def test_second_of_two_operators_gets_the_current_version() -> None:
+    """Guards against the later of two racing edits undoing the first."""
+    state = scenes.led_state()
+    rows = scenes.rows(scenes.CSV.replace("500,stay", "400,stay"))
+    applied(state, 5, records.TableChange("x", "anna", 0, rows))
+    late = state.apply(6, records.TableChange("y", "jan", 0, scenes.rows()))
+    assert isinstance(late, outcomes.Refusal)
+    assert late.code is codes.ResultCode.TABLE_CONFLICT
+    assert "version 5" in late.reason
+    assert state.table.rows == rows
+
+
+def test_repeated_and_reordered_appends_change_nothing() -> None:
+    """Guards against retries of an append that already took effect."""
+    state = scenes.led_state()
+    first = scenes.assign(
+        "warszawa-a", scenes.change("prices", 0, HALF, (3,), "p2", "p1")
+    )
+    second = scenes.assign(
+        "warszawa-a", scenes.change("prices", 0, HALF, (5,), "p1", "p2")
+    )
+    applied(state, 5, first)
+    applied(state, 6, second)
+    for offset, record in ((7, first), (8, second), (9, first)):
+        code = refused(state, offset, record)
+        assert code is codes.ResultCode.RANGE_CONFLICT
+    found = state.ranges_by_service["prices"].find(0)
+    assert found == ranges.Range(0, HALF, "p1", ("p2",), 6, -1)
+
+
+def test_offset_that_was_applied_is_not_applied_again() -> None:
+    """Guards against a late batch taking the state back."""
+    state = scenes.led_state()
+    stale = records.TableChange("x", "anna", 0, scenes.rows())
+    assert refused(state, 4, stale) is codes.ResultCode.RECORD_STALE
+    assert state == scenes.led_state()
+
+
+def test_late_record_of_an_old_term_is_refused() -> None:
+    """Guards against a paused leader that resumes after its successor."""
+    state = scenes.led_state()
+    move = scenes.change("prices", 0, HALF, (3,), "p2")
+    new = records.Lead("l", "warszawa-a", records.Term(1, 2, "other#1"))
+    applied(state, 5, new)
+    late = scenes.assign("warszawa-a", move)
+    assert refused(state, 6, late) is codes.ResultCode.TERM_STALE
+    old = records.Lead("l1", "warszawa-a", scenes.TERMS["warszawa-a"])
+    assert refused(state, 7, old) is codes.ResultCode.TERM_STALE
+
+
+def test_leader_may_not_move_ranges_of_another_domain() -> None:
+    """Guards against two domains giving one range to two owners."""
+    state = scenes.led_state()
+    move = scenes.change("prices", 0, ranges.END, (3,), "p3")
+    for record in (
+        scenes.assign("radom", move),
+        scenes.intent("radom", move),
+    ):
+        code = refused(state, state.offset + 1, record)
+        assert code is codes.ResultCode.TERM_STALE
+
+
+def test_intent_marks_ranges_and_the_assign_names_it_as_base() -> None:
+    """Guards against an assignment planned before the intent."""
+    state = scenes.led_state()
+    changes = scenes.change("prices", 0, HALF, (3,), "p2", "p1")
+    applied(state, 5, scenes.intent("warszawa-a", changes))
+    marked = state.ranges_by_service["prices"].find(7)
+    assert marked == ranges.Range(0, HALF, "p1", ("p2",), 5, 5)
+    assert state.ranges_by_service["prices"].find(HALF).version == 3
+    assert list(state.intents.by_offset) == [5]
+    code = refused(state, 6, scenes.assign("warszawa-a", changes))
+    assert code is codes.ResultCode.RANGE_CONFLICT
+    quarter = HALF // 2
+    for offset, start in ((7, 0), (8, quarter)):
+        assert list(state.intents.by_offset) == [5]
+        part = scenes.change("prices", start, start + quarter, (5,), "p2")
+        applied(state, offset, scenes.assign("warszawa-a", part))
+    assert not state.intents.by_offset
+
+
+def test_server_that_owns_ranges_cannot_be_removed_or_relocated() -> None:
+    """Guards against keys whose owner is no longer in the table."""
+    state = scenes.led_state()
+    lines = scenes.CSV.splitlines()
+    without = "\n".join(line for line in lines if ",p1," not in line)
+    moved = scenes.CSV.replace("p1,warszawa-a", "p1,radom")
+    for text in (without, moved):
+        record = records.TableChange("x", "anna", 0, scenes.rows(text))
+        code = refused(state, state.offset + 1, record)
+        assert code is codes.ResultCode.SERVER_OWNS_RANGES
+
+
+def test_successor_that_leaves_the_domain_is_forgotten() -> None:
+    """Guards against a failover to a server of another domain."""
+    state = scenes.led_state()
+    text = scenes.CSV.replace("p2,warszawa-a", "p2,radom")
+    applied(state, 5, records.TableChange("x", "a", 0, scenes.rows(text)))
+    found = state.ranges_by_service["prices"].find(0)
+    assert (found.server, found.successors) == ("p1", ())
+
+
+def test_removed_service_comes_back_unowned_with_a_new_version() -> None:
+    """Guards against a late record that names the earlier ranges."""
+    state = scenes.led_state()
+    release = scenes.change("promotions", 0, ranges.END, (4,), "")
+    applied(state, 5, scenes.assign("warszawa-a", release))
+    lines = scenes.CSV.splitlines()
+    text = "\n".join(line for line in lines if "promotions" not in line)
+    applied(state, 6, records.TableChange("x", "a", 0, scenes.rows(text)))
+    applied(state, 7, records.TableChange("y", "a", 6, scenes.rows()))
+    late = scenes.change("promotions", 0, ranges.END, (0,), "q1")
+    code = refused(state, 8, scenes.assign("warszawa-a", late))
+    assert code is codes.ResultCode.RANGE_CONFLICT
+    found = state.ranges_by_service["promotions"].find(1)
+    assert found == ranges.Range(0, ranges.END, "", (), 7, -1)
+
+
+def test_domain_and_host_changes_are_conditional() -> None:
+    """Guards against an old edit returning a domain to service."""
+    state = scenes.led_state()
+    applied(state, 5, records.DomainChange("d", "a", "radom", "out", -1))
+    late = records.DomainChange("e", "b", "radom", "in", -1)
+    assert refused(state, 6, late) is codes.ResultCode.TABLE_CONFLICT
+    unknown = records.DomainChange("f", "b", "rdaom", "out", -1)
+    assert refused(state, 7, unknown) is codes.ResultCode.NAME_UNKNOWN
+    applied(state, 8, records.HostChange("h", "a", "e1", "leaving", -1))
+    again = records.HostChange("i", "b", "e1", "active", -1)
+    assert refused(state, 9, again) is codes.ResultCode.TABLE_CONFLICT
+    assert state.domain("radom").state == "out"
+    assert state.hosts_by_name["e1"] == cluster.Host("leaving", 8)
+
+
+POSITIONS = strategies.integers(0, 12).map(lambda n: n * (ranges.END // 12))
+
+
+@strategies.composite
+def moves(draw: strategies.DrawFn) -> tuple[typing.Any, ...]:
+    """Draw the kind of a record, its writer and its changes."""
+    changes = draw(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["prices", "promotions"]),
+                POSITIONS,
+                POSITIONS,
+                strategies.sampled_from(["p1", "p2", "p3", "q1", "q2", ""]),
+                strategies.booleans(),
+            ),
+            max_size=3,
+        )
+    )
+    kind = draw(strategies.sampled_from([scenes.assign, scenes.intent]))
+    return kind, draw(strategies.sampled_from(scenes.DOMAINS)), changes
+
+
+@hypothesis.given(strategies.lists(moves(), max_size=25))
+@hypothesis.settings(max_examples=150, deadline=None)
+def test_any_records_keep_the_partition(drawn: list[typing.Any]) -> None:
+    """Guards against lost positions and against hosts that disagree."""
+    state, other = scenes.led_state(), scenes.led_state()
+    for kind, domain, rows in drawn:
+        changes = []
+        for service, start, end, server, fresh in rows:
+            current = state.ranges_by_service[service]
+            bases = tuple(
+                row.version
+                for row in current.overlapping(start, end)
+                if start < end
+            )
+            changes.append(
+                scenes.change(
+                    service, start, end, bases if fresh else (3,), server
+                )
+            )
+        record = kind(domain, *changes)
+        body = records.encode(record)
+        answer = state.apply(state.offset + 1, record)
+        again = other.apply(other.offset + 1, records.decode(body))
+        assert type(answer) is type(again)
+        assert state == other
+        covered = set()
+        for range_map in state.ranges_by_service.values():
+            assert range_map.is_partition()
+            covered |= {row.intent for row in range_map} - {-1}
+        assert covered == set(state.intents.by_offset)
+    assert not state.checks.violations_by_name
