--- /dev/null
+++ b/src/agatestile/log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform log."""
--- /dev/null
+++ b/src/agatestile/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The platform list of hosts."""
--- a/src/agatestile/state/cluster.py
+++ b/src/agatestile/state/cluster.py
@@ -14,6 +14,9 @@
 from agatestile.state import records
 from agatestile.state import table
 
+REFUSED_LIMIT = 1024
+"""Request identifiers of refused records that a state remembers."""
+
 
 class Applied(typing.NamedTuple):
     """A record that took effect.
@@ -92,6 +95,9 @@
         Owners of the positions of each service of the table.
     intents : intents.OpenIntents
         Intents that still cover a range.
+    refused_by_id : dict of str to int
+        Offsets of the last refused records by request identifier; a copy
+        of such a record is refused as well.
     """
 
     def __init__(self, checks: invariants.Invariants | None = None) -> None:
@@ -102,6 +108,7 @@
         self.hosts_by_name: dict[str, Host] = {}
         self.ranges_by_service: dict[str, ranges.RangeMap] = {}
         self.intents = intents.OpenIntents()
+        self.refused_by_id: dict[str, int] = {}
 
     def __eq__(self, other: object) -> bool:
         if not isinstance(other, ClusterState):
@@ -113,6 +120,7 @@
             and self.hosts_by_name == other.hosts_by_name
             and self.ranges_by_service == other.ranges_by_service
             and self.intents == other.intents
+            and self.refused_by_id == other.refused_by_id
         )
 
     def domain(self, name: str) -> Domain:
@@ -166,8 +174,27 @@
                 codes.ResultCode.RECORD_STALE,
                 f"offset {offset} is not above {self.offset}",
             )
+        earlier = self.refused_by_id.get(record.request_id)
+        if earlier is not None:
+            return outcomes.Refusal(
+                codes.ResultCode.RECORD_STALE,
+                f"request {record.request_id} was refused at {earlier}",
+            )
         refusal = _apply(record, self)
-        return refusal or Applied(offset, record)
+        if refusal is None:
+            return Applied(offset, record)
+        self._remember_refused(record.request_id)
+        return refusal
+
+    def _remember_refused(self, request_id: str) -> None:
+        # A copy of a record refused for, say, a server that still owned
+        # ranges could take effect later, after its writer was told that
+        # it had not. Copies of applied records fail on their bases.
+        if not request_id:
+            return
+        self.refused_by_id[request_id] = self.offset
+        if len(self.refused_by_id) > REFUSED_LIMIT:
+            del self.refused_by_id[next(iter(self.refused_by_id))]
 
     def skip(self, offset: int) -> bool:
         """Move past a record that cannot be decoded.
@@ -198,6 +225,7 @@
         self.hosts_by_name = other.hosts_by_name
         self.ranges_by_service = other.ranges_by_service
         self.intents = other.intents
+        self.refused_by_id = other.refused_by_id
         return True
 
 
--- a/src/agatestile/state/ranges.py
+++ b/src/agatestile/state/ranges.py
@@ -201,7 +201,6 @@
 
     def to_columns(self) -> Columns:
         """Return the contents as plain data."""
-        self._intern_again()
         return Columns(
             _little_endian(self._starts),
             _little_endian(self._versions),
