Add leases, leaders, gates and range moves

A domain's leader has to be elected without a store of our own, name one gate per server, and keep each range with one owner through failovers and planned moves.

The decision code takes `now` and does no I/O; the runner drives it through ports. A heartbeat now carries the highest term that the host knows and the steps it applies, so that a new leader learns of steps that the log does not show. After an Intent a leader registers again and shows the new epoch to a majority before gates release, so that a later leader whose state lags knows that it lags.

--- /dev/null
+++ b/src/agatestile/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Leaders of failure domains, gates of servers and owners of ranges."""
--- /dev/null
+++ b/src/agatestile/ownership/election.py
@@ -0,0 +1,141 @@
+"""Candidates for the leadership of a failure domain."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import xxhash
+
+from agatestile.ownership import grants
+from agatestile.ownership import terms
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.state import records
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.ownership import ports
+    from agatestile.state import cluster
+
+
+def candidates(
+    domain: str, hosts: collections.abc.Iterable[ports.Host]
+) -> list[str]:
+    """Return the hosts in the order in which they stand for a domain.
+
+    The domain's own hosts come first, by name, then the others in the
+    order of rendezvous hashing.
+    """
+    ordered = sorted(
+        hosts,
+        key=lambda host: (
+            (0, 0, host.name)
+            if host.domain == domain
+            else (
+                1,
+                xxhash.xxh64_intdigest(f"{domain}/{host.name}".encode()),
+                host.name,
+            )
+        ),
+    )
+    return [host.name for host in ordered]
+
+
+class Campaign:
+    """One attempt of a host to become leader.
+
+    Parameters
+    ----------
+    votes : grants.Votes
+        Leases of the domain's servers, not used before.
+    state : cluster.ClusterState
+        The host's copy of the state.
+    began : float
+        When the servers are first asked, seconds.
+    """
+
+    def __init__(
+        self,
+        votes: grants.Votes,
+        state: cluster.ClusterState,
+        began: float,
+    ) -> None:
+        self.votes = votes
+        self._state = state
+        self._asked_at = began
+        self._is_voting = False
+
+    def request(
+        self, server: str, now: float
+    ) -> tuple[grants.GrantRequest, grants.Exchange]:
+        """Return the next grant for a server."""
+        lease = self.votes.by_server[server]
+        term = self.votes.term
+        if self._is_voting:
+            return lease.prepare(self.votes.domain, term, now)
+        return lease.ask(self.votes.domain, term, now)
+
+    def receive(
+        self,
+        server: str,
+        exchange: grants.Exchange,
+        reply: grants.GrantReply,
+        now: float,
+    ) -> None:
+        """Take a server's answer."""
+        lease = self.votes.by_server.get(server)
+        if lease is None:
+            return
+        lease.receive(exchange, reply, now)
+        self.votes.note_reply(reply)
+
+    def ask_again(self, now: float) -> None:
+        """Count only answers from now on."""
+        self._asked_at = now
+
+    def has_answers(self) -> bool:
+        """Tell whether a majority answered."""
+        answers = self.votes.answers(self._asked_at)
+        return len(answers) >= self.votes.majority
+
+    def wait(self) -> float | outcomes.Refusal:
+        """Return how long a majority still holds another's lease, seconds."""
+        answers = self.votes.answers(self._asked_at)
+        if len(answers) < self.votes.majority:
+            return outcomes.Refusal(
+                codes.ResultCode.NO_MAJORITY,
+                f"{len(answers)} servers answer, "
+                f"{self.votes.majority} are needed",
+            )
+        remaining = sorted(
+            0.0
+            if reply.term is None or reply.term.instance == self.votes.instance
+            else reply.leader_remaining_ms / 1000
+            for reply in answers
+        )
+        return remaining[self.votes.majority - 1]
+
+    def present_leader(self) -> str:
+        """Return the host that most servers' leases name, or nothing."""
+        held = [
+            reply.term
+            for reply in self.votes.answers(self._asked_at)
+            if reply.term is not None and reply.leader_remaining_ms > 0
+        ]
+        return terms.host_of(max(held).instance) if held else ""
+
+    def stand(self) -> None:
+        """Take a term above all that the servers and the log know."""
+        domain = self._state.domain(self.votes.domain)
+        seen = [
+            reply.term
+            for reply in self.votes.answers(-math.inf)
+            if reply.term is not None
+        ]
+        seen.append(records.Term(domain.lead_offset, 0, ""))
+        if domain.term is not None:
+            seen.append(domain.term)
+        self.votes.term = terms.next_term(seen, self.votes.instance)
+        self._is_voting = True
--- /dev/null
+++ b/src/agatestile/ownership/handover.py
@@ -0,0 +1,298 @@
+"""Moves of ranges: Intent, release and Assign."""
+
+from __future__ import annotations
+
+import collections
+import typing
+import uuid
+
+from agatestile.ownership import gates
+from agatestile.ownership import terms
+from agatestile.ownership import vacating
+from agatestile.state import ranges
+from agatestile.state import records
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.ownership import leadership
+    from agatestile.state import cluster
+
+RANGES_PER_SERVER = 8
+MAX_CHANGES = 256
+"""Changes in one Intent; keeps a record below about 64 KiB."""
+TAKE_OVER_DELAY = 1.0
+"""Seconds that the leader of each further domain, by name, leaves the one
+before to assign unowned ranges."""
+
+
+def initial_assignment(
+    state: cluster.ClusterState, domain: str
+) -> tuple[records.RangeChange, ...]:
+    """Return owners for all unowned ranges.
+
+    Parameters
+    ----------
+    state : cluster.ClusterState
+        The present state.
+    domain : str
+        Domain of the leader that asks; one that is out assigns nothing.
+    """
+    if state.domain(domain).state != "in":
+        return ()
+    changes: list[records.RangeChange] = []
+    for service in sorted(state.ranges_by_service):
+        changes.extend(_assign_service(state, service))
+    return tuple(changes)
+
+
+def _assign_service(
+    state: cluster.ClusterState, service: str
+) -> list[records.RangeChange]:
+    chooser = vacating.Chooser(state, service)
+    unowned = [
+        current
+        for current in state.ranges_by_service[service]
+        if not current.server and current.intent == ranges.NO_INTENT
+    ]
+    if not chooser.rows or not unowned:
+        return []
+    changes = []
+    for current in unowned:
+        pieces = 1
+        if current.end - current.start == ranges.END:
+            pieces = RANGES_PER_SERVER * len(chooser.rows)
+        width = (current.end - current.start) // pieces
+        for index in range(pieces):
+            last = index == pieces - 1
+            start = current.start + index * width
+            end = current.end if last else start + width
+            server, successors = chooser.choose()
+            changes.append(
+                records.RangeChange(
+                    service,
+                    start,
+                    end,
+                    (current.version,),
+                    server,
+                    successors,
+                )
+            )
+    return changes
+
+
+def releases(
+    leader: leadership.Leadership, now: float
+) -> dict[str, list[gates.Reference]]:
+    """Return, by server, the ranges that its gate has to release."""
+    references: dict[str, list[gates.Reference]] = collections.defaultdict(
+        list
+    )
+    for offset, intent in _open_intents(leader):
+        if not _is_shown(leader, offset, now):
+            continue
+        for change in intent.changes:
+            for owner, reference in _pieces(leader, offset, change):
+                if owner not in ("", change.server):
+                    references[owner].append(reference)
+    return references
+
+
+def _open_intents(
+    leader: leadership.Leadership,
+) -> list[tuple[int, records.Intent]]:
+    return [
+        (offset, intent)
+        for offset, intent in leader.state.intents.by_offset.items()
+        if intent.domain == leader.domain
+    ]
+
+
+def _is_shown(leader: leadership.Leadership, offset: int, now: float) -> bool:
+    """Tell whether the next leader is sure to know of an Intent.
+
+    Every later majority has a server that knows an epoch above it.
+    """
+    return leader.votes.term.epoch > offset and leader.votes.is_confirmed(now)
+
+
+def _pieces(
+    leader: leadership.Leadership, offset: int, change: records.RangeChange
+) -> list[tuple[str, gates.Reference]]:
+    """Return the ranges that an Intent's change still covers."""
+    service = change.service
+    range_map = leader.state.ranges_by_service.get(service)
+    if range_map is None:
+        return []
+    return [
+        (
+            leader.steps.owner_of(leader.state, service, current),
+            gates.Reference(
+                service, current.start, current.end, current.version
+            ),
+        )
+        for current in range_map.overlapping(change.start, change.end)
+        if current.intent == offset
+    ]
+
+
+class Handover:
+    """Decides the next record that a leader appends to the log.
+
+    Parameters
+    ----------
+    leader : leadership.Leadership
+        The leadership that it serves.
+    """
+
+    def __init__(self, leader: leadership.Leadership) -> None:
+        self._leader = leader
+        self._first_term = leader.votes.term
+        self._proposed: list[records.RangeChange] = []
+        self._idle_at: tuple[int, int, int] | None = None
+        self._unowned_since: float | None = None
+
+    def propose(
+        self, changes: collections.abc.Iterable[records.RangeChange]
+    ) -> None:
+        """Ask for moves, as placement does."""
+        self._proposed.extend(changes)
+
+    def is_registered(self) -> bool:
+        """Tell whether the log shows this leadership as the last one."""
+        term = self._leader.state.domain(self._leader.domain).term
+        return (
+            term is not None
+            and term.instance == self._first_term.instance
+            and term >= self._first_term
+        )
+
+    def next_record(self, now: float) -> records.Record | None:
+        """Return the record to append now, or None."""
+        if not self._leader.may_act(now):
+            return None
+        if not self.is_registered():
+            return self._lead()
+        intents = _open_intents(self._leader)
+        domain = self._leader.state.domain(self._leader.domain)
+        if any(offset > domain.lead_offset for offset, _ in intents):
+            return self._lead()
+        for offset, intent in intents:
+            ready = self._ready(offset, intent, now)
+            if ready:
+                return self._assign(ready)
+        return self._plan(now)
+
+    def note_applied(self, record: records.Record, offset: int) -> None:
+        """Take the offset at which a record was applied."""
+        if isinstance(record, records.Lead):
+            self._leader.votes.raise_epoch(offset)
+
+    def _lead(self) -> records.Record:
+        votes = self._leader.votes
+        registered = self._leader.state.domain(self._leader.domain).term
+        if registered is not None and registered >= self._first_term:
+            votes.term = terms.next_term(
+                (votes.term, registered), votes.instance
+            )
+        return records.Lead(_request_id(), votes.domain, votes.term)
+
+    def _ready(
+        self, offset: int, intent: records.Intent, now: float
+    ) -> list[records.RangeChange]:
+        if not _is_shown(self._leader, offset, now):
+            return []
+        ready = []
+        for change in intent.changes:
+            pieces = _pieces(self._leader, offset, change)
+            if pieces and all(
+                owner in ("", change.server)
+                or self._is_released(owner, reference, now)
+                for owner, reference in pieces
+            ):
+                bases = tuple(reference.version for _, reference in pieces)
+                ready.append(_rebase(change, bases))
+        return ready
+
+    def _is_released(
+        self, owner: str, reference: gates.Reference, now: float
+    ) -> bool:
+        post = self._leader.posts.get(owner)
+        if post is None or not self._leader.is_group_settled(
+            reference.service
+        ):
+            return False
+        if post.lease.is_lapsed(now):
+            return True
+        host = self._leader.hosts.get(post.host)
+        return (
+            post.is_told
+            and host is not None
+            and host.instance == post.instance
+            and reference in host.released
+        )
+
+    def _plan(self, now: float) -> records.Record | None:
+        state, steps = self._leader.state, self._leader.steps
+        seen = (state.offset, steps.sequence, len(self._proposed))
+        if seen == self._idle_at:
+            return None
+        unowned = initial_assignment(state, self._leader.domain)
+        if unowned:
+            if self._unowned_since is None:
+                self._unowned_since = now
+            if now - self._unowned_since < self._delay():
+                return None
+            return self._assign(unowned)
+        self._unowned_since = None
+        changes = vacating.confirm_steps(state, steps)
+        if not changes:
+            changes = vacating.vacate(state, steps, self._leader.domain)
+        if not changes:
+            changes, self._proposed = self._proposed, []
+        if changes:
+            domain = state.domain(self._leader.domain)
+            return records.Intent(
+                _request_id(),
+                self._leader.domain,
+                domain.term or terms.NO_TERM,
+                tuple(changes[:MAX_CHANGES]),
+            )
+        self._idle_at = seen
+        return None
+
+    def _delay(self) -> float:
+        names = {
+            row.domain
+            for row in self._leader.state.table.servers_by_name.values()
+        }
+        position = sorted(names).index(self._leader.domain)
+        return position * TAKE_OVER_DELAY
+
+    def _assign(
+        self, changes: collections.abc.Iterable[records.RangeChange]
+    ) -> records.Record:
+        domain = self._leader.state.domain(self._leader.domain)
+        return records.Assign(
+            _request_id(),
+            self._leader.domain,
+            domain.term or terms.NO_TERM,
+            tuple(changes),
+        )
+
+
+def _rebase(
+    change: records.RangeChange, bases: tuple[int, ...]
+) -> records.RangeChange:
+    return records.RangeChange(
+        change.service,
+        change.start,
+        change.end,
+        bases,
+        change.server,
+        change.successors,
+    )
+
+
+def _request_id() -> str:
+    return uuid.uuid4().hex
--- /dev/null
+++ b/src/agatestile/ownership/ports.py
@@ -0,0 +1,105 @@
+"""What the runner needs from the rest of the daemon."""
+
+from __future__ import annotations
+
+import typing
+
+from agatestile.results import outcomes
+from agatestile.rpc.generated.agatestile_rpc import ttypes
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.ownership import grants
+    from agatestile.state import records
+
+
+class Host(typing.NamedTuple):
+    """A host of the membership list.
+
+    Attributes
+    ----------
+    name, domain : str
+        Names of the host and of its failure domain.
+    peers : str
+        IP number and port of its Peer service.
+    """
+
+    name: str
+    domain: str
+    peers: str
+
+
+class Servers(typing.Protocol):
+    """Calls to backend servers."""
+
+    async def grant(
+        self, row: records.TableRow, request: grants.GrantRequest
+    ) -> grants.GrantReply | outcomes.Refusal:
+        """Send a grant to a server."""
+
+    async def probe(self, row: records.TableRow) -> bool:
+        """Tell whether a server that does not check fences answers."""
+
+
+class Peers(typing.Protocol):
+    """Calls to other daemons."""
+
+    async def call(
+        self, address: str, method: str, *arguments: typing.Any
+    ) -> typing.Any | outcomes.Refusal:
+        """Call a method of the Peer service at an address."""
+
+
+class Appender(typing.Protocol):
+    """Appends to the configuration stream."""
+
+    async def append(self, record: records.Record) -> int | outcomes.Refusal:
+        """Return the offset at which the record was applied here."""
+
+
+class Membership(typing.Protocol):
+    """The platform's membership list, a hint only."""
+
+    def hosts(self) -> collections.abc.Sequence[Host]:
+        """Return the hosts last seen in the list."""
+
+
+class Loads(typing.Protocol):
+    """What the gates of this host observed."""
+
+    def gate_report(self, server: str, fence: str) -> ttypes.GateReport:
+        """Return the report on one gate since the previous one."""
+
+    def range_loads(self, domain: str) -> list[ttypes.RangeLoad]:
+        """Return the loads of ranges whose server is in a domain."""
+
+    def hot_keys(self, domain: str) -> list[ttypes.HotKey]:
+        """Return the hottest keys of the gates in a domain."""
+
+
+class NoLoads:
+    """Reports gates without any load."""
+
+    def gate_report(self, server: str, fence: str) -> ttypes.GateReport:
+        """Return a report of an idle gate."""
+        return ttypes.GateReport(server, fence, 0, 0.0, 0.0)
+
+    def range_loads(self, domain: str) -> list[ttypes.RangeLoad]:
+        """Return no loads."""
+        return []
+
+    def hot_keys(self, domain: str) -> list[ttypes.HotKey]:
+        """Return no keys."""
+        return []
+
+
+class Ports(typing.NamedTuple):
+    """All of them."""
+
+    servers: Servers
+    peers: Peers
+    appender: Appender
+    membership: Membership
+    on_view: collections.abc.Callable[[ttypes.RouteView], None]
+    loads: Loads = NoLoads()
--- /dev/null
+++ b/src/agatestile/ownership/vacating.py
@@ -0,0 +1,143 @@
+"""Choice of servers for ranges whose owner goes away."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from agatestile.state import ranges
+from agatestile.state import records
+
+if typing.TYPE_CHECKING:
+    from agatestile.ownership import succession
+    from agatestile.state import cluster
+
+SUCCESSORS = 2
+
+
+class Chooser:
+    """Spreads ranges of a service over its servers by weight.
+
+    Parameters
+    ----------
+    state : cluster.ClusterState
+        The present state.
+    service : str
+        Name of the service.
+
+    Attributes
+    ----------
+    rows : list of records.TableRow
+        Active servers in domains that are in.
+    """
+
+    def __init__(self, state: cluster.ClusterState, service: str) -> None:
+        self.rows = sorted(
+            (
+                row
+                for row in state.table.servers_by_service.get(service, ())
+                if row.state == "active"
+                and state.domain(row.domain).state == "in"
+            ),
+            key=lambda row: row.server,
+        )
+        self._counts = collections.Counter(
+            current.server for current in state.ranges_by_service[service]
+        )
+
+    def choose(self, near: str = "") -> tuple[str, tuple[str, ...]]:
+        """Return an owner and its successors.
+
+        Parameters
+        ----------
+        near : str
+            Domain to prefer, empty for none.
+        """
+        row = min(
+            self.rows,
+            key=lambda row: (
+                bool(near) and row.domain != near,
+                (self._counts[row.server] + 1) / row.weight,
+                row.server,
+            ),
+        )
+        self._counts[row.server] += 1
+        return row.server, self.successors(row)
+
+    def successors(self, owner: records.TableRow) -> tuple[str, ...]:
+        """Return the servers that follow an owner in its domain."""
+        names = [row.server for row in self.rows if row.domain == owner.domain]
+        if owner.server not in names:
+            return tuple(names[:SUCCESSORS])
+        first = names.index(owner.server)
+        others = names[first + 1 :] + names[:first]
+        if len(others) > SUCCESSORS:
+            # Spreads the load of a lost owner over the others.
+            shift = self._counts[owner.server] % len(others)
+            others = others[shift:] + others[:shift]
+        return tuple(others[:SUCCESSORS])
+
+
+def confirm_steps(
+    state: cluster.ClusterState, steps: succession.Steps
+) -> list[records.RangeChange]:
+    """Return the changes that make steps permanent."""
+    changes = []
+    for step in steps:
+        row = state.table.servers_by_name.get(step.server)
+        range_map = state.ranges_by_service.get(step.service)
+        if row is None or range_map is None:
+            continue
+        current = range_map.find(step.start)
+        if (current.start, current.end, current.version) != step[1:4]:
+            continue
+        if steps.find(state, step.service, step.start, current) != step:
+            continue
+        if current.intent == ranges.NO_INTENT:
+            successors = Chooser(state, step.service).successors(row)
+            changes.append(
+                _change(step.service, current, step.server, successors)
+            )
+    return changes
+
+
+def vacate(
+    state: cluster.ClusterState, steps: succession.Steps, domain: str
+) -> list[records.RangeChange]:
+    """Return the moves off servers and domains that go out of service."""
+    changes = []
+    out = state.domain(domain).state != "in"
+    leaving = {
+        row.server
+        for row in state.table.servers_by_name.values()
+        if row.domain == domain and (out or row.state == "leaving")
+    }
+    if not leaving:
+        return []
+    for service, range_map in state.ranges_by_service.items():
+        chooser = Chooser(state, service)
+        if not chooser.rows:
+            continue
+        for current in range_map:
+            if current.server in leaving and (
+                current.intent == ranges.NO_INTENT
+            ):
+                server, successors = chooser.choose("" if out else domain)
+                changes.append(_change(service, current, server, successors))
+    return changes
+
+
+def _change(
+    service: str,
+    current: ranges.Range,
+    server: str,
+    successors: tuple[str, ...],
+) -> records.RangeChange:
+    return records.RangeChange(
+        service,
+        current.start,
+        current.end,
+        (current.version,),
+        server,
+        successors,
+    )
--- a/src/agatestile/rpc/agatestile.thrift
+++ b/src/agatestile/rpc/agatestile.thrift
@@ -64,6 +64,10 @@
   12: list<RangeReference> released
   13: list<RangeLoad> loads
   14: list<HotKey> hot_keys
+  // Highest term whose leader the host has heard of.
+  15: Term known_term
+  // Steps that the host applies, while its view is of an earlier term.
+  16: list<RangeStep> steps
 }
 
 struct GateGrant {
