Add soak of the ownership runners in virtual time

The soak runs the real runners of five hosts on trio's mock clock with fakes at the ports, injects 18 kinds of faults alone and in pairs, and checks after each event and about every 30 ms that a position has at most one server that would run an order for it. Tests of the decision code mirror the tree.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -207,7 +207,8 @@
         self.cuts: set[frozenset[str]] = set()
         self.violations: list[str] = []
         self.acknowledged: list[tuple[int, records.Assign]] = []
-        self.leaderships: set[str] = set()
+        self.reference = cluster.ClusterState()
+        self.terms: set[tuple[str, int, str]] = set()
         self._starts = 0
         rows = tuple(rows)
         self.domains = sorted({row.domain for row in rows if row.server})
@@ -289,31 +290,49 @@
             return None
         with anyio.CancelScope(shield=True):
             await anyio.sleep(LATENCY + self.log_delay)
-        self.log.append(body)
-        offset = len(self.log) - 1
+        offset = self.write(body)
         if self.loses_answers:
             await anyio.sleep(APPEND_TIMEOUT * self.chance.random())
         return offset
 
+    def write(self, body: bytes) -> int:
+        """Add a record to the log."""
+        self.log.append(body)
+        offset = len(self.log) - 1
+        self.reference.apply(offset, records.decode(body))
+        return offset
+
     def listed(self) -> list[ports.Host]:
         return [
             ports.Host(host.name, host.domain, host.name)
             for host in self.hosts.values()
         ]
 
-    def acceptors(self, service: str, position: int) -> set[str]:
-        """Return the servers that would run an order for a position."""
+    def acceptors(
+        self, positions: dict[str, list[int]]
+    ) -> dict[tuple[str, int], set[tuple[str, str]]]:
+        """Return who would run an order for each position.
+
+        Returns
+        -------
+        dict
+            Pairs of server and gate host by service and position.
+        """
         now = anyio.current_time()
-        found = set()
+        found: dict[tuple[str, int], set[tuple[str, str]]] = {
+            (service, position): set()
+            for service, starts in positions.items()
+            for position in starts
+        }
         for host in self.hosts.values():
-            if not host.is_alive:
-                continue
-            for server in self.servers.values():
-                if server.row.service != service:
-                    continue
-                permit = host.runner.gates.permit(server.name, position, now)
-                if isinstance(permit, outcomes.Refusal):
-                    continue
-                if server.accepts(permit.fence):
-                    found.add(server.name)
+            gates = host.runner.gates
+            for domain in self.domains if host.is_alive else ():
+                for name, fence in gates.held(domain, now).items():
+                    if not self.servers[name].accepts(fence):
+                        continue
+                    service = self.servers[name].row.service
+                    for position in positions.get(service, ()):
+                        permit = gates.permit(name, position, now)
+                        if not isinstance(permit, outcomes.Refusal):
+                            found[service, position].add((name, host.name))
         return found
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,426 @@
+"""Runs the ownership runners through faults in virtual time.
+
+``python -m bench.soak --seed N --seconds N``
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import importlib
+import logging
+import random
+import sys
+import typing
+
+import anyio
+import anyio.abc
+import trio
+import trio.testing
+
+from agatestile.ownership import handover
+from agatestile.state import records
+from bench import fakes
+
+HOSTS = {"h1": "a", "h2": "a", "h3": "b", "h4": "b", "h5": "c"}
+SAMPLE = 0.03
+RANGES_PER_SERVER = 2
+CALM = 40.0
+"""Longest time until all ranges are served again after the faults end."""
+
+
+def table() -> tuple[records.TableRow, ...]:
+    """Return a table of two services, one of unfenced servers."""
+    rows = [
+        records.TableRow("service", "price", timeout_ms=1000),
+        records.TableRow("service", "photo", timeout_ms=1000),
+    ]
+    for domain in "abc":
+        for index in range(5):
+            fenced = index < 3
+            rows.append(
+                records.TableRow(
+                    "server",
+                    "price" if fenced else "photo",
+                    f"{domain}{index}",
+                    domain,
+                    f"127.0.0.1:{1000 + ord(domain) * 10 + index}",
+                    slots=2,
+                    connections=10,
+                    fenced=fenced,
+                )
+            )
+    return tuple(rows)
+
+
+class Soak:
+    """One run.
+
+    Attributes
+    ----------
+    unavailable : dict of str to float
+        Longest time, seconds, that a range was not served after a single
+        loss, by kind of loss.
+    """
+
+    def __init__(
+        self, seed: int, tasks: anyio.abc.TaskGroup, kinds: tuple[str, ...]
+    ) -> None:
+        self.chance = random.Random(seed)
+        self.world = fakes.World(table(), HOSTS, self.chance, tasks)
+        self.events = 0
+        self.unavailable: dict[str, float] = collections.defaultdict(float)
+        self.recovery: dict[str, float] = collections.defaultdict(float)
+        self.kinds = kinds or tuple(EVENTS)
+        self._tasks = tasks
+        self._down_since: dict[tuple[str, int], float] = {}
+        self._longest = 0.0
+
+    async def run(self, seconds: float) -> None:
+        """Inject events until the virtual time is over."""
+        change = records.TableChange("first", "operator", -1, table())
+        self.world.write(records.encode(change))
+        self._tasks.start_soon(self._sample)
+        await self._recover("start")
+        while anyio.current_time() < seconds:
+            kinds = self.chance.choices(
+                self.kinds, k=self.chance.choice((1, 2))
+            )
+            self._longest = 0.0
+            async with anyio.create_task_group() as tasks:
+                for kind in kinds:
+                    tasks.start_soon(self._event, kind)
+                    await anyio.sleep(self.chance.choice((0, 0.1, 0.7, 2)))
+            await self._recover("+".join(sorted(kinds)))
+            if len(kinds) == 1 and kinds[0] in SINGLE_LOSSES:
+                self.unavailable[kinds[0]] = max(
+                    self.unavailable[kinds[0]], self._longest
+                )
+        self._check_end()
+
+    async def _event(self, kind: str) -> None:
+        self.events += 1
+        await EVENTS[kind](self)
+        self.check()
+
+    async def _recover(self, name: str) -> None:
+        began = anyio.current_time()
+        await anyio.sleep(2.5)
+        while self._down_since or self.world.reference.intents.by_offset:
+            if anyio.current_time() > began + CALM:
+                self.world.expect(
+                    False,
+                    f"after {name}: {len(self._down_since)} ranges not "
+                    f"served, open intents "
+                    f"{list(self.world.reference.intents.by_offset)}",
+                )
+                return
+            await anyio.sleep(SAMPLE)
+        spent = anyio.current_time() - began
+        self.recovery[name] = max(self.recovery[name], spent)
+
+    async def _sample(self) -> None:
+        while True:
+            self.check()
+            await anyio.sleep(SAMPLE * self.chance.uniform(0.2, 1.8))
+
+    def check(self) -> None:
+        """Check owners of all positions at this moment."""
+        world, now = self.world, anyio.current_time()
+        positions = {
+            service: [current.start for current in range_map]
+            for service, range_map in world.reference.ranges_by_service.items()
+        }
+        for key, found in world.acceptors(positions).items():
+            owners = {server for server, _ in found}
+            world.expect(len(owners) < 2, f"{key} is served by {found}")
+            gates = {
+                host
+                for server, host in found
+                if not world.servers[server].row.fenced
+            }
+            world.expect(len(gates) < 2, f"{key} has gates {found}")
+            if any(self._serves(*pair) for pair in found):
+                self._down_since.pop(key, None)
+                continue
+            since = self._down_since.setdefault(key, now)
+            self._longest = max(self._longest, now - since)
+        known = {
+            (service, start)
+            for service, starts in positions.items()
+            for start in starts
+        }
+        for key in set(self._down_since) - known:
+            del self._down_since[key]
+        for host in world.hosts.values():
+            for domain, driver in host.runner.by_domain.items():
+                if driver.leadership is not None:
+                    term = driver.leadership.first_term
+                    world.terms.add((domain, term.step, term.instance))
+            for name, count in host.checks.violations_by_name.items():
+                world.expect(False, f"{host.name}: {name} {count} times")
+            host.checks.violations_by_name.clear()
+
+    def _serves(self, server: str, host: str) -> bool:
+        nodes = (self.world.servers[server], self.world.hosts[host])
+        return all(node.is_alive and not node.is_frozen for node in nodes)
+
+    def _check_end(self) -> None:
+        world = self.world
+        for offset, record in world.acknowledged:
+            for change in record.changes:
+                range_map = world.reference.ranges_by_service[change.service]
+                world.expect(
+                    range_map.find(change.start).version >= offset,
+                    f"assignment at {offset} is lost",
+                )
+        for host in world.hosts.values():
+            if host.state.offset == world.reference.offset:
+                world.expect(
+                    host.state == world.reference,
+                    f"state of {host.name} differs",
+                )
+
+    def host(self) -> fakes.Host:
+        """Return any host."""
+        return self.chance.choice(list(self.world.hosts.values()))
+
+    def leader(self) -> fakes.Host:
+        """Return the host that leads some domain, or any."""
+        domain = self.chance.choice(self.world.domains)
+        for host in self.world.hosts.values():
+            if host.runner.by_domain[domain].leadership is not None:
+                return host
+        return self.host()
+
+    def server(self) -> fakes.Server:
+        """Return any server."""
+        return self.chance.choice(list(self.world.servers.values()))
+
+    def span(self, low: float, high: float) -> float:
+        """Return a random time, seconds."""
+        return self.chance.uniform(low, high)
+
+    async def replace(self, host: fakes.Host) -> None:
+        """Kill a host and start another in its place later."""
+        if not host.is_alive:
+            return
+        self.world.kill_host(host)
+        await anyio.sleep(self.span(0.2, 5))
+        self.world.start_host(host.name, host.domain)
+
+    async def down(self, server: fakes.Server) -> None:
+        """Kill a server and start it again later."""
+        server.is_alive = False
+        await anyio.sleep(self.span(0.2, 6))
+        server.restart()
+
+    async def freeze(self, node: fakes.Node) -> None:
+        """Freeze a node for a while."""
+        node.freeze()
+        await anyio.sleep(self.span(0.2, 5))
+        node.thaw()
+
+    async def cut(self, pairs: typing.Iterable[tuple[str, str]]) -> None:
+        """Cut links for a while."""
+        links = {frozenset(pair) for pair in pairs}
+        self.world.cuts |= links
+        await anyio.sleep(self.span(0.5, 8))
+        self.world.cuts -= links
+
+    async def operate(self) -> None:
+        """Let two operators change the table or a domain at once."""
+        state = self.world.reference
+        for operator in ("one", "two"):
+            rows = list(state.table.rows)
+            index = self.chance.choice(
+                [i for i, row in enumerate(rows) if row.kind == "server"]
+            )
+            rows[index] = _with_state(rows[index], "leaving")
+            change: records.Record = records.TableChange(
+                operator, operator, state.table.version, tuple(rows)
+            )
+            domain = self.chance.choice(self.world.domains)
+            if self.chance.random() < 0.4:
+                change = records.DomainChange(
+                    operator,
+                    operator,
+                    domain,
+                    "out",
+                    state.domain(domain).version,
+                )
+            self.world.write(records.encode(change))
+        await anyio.sleep(self.span(2, 6))
+        self._restore()
+
+    def _restore(self) -> None:
+        state = self.world.reference
+        rows = tuple(
+            _with_state(row, "active") if row.kind == "server" else row
+            for row in state.table.rows
+        )
+        self.world.write(
+            records.encode(
+                records.TableChange("back", "one", state.table.version, rows)
+            )
+        )
+        for name in self.world.domains:
+            domain = state.domain(name)
+            if domain.state == "out":
+                self.world.write(
+                    records.encode(
+                        records.DomainChange(
+                            "back", "one", name, "in", domain.version
+                        )
+                    )
+                )
+
+    async def log_fault(self, name: str, value: typing.Any) -> None:
+        """Set a fault of the log for a while."""
+        before = getattr(self.world, name)
+        setattr(self.world, name, value)
+        await anyio.sleep(self.span(1, 12))
+        setattr(self.world, name, type(before)())
+
+    async def leave(self, host: fakes.Host) -> None:
+        """Let a host leave and return."""
+        for state in ("leaving", "active"):
+            known = self.world.reference.hosts_by_name.get(host.name)
+            self.world.write(
+                records.encode(
+                    records.HostChange(
+                        state,
+                        "one",
+                        host.name,
+                        state,
+                        known.version if known else -1,
+                    )
+                )
+            )
+            await anyio.sleep(self.span(1, 5))
+
+
+def _with_state(row: records.TableRow, state: str) -> records.TableRow:
+    fields = {name: getattr(row, name) for name in row.__struct_fields__}
+    return records.TableRow(**{**fields, "state": state})
+
+
+async def _both(soak: Soak) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(soak.replace, soak.leader())
+        tasks.start_soon(soak.down, soak.server())
+
+
+def _split(soak: Soak) -> list[tuple[str, str]]:
+    """Return links that split the servers of a domain between hosts."""
+    domain = soak.chance.choice(soak.world.domains)
+    hosts = set(soak.chance.sample(list(HOSTS), 2))
+    near = {f"{domain}{index}" for index in (0, 1)}
+    servers = [name for name in soak.world.servers if name[0] == domain]
+    return [
+        (host, server)
+        for host in HOSTS
+        for server in servers
+        if (host in hosts) != (server in near)
+    ] + [(one, other) for one in hosts for other in set(HOSTS) - hosts]
+
+
+def _partition(soak: Soak) -> list[tuple[str, str]]:
+    """Return links that cut a domain off, its log included or not."""
+    domain = soak.chance.choice(soak.world.domains)
+    nodes = {**HOSTS, **{name: name[0] for name in soak.world.servers}}
+    inside = [name for name, where in nodes.items() if where == domain]
+    outside = [name for name, where in nodes.items() if where != domain]
+    if soak.chance.random() < 0.7:
+        outside.append("log")
+    return [(one, other) for one in inside for other in outside]
+
+
+EVENTS: dict[str, typing.Callable[[Soak], typing.Awaitable[None]]] = {
+    "server-down": lambda soak: soak.down(soak.server()),
+    "server-frozen": lambda soak: soak.freeze(soak.server()),
+    "host-down": lambda soak: soak.replace(soak.host()),
+    "host-frozen": lambda soak: soak.freeze(soak.host()),
+    "leader-down": lambda soak: soak.replace(soak.leader()),
+    "leader-frozen": lambda soak: soak.freeze(soak.leader()),
+    "leader-and-owner-down": _both,
+    "host-server-cut": lambda soak: soak.cut(
+        [(soak.host().name, soak.server().name)]
+    ),
+    "leader-cut": lambda soak: soak.cut(
+        [(soak.leader().name, name) for name in soak.world.servers]
+    ),
+    "host-host-cut": lambda soak: soak.cut(
+        [(soak.host().name, soak.leader().name)]
+    ),
+    "host-log-cut": lambda soak: soak.cut([(soak.host().name, "log")]),
+    "split": lambda soak: soak.cut(_split(soak)),
+    "partition": lambda soak: soak.cut(_partition(soak)),
+    "log-down": lambda soak: soak.log_fault("is_log_down", True),
+    "log-slow": lambda soak: soak.log_fault("log_delay", 2.0),
+    "answers-lost": lambda soak: soak.log_fault("loses_answers", True),
+    "operators": Soak.operate,
+    "host-leaves": lambda soak: soak.leave(soak.host()),
+}
+SINGLE_LOSSES = (
+    "server-down",
+    "server-frozen",
+    "host-down",
+    "leader-down",
+    "leader-and-owner-down",
+)
+
+
+async def soak(seed: int, seconds: float, kinds: tuple[str, ...]) -> Soak:
+    """Run and return what was seen."""
+    async with anyio.create_task_group() as tasks:
+        run = Soak(seed, tasks, kinds)
+        await run.run(seconds)
+        tasks.cancel_scope.cancel()
+    return run
+
+
+def run_virtual(
+    seed: int, seconds: float, kinds: tuple[str, ...] = ()
+) -> Soak:
+    """Run in virtual time."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    handover.RANGES_PER_SERVER = RANGES_PER_SERVER
+    # Trio shuffles the order of tasks, which a seed has to reproduce.
+    importlib.import_module("trio._core._run").__dict__["_r"].seed(seed)
+    return trio.run(soak, seed, seconds, kinds, clock=clock)
+
+
+def main() -> int:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=600)
+    parser.add_argument("--events", default="", help="names, by comma")
+    parser.add_argument("--verbose", action="store_true")
+    options = parser.parse_args()
+    logging.basicConfig(
+        level=logging.INFO if options.verbose else logging.CRITICAL,
+        format="%(message)s",
+        stream=sys.stdout,
+    )
+    kinds = tuple(name for name in options.events.split(",") if name)
+    run = run_virtual(options.seed, options.seconds, kinds)
+    print(
+        f"seed {options.seed}, {options.seconds:.0f} s, {run.events} events, "
+        f"{len(run.world.violations)} violations, "
+        f"{len(run.world.terms)} leaderships, "
+        f"{run.world.reference.offset + 1} records"
+    )
+    for kind, longest in sorted(run.unavailable.items()):
+        print(f"  unavailable after {kind}: {longest:.2f} s at most")
+    slowest = sorted(run.recovery.items(), key=lambda item: -item[1])
+    for kind, longest in slowest[:3]:
+        print(f"  served again after {kind} ended: {longest:.2f} s")
+    for violation in run.world.violations[:10]:
+        print(f"  violation {violation}")
+    return 1 if run.world.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/ownership/scene.py
@@ -0,0 +1,183 @@
+"""State and messages that the tests of ownership share."""
+
+from __future__ import annotations
+
+from agatestile.observability import invariants
+from agatestile.ownership import gates
+from agatestile.ownership import grants
+from agatestile.ownership import leadership
+from agatestile.ownership import terms
+from agatestile.rpc.generated.agatestile_rpc import ttypes
+from agatestile.state import cluster
+from agatestile.state import ranges
+from agatestile.state import records
+
+TIMING = terms.Timing()
+DOMAIN = "radom"
+LEAD = records.Term(0, 1, "h1#a")
+MIDDLE = ranges.END // 2
+
+
+def table(*, fenced: bool = True) -> tuple[records.TableRow, ...]:
+    """Return three servers of one service, and one in another domain."""
+    rows = [records.TableRow("service", "price", timeout_ms=1000)]
+    for server, domain in (
+        ("p1", DOMAIN),
+        ("p2", DOMAIN),
+        ("p3", DOMAIN),
+        ("q1", "warszawa"),
+    ):
+        rows.append(
+            records.TableRow(
+                "server",
+                "price",
+                server,
+                domain,
+                f"127.0.0.1:{9000 + len(rows)}",
+                slots=2,
+                connections=9,
+                fenced=fenced,
+            )
+        )
+    return tuple(rows)
+
+
+def change(
+    start: int, end: int, base: int, server: str, *successors: str
+) -> records.RangeChange:
+    return records.RangeChange(
+        "price", start, end, (base,), server, successors
+    )
+
+
+def append(state: cluster.ClusterState, record: records.Record) -> int:
+    """Apply a record that has to be in force."""
+    result = state.apply(state.offset + 1, record)
+    assert isinstance(result, cluster.Applied), result
+    return result.offset
+
+
+def state(*, fenced: bool = True) -> cluster.ClusterState:
+    """Return a state at offset 2: p1 owns one half and p2 the other."""
+    made = cluster.ClusterState()
+    append(made, records.TableChange("t", "op", -1, table(fenced=fenced)))
+    append(made, records.Lead("l", DOMAIN, LEAD))
+    append(
+        made,
+        records.Assign(
+            "a",
+            DOMAIN,
+            LEAD,
+            (
+                change(0, MIDDLE, 0, "p1", "p2", "p3"),
+                change(MIDDLE, ranges.END, 0, "p2", "p3", "p1"),
+            ),
+        ),
+    )
+    return made
+
+
+class Domain:
+    """A leader, its servers and one gate host, without a network."""
+
+    def __init__(
+        self,
+        known: cluster.ClusterState,
+        now: float,
+        instance: str = "h1#a",
+        books: dict[str, grants.GrantBook] | None = None,
+        term: records.Term | None = None,
+    ) -> None:
+        self.state = known
+        self.checks = invariants.Invariants()
+        self.books = books or {
+            name: grants.GrantBook(f"{name}#1", now - 100)
+            for name in ("p1", "p2", "p3")
+        }
+        self.silent: set[str] = set()
+        self.votes = grants.Votes(DOMAIN, instance, TIMING)
+        self.votes.set_servers(
+            row
+            for row in known.table.servers_by_name.values()
+            if row.domain == DOMAIN
+        )
+        self.votes.term = term or records.Term(1, 2, instance)
+        for _ in range(2):
+            for name, lease in self.votes.by_server.items():
+                self._exchange(
+                    name, lease.prepare(DOMAIN, self.votes.term, now)
+                )
+        self.leader = leadership.Leadership(
+            self.votes, terms.host_of(instance), known, self.checks, now
+        )
+        self.gates = gates.GateTable(known, TIMING, self.checks)
+
+    def _exchange(
+        self,
+        name: str,
+        prepared: tuple[grants.GrantRequest, grants.Exchange],
+    ) -> None:
+        if name in self.silent:
+            return
+        sent, exchange = prepared
+        now = exchange.sent_at
+        reply = self.books[name].handle(sent, now)
+        lease = self.votes.by_server[name]
+        lease.receive(exchange, reply, now)
+        self.votes.note_reply(reply)
+
+    def round(self, now: float) -> None:
+        """Send a grant to each server and decide."""
+        self.leader.tick(now)
+        for name in list(self.leader.posts):
+            prepared = self.leader.request(name, now)
+            if prepared is not None:
+                self._exchange(name, prepared)
+        self.leader.tick(now)
+
+    def beat(
+        self,
+        now: float,
+        host: str = "h1",
+        table_: gates.GateTable | None = None,
+        offset: int | None = None,
+    ) -> ttypes.HeartbeatReply:
+        """Send a host's heartbeat and give it the answer."""
+        used = table_ or self.gates
+        view = used.view(DOMAIN)
+        used.note_term(DOMAIN, self.votes.term)
+        reply = self.leader.on_heartbeat(
+            ttypes.Heartbeat(
+                domain=DOMAIN,
+                host=host,
+                host_domain=DOMAIN,
+                instance=f"{host}#a",
+                stamp=now,
+                forward_address="127.0.0.1:1",
+                offset=self.state.offset if offset is None else offset,
+                route_sequence=view.route_sequence,
+                route_term=terms.to_thrift(view.route_term),
+                leaving=False,
+                gates=[
+                    ttypes.GateReport(server, fence, 0, 0.0, 0.0)
+                    for server, fence in used.held(DOMAIN, now).items()
+                ],
+                released=[item.to_thrift() for item in used.released()],
+                known_term=terms.to_thrift(view.known_term),
+                steps=[step.to_thrift() for step in view.steps]
+                if view.route_term != view.known_term
+                else [],
+            ),
+            now,
+        )
+        used.apply_reply(DOMAIN, reply)
+        return reply
+
+    def run(self, start: float, end: float) -> float:
+        """Exchange grants and heartbeats; return the time reached."""
+        now = start
+        while now < end:
+            self.round(now)
+            self.beat(now)
+            now += 0.1
+        return now
--- /dev/null
+++ b/tests/ownership/test_election.py
@@ -0,0 +1,100 @@
+"""Candidates and their votes."""
+
+from __future__ import annotations
+
+from agatestile.ownership import election
+from agatestile.ownership import grants
+from agatestile.ownership import ports
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.state import records
+from tests.ownership import scene
+
+
+def campaign(instance: str, now: float) -> election.Campaign:
+    known = scene.state()
+    votes = grants.Votes(scene.DOMAIN, instance, scene.TIMING)
+    votes.set_servers(scene.table()[1:4])
+    return election.Campaign(votes, known, now)
+
+
+def send(
+    one: election.Campaign,
+    books: dict[str, grants.GrantBook],
+    now: float,
+    names: tuple[str, ...] = ("p1", "p2", "p3"),
+) -> None:
+    for name in names:
+        sent, exchange = one.request(name, now)
+        one.receive(name, exchange, books[name].handle(sent, now), now)
+
+
+def books() -> dict[str, grants.GrantBook]:
+    return {
+        name: grants.GrantBook(f"{name}#1", 0.0) for name in ("p1", "p2", "p3")
+    }
+
+
+def test_candidates_are_the_domains_hosts_first() -> None:
+    """Guards against a leader outside of a domain that has hosts."""
+    hosts = [
+        ports.Host("h4", "warszawa", ""),
+        ports.Host("h2", scene.DOMAIN, ""),
+        ports.Host("h1", scene.DOMAIN, ""),
+        ports.Host("h3", "warszawa", ""),
+    ]
+    order = election.candidates(scene.DOMAIN, hosts)
+    assert order[:2] == ["h1", "h2"]
+    assert order == election.candidates(scene.DOMAIN, reversed(hosts))
+
+
+def test_split_of_the_servers_leaves_one_leader() -> None:
+    """Guards against two leaders, each with a part of the servers."""
+    servers = books()
+    one, two = campaign("h1#a", 10.0), campaign("h2#b", 10.0)
+    for each, names in ((one, ("p1",)), (two, ("p2", "p3"))):
+        send(each, servers, 10.0, names)
+    assert isinstance(one.wait(), outcomes.Refusal)
+    assert two.wait() == 0
+    for each, names in ((one, ("p1",)), (two, ("p2", "p3"))):
+        each.stand()
+        send(each, servers, 10.0, names)
+    assert not one.votes.is_held(10.1)
+    assert two.votes.is_held(10.1)
+
+
+def test_candidate_waits_for_the_present_lease() -> None:
+    """Guards against votes that are refused and waste a round."""
+    servers = books()
+    one = campaign("h1#a", 10.0)
+    send(one, servers, 10.0)
+    one.stand()
+    send(one, servers, 10.0)
+    two = campaign("h2#b", 10.4)
+    send(two, servers, 10.4)
+    wait = two.wait()
+    assert not isinstance(wait, outcomes.Refusal)
+    assert abs(wait - 0.6) < 1e-9
+    assert two.present_leader() == "h1"
+    two.stand()
+    assert two.votes.term > one.votes.term
+    send(two, servers, 10.4)
+    assert not two.votes.is_held(10.4)
+
+
+def test_too_few_answers_give_no_majority() -> None:
+    """Guards against a candidate that counts only those who answered."""
+    one = campaign("h1#a", 10.0)
+    send(one, books(), 10.0, ("p2",))
+    refusal = one.wait()
+    assert isinstance(refusal, outcomes.Refusal)
+    assert refusal.code is codes.ResultCode.NO_MAJORITY
+
+
+def test_term_is_above_the_one_in_the_log() -> None:
+    """Guards against a Lead that is refused after all servers restarted."""
+    one = campaign("h0#z", 10.0)
+    send(one, books(), 10.0)
+    one.stand()
+    assert one.votes.term > scene.LEAD
+    assert one.votes.term == records.Term(1, 2, "h0#z")
--- /dev/null
+++ b/tests/ownership/test_handover.py
@@ -0,0 +1,192 @@
+"""Moves of ranges through the log."""
+
+from __future__ import annotations
+
+import pytest
+
+from agatestile.ownership import handover
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.state import cluster
+from agatestile.state import ranges
+from agatestile.state import records
+from tests.ownership import scene
+
+
+class Moves:
+    """A leader that writes to the log of its own state."""
+
+    def __init__(self, domain: scene.Domain) -> None:
+        self.domain = domain
+        self.writer = handover.Handover(domain.leader)
+        self.written: list[str] = []
+
+    def step(self, now: float) -> records.Record | None:
+        """Append the next record, if there is one."""
+        record = self.writer.next_record(now)
+        if record is None:
+            return None
+        known = self.domain.state
+        result = known.apply(known.offset + 1, record)
+        self.written.append(type(record).__name__)
+        if isinstance(result, cluster.Applied):
+            self.writer.note_applied(record, result.offset)
+        return record
+
+    def run(self, start: float, end: float, until: str = "") -> float:
+        now = start
+        while now < end:
+            now = self.domain.run(now, now + 0.05)
+            self.step(now)
+            if until and until in self.written:
+                break
+        return now
+
+
+def move_to(server: str) -> tuple[records.RangeChange, ...]:
+    return (scene.change(0, scene.MIDDLE, 2, server),)
+
+
+def test_move_goes_through_intent_release_and_assign() -> None:
+    """Guards against an Assign before the gate released the range."""
+    moves = Moves(scene.Domain(scene.state(), 100.0))
+    now = moves.run(100.0, 101.0)
+    moves.writer.propose(move_to("p3"))
+    now = moves.run(now, now + 1.0, until="Intent")
+    permit = moves.domain.gates.enter("p1", 5, now)
+    assert not isinstance(permit, outcomes.Refusal)
+    now = moves.run(now, now + 1.0)
+    assert moves.written == ["Lead", "Intent", "Lead"]
+    moves.domain.gates.leave(permit)
+    moves.run(now, now + 1.0)
+    assert moves.written == ["Lead", "Intent", "Lead", "Assign"]
+    assert moves.domain.state.ranges_by_service["price"].find(5).server == "p3"
+
+
+@pytest.mark.parametrize("last", ["Intent", "Assign"])
+def test_next_leader_continues_from_an_open_intent(last: str) -> None:
+    """Guards against ranges that stay released after a leader is lost."""
+    known = scene.state()
+    first = Moves(scene.Domain(known, 100.0))
+    first.writer.propose(move_to("p3"))
+    now = first.run(100.0, 102.0, until=last)
+    second = Moves(
+        scene.Domain(
+            known,
+            now + 1.0,
+            "h2#b",
+            first.domain.books,
+            records.Term(known.domain(scene.DOMAIN).lead_offset, 9, "h2#b"),
+        )
+    )
+    second.domain.gates = first.domain.gates
+    second.run(now + 1.0, now + 3.0)
+    assert known.ranges_by_service["price"].find(5).server == "p3"
+    assert known.intents.by_offset == {}
+    assert second.written.count("Assign") == (last == "Intent")
+
+
+def test_late_assign_of_an_old_leader_is_refused() -> None:
+    """Guards against a record that was on its way when the term ended."""
+    known = scene.state()
+    first = Moves(scene.Domain(known, 100.0))
+    first.writer.propose(move_to("p3"))
+    now = first.run(100.0, 102.0, until="Intent")
+    while not isinstance(
+        late := first.writer.next_record(now), records.Assign
+    ):
+        first.step(now)
+        now = first.domain.run(now, now + 0.05)
+    scene.append(
+        known,
+        records.Lead(
+            "l2",
+            scene.DOMAIN,
+            records.Term(known.domain(scene.DOMAIN).lead_offset, 9, "h2#b"),
+        ),
+    )
+    refusal = known.apply(known.offset + 1, late)
+    assert isinstance(refusal, outcomes.Refusal)
+    assert refusal.code is codes.ResultCode.TERM_STALE
+
+
+def test_lost_answer_of_an_assign_changes_nothing_twice() -> None:
+    """Guards against a repeated Assign that undoes a later change."""
+    known = scene.state()
+    moves = Moves(scene.Domain(known, 100.0))
+    moves.writer.propose(move_to("p3"))
+    now = moves.run(100.0, 102.0, until="Intent")
+    while not isinstance(
+        lost := moves.writer.next_record(now), records.Assign
+    ):
+        moves.step(now)
+        now = moves.domain.run(now, now + 0.05)
+    assert isinstance(moves.writer.next_record(now), records.Assign)
+    applied = scene.append(known, lost)
+    assert moves.writer.next_record(now) is None
+    assert isinstance(known.apply(known.offset + 1, lost), outcomes.Refusal)
+    current = known.ranges_by_service["price"].find(5)
+    assert (current.server, current.version) == ("p3", applied)
+
+
+def test_step_is_made_permanent() -> None:
+    """Guards against a failover that is lost with its leader."""
+    known = scene.state()
+    moves = Moves(scene.Domain(known, 100.0))
+    now = moves.run(100.0, 101.0)
+    moves.domain.silent.add("p1")
+    moves.run(now, now + 4.0)
+    assert known.ranges_by_service["price"].find(5).server == "p2"
+    assert list(moves.domain.leader.steps) == []
+    assert moves.written == ["Lead", "Intent", "Lead", "Assign"]
+
+
+@pytest.mark.parametrize("what", ["domain", "server"])
+def test_ranges_leave_what_goes_out_of_service(what: str) -> None:
+    """Guards against ranges left on a server that is to be ended."""
+    known = scene.state()
+    moves = Moves(scene.Domain(known, 100.0))
+    now = moves.run(100.0, 101.0)
+    if what == "domain":
+        scene.append(
+            known, records.DomainChange("d", "op", scene.DOMAIN, "out", -1)
+        )
+    else:
+        rows = list(scene.table())
+        leaving = {
+            name: getattr(rows[1], name) for name in rows[1].__struct_fields__
+        }
+        rows[1] = records.TableRow(**{**leaving, "state": "leaving"})
+        scene.append(known, records.TableChange("t2", "op", 0, tuple(rows)))
+    moves.run(now, now + 2.5)
+    owners = known.ranges_by_service["price"].owners()
+    assert owners == {"q1"} if what == "domain" else "p1" not in owners
+
+
+def test_initial_assignment_spreads_ranges_by_weight() -> None:
+    """Guards against servers without ranges and successors elsewhere."""
+    known = cluster.ClusterState()
+    rows = list(scene.table())
+    scene.append(known, records.TableChange("t", "op", -1, tuple(rows)))
+    changes = handover.initial_assignment(known, scene.DOMAIN)
+    assert len(changes) == 8 * 4
+    assert changes[0].start == 0
+    assert changes[-1].end == ranges.END
+    by_server = [change.server for change in changes]
+    assert {name: by_server.count(name) for name in by_server} == {
+        "p1": 8,
+        "p2": 8,
+        "p3": 8,
+        "q1": 8,
+    }
+    for change in changes:
+        domains = {
+            known.table.domain_of(name)
+            for name in (change.server, *change.successors)
+        }
+        assert len(domains) == 1
+        assert change.server not in change.successors
+    assert changes == handover.initial_assignment(known, scene.DOMAIN)
+    scene.append(known, records.Lead("l", scene.DOMAIN, scene.LEAD))
+    scene.append(known, records.Assign("a", scene.DOMAIN, scene.LEAD, changes))
+    assert handover.initial_assignment(known, scene.DOMAIN) == ()
--- /dev/null
+++ b/tests/ownership/test_leadership.py
@@ -0,0 +1,186 @@
+"""Decisions of a leader."""
+
+from __future__ import annotations
+
+import pytest
+
+from agatestile.observability import invariants
+from agatestile.ownership import gates
+from agatestile.rpc.generated.agatestile_rpc import ttypes
+from agatestile.state import records
+from tests.ownership import scene
+
+
+def served(domain: scene.Domain, server: str, now: float) -> bool:
+    """Tell whether an order for position 5 runs on a server."""
+    permit = domain.gates.permit(server, 5, now)
+    return isinstance(permit, gates.Permit) and domain.books[server].accepts(
+        permit.fence, now
+    )
+
+
+def test_frozen_leader_that_returns_does_nothing() -> None:
+    """Guards against grants of a leader whose majority has lapsed."""
+    domain = scene.Domain(scene.state(), 100.0)
+    domain.run(100.0, 101.0)
+    assert domain.leader.may_act(101.5)
+    assert not domain.leader.may_act(102.5)
+    assert not domain.beat(102.5).leads
+    domain.leader.tick(102.5)
+    assert domain.leader.request("p1", 102.5) is None
+    counts = domain.checks.violations_by_name
+    assert counts["grant-with-majority"] == 1
+
+
+def test_owner_steps_only_after_its_lease_lapsed() -> None:
+    """Guards against two owners while the lost one may still serve."""
+    domain = scene.Domain(scene.state(), 100.0)
+    now = domain.run(100.0, 102.0)
+    assert served(domain, "p1", now)
+    domain.silent.add("p1")
+    last = domain.votes.by_server["p1"].replied_at
+    while not served(domain, "p2", now):
+        assert now < last + 3
+        now = domain.run(now, now + 0.05)
+    assert now >= last + scene.TIMING.serve_lease
+    assert not domain.books["p1"].accepts(
+        domain.leader.posts["p1"].fence or "0.0.0.x", now
+    )
+
+
+def test_failover_needs_no_log() -> None:
+    """Guards against keys that are not served during a log outage."""
+    known = scene.state()
+    domain = scene.Domain(known, 100.0)
+    domain.run(100.0, 101.0)
+    domain.silent.add("p1")
+    now = domain.run(101.0, 103.2)
+    assert known.offset == 2
+    assert served(domain, "p2", now)
+    domain.silent.clear()
+    now = domain.run(now, now + 1)
+    assert served(domain, "p2", now)
+    assert not served(domain, "p1", now)
+
+
+def test_range_with_an_open_intent_is_not_stepped() -> None:
+    """Guards against a step while the Assign may be in the log."""
+    known = scene.state()
+    move = scene.change(0, scene.MIDDLE, 2, "p3")
+    scene.append(known, records.Intent("i", scene.DOMAIN, scene.LEAD, (move,)))
+    domain = scene.Domain(known, 100.0)
+    domain.run(100.0, 101.0)
+    domain.silent.add("p1")
+    domain.run(101.0, 104.0)
+    assert domain.leader.posts["p1"].is_lost
+    assert list(domain.leader.steps) == []
+
+
+def test_leader_whose_state_lags_does_not_step() -> None:
+    """Guards against a step that ignores an Intent it has not read."""
+    domain = scene.Domain(scene.state(), 100.0)
+    domain.run(100.0, 101.0)
+    domain.votes.highest_epoch = 7
+    domain.silent.add("p1")
+    domain.run(101.0, 104.0)
+    assert domain.leader.posts["p1"].is_lost
+    assert list(domain.leader.steps) == []
+
+
+def test_host_whose_state_lags_gets_no_new_gate() -> None:
+    """Guards against a gate that does not know of a move."""
+    domain = scene.Domain(scene.state(), 100.0)
+    domain.votes.highest_epoch = 2
+    for tenth in range(10):
+        now = 100.0 + tenth / 10
+        domain.round(now)
+        reply = domain.beat(now, offset=1)
+    assert reply.leads
+    assert reply.grants == []
+
+
+@pytest.mark.parametrize("knows", [True, False])
+def test_next_leader_learns_of_steps_before_the_owner_serves(
+    knows: bool,
+) -> None:
+    """Guards against the returned owner serving a range it lost."""
+    known = scene.state()
+    first = scene.Domain(known, 100.0)
+    first.run(100.0, 101.0)
+    first.silent.add("p1")
+    now = first.run(101.0, 103.2)
+    assert served(first, "p2", now)
+    second = scene.Domain(
+        known,
+        now + 1.0,
+        "h2#b",
+        first.books,
+        records.Term(1, 3, "h2#b"),
+    )
+    assert second.leader.may_act(now + 1.0)
+    if knows:
+        second.gates = first.gates
+    ended = second.run(now + 1.0, now + 1.2)
+    assert not served(second, "p1", ended)
+    if not knows:
+        return
+    assert [step.server for step in second.leader.steps] == ["p2"]
+    ended = second.run(ended, ended + 1.0)
+    assert served(second, "p2", ended)
+    assert not served(second, "p1", ended)
+
+
+def test_lost_gate_is_replaced_with_a_higher_fence() -> None:
+    """Guards against a lost gate that returns beside the new one."""
+    domain = scene.Domain(scene.state(), 100.0)
+    domain.run(100.0, 101.0)
+    before = domain.leader.posts["p1"].fence
+    other = gates.GateTable(
+        domain.state, scene.TIMING, invariants.Invariants()
+    )
+    for tenth in range(12):
+        now = 101.0 + tenth / 10
+        domain.round(now)
+        domain.beat(now, "h2", other)
+    after = domain.leader.posts["p1"].fence
+    assert records.Fence.from_text(after) > records.Fence.from_text(before)
+    assert isinstance(other.permit("p1", 5, now), gates.Permit)
+    assert not domain.books["p1"].accepts(before, now)
+
+
+def test_gate_of_an_unfenced_server_moves_after_its_lease() -> None:
+    """Guards against two gates of a server that checks no fences."""
+    known = scene.state(fenced=False)
+    domain = scene.Domain(known, 100.0)
+    # The votes of such a domain come from the log; held here for the test.
+    domain.votes.set_servers(scene.table()[1:4])
+    for tenth in range(20):
+        now = 100.0 + tenth / 10
+        for name, lease in domain.votes.by_server.items():
+            lease.held_until = now + 1
+            domain.leader.note_probe(name, now)
+        domain.beat(now)
+    assert isinstance(domain.gates.permit("p1", 5, now), gates.Permit)
+    last, other = now, gates.GateTable(known, scene.TIMING, domain.checks)
+    while not isinstance(other.permit("p1", 5, now), gates.Permit):
+        now += 0.05
+        assert now < last + 3
+        for name, lease in domain.votes.by_server.items():
+            lease.held_until = now + 1
+            domain.leader.note_probe(name, now)
+        domain.beat(now, "h2", other)
+    assert now >= last + scene.TIMING.serve_wait
+    assert not isinstance(domain.gates.permit("p1", 5, now), gates.Permit)
+
+
+def test_view_changes_its_sequence_only_with_its_contents() -> None:
+    """Guards against views sent with each heartbeat, and stale ones."""
+    domain = scene.Domain(scene.state(), 100.0)
+    domain.run(100.0, 101.0)
+    assert domain.beat(101.0).view is None
+    sequence = domain.leader.view().sequence
+    domain.silent.add("p1")
+    domain.run(101.0, 103.5)
+    view = domain.leader.view()
+    assert view.sequence > sequence
+    assert isinstance(view.steps[0], ttypes.RangeStep)
