--- /dev/null
+++ b/src/agatestile/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts, kept in YAML files that the program interprets."""
