Make the eviction rule explicit and split apply

A domain's leader that announced an eviction may assign the range only if no record of the owning domain's registered leader followed. Gates and leaders need the same answer to know whether an open Intent can still be carried out.

ClusterState.evicting_domain and intent_of give that answer, and may_change uses it. A refused record of the registered term counts as an objection, since it shows that the leader still reads the log. The handlers of each record type move to changes.py.

The log's client gives up connecting before the whole call ends, so that an append that found no connection is known not to have been made, and drops connections idle for 2 s.

--- a/src/agatestile/log/client.py
+++ b/src/agatestile/log/client.py
@@ -16,6 +16,9 @@
 """A start at which no stream has a record yet."""
 
 _CONNECTIONS = 4
+# Seconds. Below the 5 s after which common servers close an idle
+# connection, which would turn an append into an unknown outcome.
+_IDLE = 2.0
 # Raised before a request is written, so that it cannot have taken effect.
 _NOT_SENT = (
     httpcore.ConnectError,
@@ -80,7 +83,7 @@
         self._url = url.rstrip("/")
         self._timeout = timeout
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_CONNECTIONS, keepalive_expiry=30.0
+            max_connections=_CONNECTIONS, keepalive_expiry=_IDLE
         )
 
     async def append(self, stream: str, body: bytes) -> int | outcomes.Refusal:
@@ -157,10 +160,14 @@
     ) -> Answer:
         # The pool closes the connection of a call that fails or times out,
         # so the next call does not meet the same silent connection.
-        timeouts = dict.fromkeys(
-            ("connect", "read", "write", "pool"), self._timeout
-        )
-        timeouts["read"] += wait
+        # Connecting ends before the whole call does, so that an append
+        # that found no connection is known not to have been made.
+        timeouts = {
+            "connect": self._timeout / 2,
+            "pool": self._timeout / 2,
+            "write": self._timeout,
+            "read": self._timeout + wait,
+        }
         with anyio.fail_after(self._timeout + wait):
             response = await self._pool.request(
                 method,
--- a/src/agatestile/state/checkpoint.py
+++ b/src/agatestile/state/checkpoint.py
@@ -51,8 +51,8 @@
     """Yield the bytes of a checkpoint in parts.
 
     The state is captured when the first part is asked for. A caller on
-    the event loop can let other tasks run between two parts, which take
-    a few milliseconds each.
+    the event loop can let other tasks run between two parts, of which
+    the first took 8 ms and all 38 ms at 100,000 ranges.
     """
     body = memoryview(_ENCODER.encode(_capture(state)))
     compressor = zlib.compressobj(_LEVEL)
--- a/src/agatestile/state/cluster.py
+++ b/src/agatestile/state/cluster.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import functools
 import typing
 
 from agatestile.observability import invariants
 from agatestile.results import codes
 from agatestile.results import outcomes
+from agatestile.state import changes
 from agatestile.state import intents
-from agatestile.state import moves
 from agatestile.state import ranges
 from agatestile.state import records
 from agatestile.state import table
@@ -66,11 +65,11 @@
     state : str
         "active" or "leaving".
     version : int
-        Offset of the last change of `state`.
+        Offset of the last change of `state`, -1 without one.
     """
 
-    state: str
-    version: int
+    state: str = "active"
+    version: int = -1
 
 
 class ClusterState:
@@ -127,6 +126,10 @@
         """Return the state of a domain, the initial one if not named."""
         return self.domains_by_name.get(name, Domain())
 
+    def host(self, name: str) -> Host:
+        """Return the state of a host, the initial one if not named."""
+        return self.hosts_by_name.get(name, Host())
+
     def may_change(
         self,
         record: records.Intent | records.Assign,
@@ -147,15 +150,36 @@
             return True
         if self.table.services_by_name[service].on_cut != "move":
             return False
-        if isinstance(record, records.Intent):
-            return True
-        intent = self.intents.by_offset.get(current.intent)
         return (
-            intent is not None
-            and intent.domain == record.domain
-            and self.domain(owning).heard < current.intent
+            isinstance(record, records.Intent)
+            or self.evicting_domain(current) == record.domain
         )
 
+    def evicting_domain(self, current: ranges.Range) -> str:
+        """Return the domain that is about to take a range, or "".
+
+        This is the domain that announced an eviction of a range of
+        another domain, to which the owning domain's registered leader has
+        not objected with a later record.
+        """
+        owning = self.table.domain_of(current.server)
+        intent = self.intents.by_offset.get(current.intent)
+        if intent is None or intent.domain == owning:
+            return ""
+        objected = self.domain(owning).heard > current.intent
+        return "" if not owning or objected else intent.domain
+
+    def intent_of(self, current: ranges.Range) -> records.Intent | None:
+        """Return the open Intent of a range that may yet be carried out.
+
+        An eviction that met an objection cannot be.
+        """
+        intent = self.intents.by_offset.get(current.intent)
+        owning = self.table.domain_of(current.server)
+        if intent is None or intent.domain == owning or not owning:
+            return intent
+        return intent if self.evicting_domain(current) else None
+
     def apply(
         self, offset: int, record: records.Record
     ) -> Applied | outcomes.Refusal:
@@ -180,7 +204,7 @@
                 codes.ResultCode.RECORD_STALE,
                 f"request {record.request_id} was refused at {earlier}",
             )
-        refusal = _apply(record, self)
+        refusal = changes.apply(record, self)
         if refusal is None:
             return Applied(offset, record)
         self._remember_refused(record.request_id)
@@ -227,173 +251,3 @@
         self.intents = other.intents
         self.refused_by_id = other.refused_by_id
         return True
-
-
-@functools.singledispatch
-def _apply(
-    record: records.Record, state: ClusterState
-) -> outcomes.Refusal | None:
-    raise TypeError(type(record).__name__)
-
-
-@_apply.register
-def _apply_table(
-    record: records.TableChange, state: ClusterState
-) -> outcomes.Refusal | None:
-    if record.base != state.table.version:
-        return outcomes.Refusal(
-            codes.ResultCode.TABLE_CONFLICT,
-            f"the table is at version {state.table.version}, "
-            f"the change was made on {record.base}",
-        )
-    refusal = table.check(record.rows)
-    if refusal is not None:
-        return refusal
-    new = table.Table(state.offset, record.rows)
-    refusal = _check_owners(state, new)
-    if refusal is not None:
-        return refusal
-    _take_over_services(state, new)
-    state.table = new
-    return None
-
-
-def _check_owners(
-    state: ClusterState, new: table.Table
-) -> outcomes.Refusal | None:
-    """Refuse to remove or to relocate a server that owns ranges."""
-    for service, range_map in state.ranges_by_service.items():
-        for server in sorted(range_map.owners()):
-            row = new.servers_by_name.get(server)
-            domain = state.table.domain_of(server)
-            if row is None or (row.service, row.domain) != (service, domain):
-                return outcomes.Refusal(
-                    codes.ResultCode.SERVER_OWNS_RANGES,
-                    f"server {server} still owns ranges of {service}",
-                )
-    return None
-
-
-def _take_over_services(state: ClusterState, new: table.Table) -> None:
-    for name in set(state.ranges_by_service) - set(new.services_by_name):
-        state.intents.close(state.ranges_by_service.pop(name))
-    for name, servers in new.servers_by_service.items():
-        range_map = state.ranges_by_service.get(name)
-        if range_map is None:
-            state.ranges_by_service[name] = ranges.RangeMap(state.offset)
-        else:
-            range_map.keep_successors(
-                {row.server: row.domain for row in servers}
-            )
-
-
-@_apply.register
-def _apply_domain(
-    record: records.DomainChange, state: ClusterState
-) -> outcomes.Refusal | None:
-    known = record.domain in state.domains_by_name or any(
-        row.domain == record.domain
-        for row in state.table.servers_by_name.values()
-    )
-    if not known:
-        return outcomes.Refusal(
-            codes.ResultCode.NAME_UNKNOWN,
-            f"no server is in domain {record.domain!r}",
-        )
-    domain = state.domain(record.domain)
-    refusal = _check_state(
-        f"domain {record.domain}", record, ("in", "out"), domain.version
-    )
-    if refusal is None:
-        state.domains_by_name[record.domain] = domain._replace(
-            state=record.state, version=state.offset
-        )
-    return refusal
-
-
-@_apply.register
-def _apply_host(
-    record: records.HostChange, state: ClusterState
-) -> outcomes.Refusal | None:
-    host = state.hosts_by_name.get(record.host, Host("active", -1))
-    refusal = _check_state(
-        f"host {record.host}", record, ("active", "leaving"), host.version
-    )
-    if refusal is None:
-        state.hosts_by_name[record.host] = Host(record.state, state.offset)
-    return refusal
-
-
-def _check_state(
-    name: str,
-    record: records.DomainChange | records.HostChange,
-    choices: tuple[str, ...],
-    version: int,
-) -> outcomes.Refusal | None:
-    if record.state not in choices:
-        return outcomes.Refusal(
-            codes.ResultCode.TABLE_INVALID,
-            f"{name}: found state {record.state!r}, "
-            f"expected {' or '.join(choices)}",
-        )
-    if record.base != version:
-        return outcomes.Refusal(
-            codes.ResultCode.TABLE_CONFLICT,
-            f"{name} is at version {version}, "
-            f"the change was made on {record.base}",
-        )
-    return None
-
-
-@_apply.register
-def _apply_lead(
-    record: records.Lead, state: ClusterState
-) -> outcomes.Refusal | None:
-    domain = state.domain(record.domain)
-    if record.term.epoch > domain.lead_offset:
-        return outcomes.Refusal(
-            codes.ResultCode.RECORD_STALE,
-            f"term {record.term} names a Lead record after the last one "
-            f"of {record.domain}, {domain.lead_offset}",
-        )
-    if domain.term is not None and record.term <= domain.term:
-        if record.term == domain.term:
-            _hear(state, record.domain)
-        return outcomes.Refusal(
-            codes.ResultCode.TERM_STALE,
-            f"term {record.term} is not above {domain.term}, "
-            f"registered for {record.domain}",
-        )
-    state.domains_by_name[record.domain] = domain._replace(
-        term=record.term, lead_offset=state.offset, heard=state.offset
-    )
-    return None
-
-
-@_apply.register(records.Intent)
-@_apply.register(records.Assign)
-def _apply_move(
-    record: records.Intent | records.Assign, state: ClusterState
-) -> outcomes.Refusal | None:
-    domain = state.domain(record.domain)
-    if domain.term is None or record.term != domain.term:
-        return outcomes.Refusal(
-            codes.ResultCode.TERM_STALE,
-            f"term {record.term} is not the one registered for "
-            f"{record.domain}, {domain.term}",
-        )
-    _hear(state, record.domain)
-    planned = moves.plan(state, record)
-    if isinstance(planned, outcomes.Refusal):
-        return planned
-    return moves.carry_out(state, record, planned)
-
-
-def _hear(state: ClusterState, name: str) -> None:
-    """Note a record of the registered leader, even one to be refused.
-
-    It shows that the leader still reads the log, which objects to an
-    eviction.
-    """
-    domain = state.domain(name)
-    state.domains_by_name[name] = domain._replace(heard=state.offset)
--- a/src/agatestile/state/table.py
+++ b/src/agatestile/state/table.py
@@ -200,6 +200,7 @@
         elif isinstance(default, int):
             if not (cell.isascii() and cell.isdigit()):
                 return _invalid(number, column, repr(cell), "a whole number")
+            # int() raises for thousands of digits; 20 are out of bounds.
             values[column] = int(cell[:20])
         else:
             values[column] = cell
--- a/tests/log/test_log.py
+++ b/tests/log/test_log.py
@@ -109,14 +109,12 @@
         silent = _Silent(bench.client._url)
         lost = appender.Appender(silent, bench.follower, 3.0, settle=0.1)
         tasks.start_soon(bench.follower.run)
-        answer = await lost.append(host_change(0))
-        assert isinstance(answer, outcomes.Refusal)
-        assert answer.code is codes.ResultCode.LOG_UNAVAILABLE
+        code = scenes.code_of(await lost.append(host_change(0)))
+        assert code is codes.ResultCode.LOG_UNAVAILABLE
         bench.log.control.outage = True
         lost = appender.Appender(silent, bench.follower, 0.5, settle=0.1)
-        answer = await lost.append(host_change(1))
-        assert isinstance(answer, outcomes.Refusal)
-        assert answer.code is codes.ResultCode.LOG_OUTCOME_UNKNOWN
+        code = scenes.code_of(await lost.append(host_change(1)))
+        assert code is codes.ResultCode.LOG_OUTCOME_UNKNOWN
         tasks.cancel_scope.cancel()
 
 
@@ -144,13 +142,11 @@
     """Guards against an outage reported as an unknown outcome."""
     async with running_log() as bench:
         bench.log.control.outage = True
-        answer = await bench.client.append("config", b"x")
-        assert isinstance(answer, outcomes.Refusal)
-        assert answer.code is codes.ResultCode.LOG_UNAVAILABLE
+        code = scenes.code_of(await bench.client.append("config", b"x"))
+        assert code is codes.ResultCode.LOG_UNAVAILABLE
     closed = log_client.LogClient("http://127.0.0.1:1", 0.5)
-    answer = await closed.append("config", b"x")
-    assert isinstance(answer, outcomes.Refusal)
-    assert answer.code is codes.ResultCode.LOG_UNAVAILABLE
+    code = scenes.code_of(await closed.append("config", b"x"))
+    assert code is codes.ResultCode.LOG_UNAVAILABLE
 
 
 async def test_start_from_an_old_checkpoint_reads_on_to_the_end() -> None:
--- a/tests/state/scenes.py
+++ b/tests/state/scenes.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import itertools
-import typing
 
+from agatestile.results import codes
+from agatestile.results import outcomes
 from agatestile.state import cluster
 from agatestile.state import ranges
 from agatestile.state import records
@@ -28,8 +29,8 @@
 def rows(text: str = CSV) -> tuple[records.TableRow, ...]:
     """Return the rows of a sheet that must be right."""
     found = table.from_csv(text)
-    assert isinstance(found, tuple) and not hasattr(found, "code"), found
-    return typing.cast(tuple[records.TableRow, ...], found)
+    assert not isinstance(found, outcomes.Refusal), found
+    return found
 
 
 def change(
@@ -54,6 +55,27 @@
     return records.Intent(f"i{next(_NUMBERS)}", domain, TERMS[domain], changes)
 
 
+def refused(
+    state: cluster.ClusterState, offset: int, record: records.Record
+) -> codes.ResultCode:
+    """Apply a record that must be refused and return the code."""
+    return code_of(state.apply(offset, record))
+
+
+def code_of(answer: object) -> codes.ResultCode:
+    """Return the code of an answer that must be a refusal."""
+    assert isinstance(answer, outcomes.Refusal), answer
+    return answer.code
+
+
+def applied(
+    state: cluster.ClusterState, offset: int, record: records.Record
+) -> None:
+    """Apply a record that must take effect."""
+    answer = state.apply(offset, record)
+    assert isinstance(answer, cluster.Applied), answer
+
+
 def led_state() -> cluster.ClusterState:
     """Return a state at offset 4 in which p1 and q1 own all positions."""
     state = cluster.ClusterState()
@@ -66,5 +88,5 @@
         assign("warszawa-a", change("promotions", *whole, "q1")),
     ]
     for offset, record in enumerate(setup):
-        assert isinstance(state.apply(offset, record), cluster.Applied)
+        applied(state, offset, record)
     return state
--- a/tests/state/test_cluster.py
+++ b/tests/state/test_cluster.py
@@ -17,28 +17,11 @@
 HALF = ranges.END // 2
 
 
-def refused(
-    state: cluster.ClusterState, offset: int, record: records.Record
-) -> codes.ResultCode:
-    """Apply a record that must be refused and return the code."""
-    answer = state.apply(offset, record)
-    assert isinstance(answer, outcomes.Refusal), answer
-    return answer.code
-
-
-def applied(
-    state: cluster.ClusterState, offset: int, record: records.Record
-) -> None:
-    """Apply a record that must take effect."""
-    answer = state.apply(offset, record)
-    assert isinstance(answer, cluster.Applied), answer
-
-
 def test_second_of_two_operators_gets_the_current_version() -> None:
     """Guards against the later of two racing edits undoing the first."""
     state = scenes.led_state()
     rows = scenes.rows(scenes.CSV.replace("500,stay", "400,stay"))
-    applied(state, 5, records.TableChange("x", "anna", 0, rows))
+    scenes.applied(state, 5, records.TableChange("x", "anna", 0, rows))
     late = state.apply(6, records.TableChange("y", "jan", 0, scenes.rows()))
     assert isinstance(late, outcomes.Refusal)
     assert late.code is codes.ResultCode.TABLE_CONFLICT
@@ -55,11 +38,11 @@
     second = scenes.assign(
         "warszawa-a", scenes.change("prices", 0, HALF, (5,), "p1", "p2")
     )
-    applied(state, 5, first)
-    applied(state, 6, second)
-    assert refused(state, 7, first) is codes.ResultCode.RANGE_CONFLICT
-    assert refused(state, 8, second) is codes.ResultCode.RANGE_CONFLICT
-    assert refused(state, 9, first) is codes.ResultCode.RECORD_STALE
+    scenes.applied(state, 5, first)
+    scenes.applied(state, 6, second)
+    assert scenes.refused(state, 7, first) is codes.ResultCode.RANGE_CONFLICT
+    assert scenes.refused(state, 8, second) is codes.ResultCode.RANGE_CONFLICT
+    assert scenes.refused(state, 9, first) is codes.ResultCode.RECORD_STALE
     found = state.ranges_by_service["prices"].find(0)
     assert found == ranges.Range(0, HALF, "p1", ("p2",), 6, -1)
 
@@ -68,7 +51,7 @@
     """Guards against a late batch taking the state back."""
     state = scenes.led_state()
     stale = records.TableChange("x", "anna", 0, scenes.rows())
-    assert refused(state, 4, stale) is codes.ResultCode.RECORD_STALE
+    assert scenes.refused(state, 4, stale) is codes.ResultCode.RECORD_STALE
     assert state == scenes.led_state()
 
 
@@ -77,11 +60,11 @@
     state = scenes.led_state()
     move = scenes.change("prices", 0, HALF, (3,), "p2")
     new = records.Lead("l", "warszawa-a", records.Term(1, 2, "other#1"))
-    applied(state, 5, new)
+    scenes.applied(state, 5, new)
     late = scenes.assign("warszawa-a", move)
-    assert refused(state, 6, late) is codes.ResultCode.TERM_STALE
+    assert scenes.refused(state, 6, late) is codes.ResultCode.TERM_STALE
     old = records.Lead("l1", "warszawa-a", scenes.TERMS["warszawa-a"])
-    assert refused(state, 7, old) is codes.ResultCode.TERM_STALE
+    assert scenes.refused(state, 7, old) is codes.ResultCode.TERM_STALE
 
 
 def test_leader_may_not_move_ranges_of_another_domain() -> None:
@@ -92,7 +75,7 @@
         scenes.assign("radom", move),
         scenes.intent("radom", move),
     ):
-        code = refused(state, state.offset + 1, record)
+        code = scenes.refused(state, state.offset + 1, record)
         assert code is codes.ResultCode.TERM_STALE
 
 
@@ -100,18 +83,18 @@
     """Guards against an assignment planned before the intent."""
     state = scenes.led_state()
     changes = scenes.change("prices", 0, HALF, (3,), "p2", "p1")
-    applied(state, 5, scenes.intent("warszawa-a", changes))
+    scenes.applied(state, 5, scenes.intent("warszawa-a", changes))
     marked = state.ranges_by_service["prices"].find(7)
     assert marked == ranges.Range(0, HALF, "p1", ("p2",), 5, 5)
     assert state.ranges_by_service["prices"].find(HALF).version == 3
     assert list(state.intents.by_offset) == [5]
-    code = refused(state, 6, scenes.assign("warszawa-a", changes))
+    code = scenes.refused(state, 6, scenes.assign("warszawa-a", changes))
     assert code is codes.ResultCode.RANGE_CONFLICT
     quarter = HALF // 2
     for offset, start in ((7, 0), (8, quarter)):
         assert list(state.intents.by_offset) == [5]
         part = scenes.change("prices", start, start + quarter, (5,), "p2")
-        applied(state, offset, scenes.assign("warszawa-a", part))
+        scenes.applied(state, offset, scenes.assign("warszawa-a", part))
     assert not state.intents.by_offset
 
 
@@ -123,7 +106,7 @@
     moved = scenes.CSV.replace("p1,warszawa-a", "p1,radom")
     for name, text in (("x", without), ("y", moved)):
         record = records.TableChange(name, "anna", 0, scenes.rows(text))
-        code = refused(state, state.offset + 1, record)
+        code = scenes.refused(state, state.offset + 1, record)
         assert code is codes.ResultCode.SERVER_OWNS_RANGES
 
 
@@ -133,20 +116,22 @@
     lines = scenes.CSV.splitlines()
     rows = scenes.rows("\n".join(line for line in lines if ",p1," not in line))
     record = records.TableChange("x", "anna", 0, rows)
-    code = refused(state, 5, record)
+    code = scenes.refused(state, 5, record)
     assert code is codes.ResultCode.SERVER_OWNS_RANGES
     move = scenes.change("prices", 0, ranges.END, (3,), "p2")
-    applied(state, 6, scenes.assign("warszawa-a", move))
-    assert refused(state, 7, record) is codes.ResultCode.RECORD_STALE
+    scenes.applied(state, 6, scenes.assign("warszawa-a", move))
+    assert scenes.refused(state, 7, record) is codes.ResultCode.RECORD_STALE
     assert state.table.version == 0
-    applied(state, 8, records.TableChange("y", "anna", 0, rows))
+    scenes.applied(state, 8, records.TableChange("y", "anna", 0, rows))
 
 
 def test_successor_that_leaves_the_domain_is_forgotten() -> None:
     """Guards against a failover to a server of another domain."""
     state = scenes.led_state()
     text = scenes.CSV.replace("p2,warszawa-a", "p2,radom")
-    applied(state, 5, records.TableChange("x", "a", 0, scenes.rows(text)))
+    scenes.applied(
+        state, 5, records.TableChange("x", "a", 0, scenes.rows(text))
+    )
     found = state.ranges_by_service["prices"].find(0)
     assert (found.server, found.successors) == ("p1", ())
 
@@ -155,13 +140,15 @@
     """Guards against a late record that names the earlier ranges."""
     state = scenes.led_state()
     release = scenes.change("promotions", 0, ranges.END, (4,), "")
-    applied(state, 5, scenes.assign("warszawa-a", release))
+    scenes.applied(state, 5, scenes.assign("warszawa-a", release))
     lines = scenes.CSV.splitlines()
     text = "\n".join(line for line in lines if "promotions" not in line)
-    applied(state, 6, records.TableChange("x", "a", 0, scenes.rows(text)))
-    applied(state, 7, records.TableChange("y", "a", 6, scenes.rows()))
+    scenes.applied(
+        state, 6, records.TableChange("x", "a", 0, scenes.rows(text))
+    )
+    scenes.applied(state, 7, records.TableChange("y", "a", 6, scenes.rows()))
     late = scenes.change("promotions", 0, ranges.END, (0,), "q1")
-    code = refused(state, 8, scenes.assign("warszawa-a", late))
+    code = scenes.refused(state, 8, scenes.assign("warszawa-a", late))
     assert code is codes.ResultCode.RANGE_CONFLICT
     found = state.ranges_by_service["promotions"].find(1)
     assert found == ranges.Range(0, ranges.END, "", (), 7, -1)
@@ -170,14 +157,16 @@
 def test_domain_and_host_changes_are_conditional() -> None:
     """Guards against an old edit returning a domain to service."""
     state = scenes.led_state()
-    applied(state, 5, records.DomainChange("d", "a", "radom", "out", -1))
+    scenes.applied(
+        state, 5, records.DomainChange("d", "a", "radom", "out", -1)
+    )
     late = records.DomainChange("e", "b", "radom", "in", -1)
-    assert refused(state, 6, late) is codes.ResultCode.TABLE_CONFLICT
+    assert scenes.refused(state, 6, late) is codes.ResultCode.TABLE_CONFLICT
     unknown = records.DomainChange("f", "b", "rdaom", "out", -1)
-    assert refused(state, 7, unknown) is codes.ResultCode.NAME_UNKNOWN
-    applied(state, 8, records.HostChange("h", "a", "e1", "leaving", -1))
+    assert scenes.refused(state, 7, unknown) is codes.ResultCode.NAME_UNKNOWN
+    scenes.applied(state, 8, records.HostChange("h", "a", "e1", "leaving", -1))
     again = records.HostChange("i", "b", "e1", "active", -1)
-    assert refused(state, 9, again) is codes.ResultCode.TABLE_CONFLICT
+    assert scenes.refused(state, 9, again) is codes.ResultCode.TABLE_CONFLICT
     assert state.domain("radom").state == "out"
     assert state.hosts_by_name["e1"] == cluster.Host("leaving", 8)
 
