Add stand-in backend servers

Tests and the demo need backend servers that follow section 5.1 and can be slow, cold, silent, frozen or gone on request. The lease rules are written from the design without the product's code, so that an error in one of them is not repeated in the other.

--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,154 @@
+"""Runs stand-in backend servers, each on its own port.
+
+Usage: python -m standins.backend --servers FILE
+
+Prints one JSON object with the ports by server name when all servers
+listen.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import pathlib
+import signal
+import time
+import typing
+
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+from uvicorn import server as uvicorn_server
+import uvloop
+
+from standins import backend_application
+from standins import backend_server
+from standins import backend_settings
+
+SAMPLE_INTERVAL = 0.5
+
+
+class Listener:
+    """Listens for one server and ends its connections when it falls over."""
+
+    def __init__(
+        self, settings: backend_settings.ServerSettings, address: str
+    ) -> None:
+        self.server = backend_server.BackendServer(settings)
+        self.port = settings.port
+        self._address = address
+        self._socket: asyncio.Server | None = None
+        self._state = uvicorn_server.ServerState()
+        self._restart: asyncio.Task[None] | None = None
+        self._config = uvicorn.Config(
+            backend_application.Application(self.server, self.fall_over),
+            loop="uvloop",
+            http="httptools",
+            lifespan="off",
+            access_log=False,
+            proxy_headers=False,
+            log_level="warning",
+            timeout_keep_alive=75,
+        )
+        self._config.load()
+
+    async def open(self) -> None:
+        """Start to listen."""
+        loop = asyncio.get_running_loop()
+        self._socket = await loop.create_server(
+            self._connection, self._address, self.port, backlog=512
+        )
+        self.port = self._socket.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening and cut all connections."""
+        if self._socket is not None:
+            self._socket.close()
+        for connection in list(self._state.connections):
+            connection.transport.abort()
+
+    def fall_over(self, seconds: float) -> None:
+        """Be gone for some time and come back as a new incarnation."""
+        self.server.down_until = time.monotonic() + seconds
+        self.close()
+        if self._restart is None:
+            self._restart = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        while (left := self.server.down_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+        self._restart = None
+        self.server.restart()
+        await self.open()
+
+    def _connection(self) -> _Connection:
+        return _Connection(
+            config=self._config,
+            server_state=self._state,
+            app_state={},
+            backend=self.server,
+        )
+
+
+class _Connection(httptools_impl.HttpToolsProtocol):
+    """Connection that counts against the server's limit."""
+
+    def __init__(
+        self, backend: backend_server.BackendServer, **arguments: typing.Any
+    ) -> None:
+        super().__init__(**arguments)
+        self._backend = backend
+
+    def connection_made(self, transport: typing.Any) -> None:
+        super().connection_made(transport)
+        backend = self._backend
+        if len(self.connections) > backend.settings.connections:
+            backend.counts["connections_refused"] += 1
+            transport.abort()
+            return
+        if self.client is not None:
+            backend.clients.add(self.client)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        if self.client is not None:
+            self._backend.clients.discard(self.client)
+            self._backend.silent_clients.discard(self.client)
+
+
+async def serve(
+    servers: list[backend_settings.ServerSettings], address: str
+) -> None:
+    """Run the servers until SIGTERM or SIGINT."""
+    listeners = [Listener(settings, address) for settings in servers]
+    for listener in listeners:
+        await listener.open()
+    ports = {item.server.settings.name: item.port for item in listeners}
+    print(json.dumps(ports), flush=True)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    while not stop.is_set():
+        for listener in listeners:
+            listener.server.take_sample()
+        try:
+            await asyncio.wait_for(stop.wait(), SAMPLE_INTERVAL)
+        except TimeoutError:
+            continue
+    for listener in listeners:
+        listener.close()
+
+
+def main() -> None:
+    """Read the arguments and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--servers", type=pathlib.Path, required=True)
+    parser.add_argument("--address", default="127.0.0.1")
+    arguments = parser.parse_args()
+    servers = backend_settings.load(arguments.servers)
+    uvloop.run(serve(servers, arguments.address))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/backend_grants.py
@@ -0,0 +1,144 @@
+"""Lease rules of a stand-in backend server.
+
+Written from section 5.1 of the design without the product's code, so that
+an error in the product's lease arithmetic is not repeated here.
+"""
+
+from __future__ import annotations
+
+import typing
+
+Term = tuple[int, int, str]
+
+
+class Request(typing.TypedDict, total=False):
+    """Body of POST /grant."""
+
+    domain: str
+    term: list[typing.Any]
+    leader_ms: float
+    stamp: float | None
+    fence: str | None
+    gate: str | None
+    serve_ms: float
+
+
+def fence_key(text: str) -> tuple[int, int, str, int]:
+    """Return the value by which fences are ordered.
+
+    Raises
+    ------
+    ValueError
+        If the text is not a fence.
+    """
+    epoch, step, sequence, instance = text.split(".", 3)
+    return int(epoch), int(step), instance, int(sequence)
+
+
+class Grants:
+    """Leader lease and serve lease of one server.
+
+    Times are seconds of the server's own clock.
+
+    Attributes
+    ----------
+    refused_by_reason : dict of str to int
+        How many grants were refused for each reason.
+    """
+
+    def __init__(self, started: float) -> None:
+        self.started = started
+        self.term: Term | None = None
+        self.leader_until = 0.0
+        self.fence: str | None = None
+        self.gate: str | None = None
+        self.serve_until = 0.0
+        self.refused_by_reason: dict[str, int] = {}
+
+    def offer(self, request: Request, now: float) -> str:
+        """Apply a grant; return the reason for a refusal or ""."""
+        reason = self._leader_refusal(request, now)
+        if not reason:
+            self._take_leader(request)
+            reason = self._take_fence(request, now)
+        if reason:
+            count = self.refused_by_reason.get(reason, 0)
+            self.refused_by_reason[reason] = count + 1
+        return reason
+
+    def admits(self, fence: str | None, now: float) -> bool:
+        """Tell whether a request with this fence may run."""
+        return (
+            fence is not None
+            and fence == self.fence
+            and now < self.serve_until
+        )
+
+    def _leader_refusal(self, request: Request, now: float) -> str:
+        stamp = request.get("stamp")
+        if stamp is None:
+            return "no stamp"
+        if not self.started <= stamp <= now:
+            return "stamp is not of this incarnation"
+        length = float(request["leader_ms"]) / 1000
+        if now < self.started + length:
+            return "started less than a leader lease ago"
+        if stamp + length <= now:
+            return "lease of the stamp is over"
+        term = _term(request)
+        if self.term is None or term == self.term:
+            return ""
+        if term < self.term:
+            return "term is lower"
+        if term[2] != self.term[2] and now < self.leader_until:
+            return "another leader holds the lease"
+        return ""
+
+    def _take_leader(self, request: Request) -> None:
+        term = _term(request)
+        until = float(request["stamp"] or 0) + request["leader_ms"] / 1000
+        if term != self.term:
+            self.term = term
+            self.leader_until = until
+        self.leader_until = max(self.leader_until, until)
+
+    def _take_fence(self, request: Request, now: float) -> str:
+        fence = request.get("fence")
+        if not fence:
+            return ""
+        until = float(request["stamp"] or 0) + request["serve_ms"] / 1000
+        if fence == self.fence:
+            self.serve_until = max(self.serve_until, until)
+            return ""
+        if self.fence and fence_key(fence) < fence_key(self.fence):
+            return "fence is lower"
+        self.fence = fence
+        self.gate = request.get("gate")
+        self.serve_until = until
+        return ""
+
+    def reply(
+        self, reason: str, now: float, incarnation: str, running: int
+    ) -> dict[str, object]:
+        """Return the body of the answer to POST /grant."""
+        return {
+            "accepted": not reason,
+            "reason": reason,
+            "stamp": now,
+            "incarnation": incarnation,
+            "term": list(self.term) if self.term else None,
+            "leader_remaining_ms": _remaining_ms(self.leader_until, now),
+            "fence": self.fence,
+            "gate": self.gate,
+            "serve_remaining_ms": _remaining_ms(self.serve_until, now),
+            "running": running,
+        }
+
+
+def _term(request: Request) -> Term:
+    epoch, step, instance = request["term"]
+    return int(epoch), int(step), str(instance)
+
+
+def _remaining_ms(until: float, now: float) -> float:
+    return max(0.0, round((until - now) * 1000, 3))
--- /dev/null
+++ b/tests/standins/test_backend_grants.py
@@ -0,0 +1,65 @@
+"""Lease rules of the stand-in backend server."""
+
+from __future__ import annotations
+
+import pytest
+
+from standins import backend_grants
+
+
+def _request(
+    stamp: float | None, step: int = 1, instance: str = "a", sequence: int = 1
+) -> backend_grants.Request:
+    return {
+        "domain": "radom",
+        "term": [3, step, instance],
+        "leader_ms": 1000,
+        "stamp": stamp,
+        "fence": f"3.{step}.{sequence}.{instance}",
+        "gate": "entry-1",
+        "serve_ms": 1600,
+    }
+
+
+@pytest.fixture
+def grants() -> backend_grants.Grants:
+    """Return grants of a server that started at 10 s."""
+    return backend_grants.Grants(10.0)
+
+
+def test_new_incarnation_does_not_vote(grants: backend_grants.Grants) -> None:
+    """Guards against a second majority after a server restarted."""
+    assert grants.offer(_request(10.4), 10.5)
+    assert not grants.offer(_request(10.9), 11.0)
+
+
+def test_stamp_bounds_both_leases(grants: backend_grants.Grants) -> None:
+    """Guards against a delayed grant that extends a lease."""
+    assert not grants.offer(_request(20.0), 20.9)
+    assert grants.admits("3.1.1.a", 21.59)
+    assert not grants.admits("3.1.1.a", 21.61)
+    assert grants.offer(_request(20.0), 21.5)
+    assert grants.offer(_request(9.0), 21.5)
+    assert grants.offer(_request(22.0), 21.5)
+
+
+def test_other_leader_waits_for_the_lease(
+    grants: backend_grants.Grants,
+) -> None:
+    """Guards against two leaders of one failure domain."""
+    assert not grants.offer(_request(20.0), 20.1)
+    rival = _request(20.2, step=2, instance="b")
+    assert grants.offer(rival, 20.3)
+    assert not grants.offer(_request(20.9, 2, "b"), 21.05)
+    assert grants.offer(_request(21.5), 21.6) == "term is lower"
+
+
+def test_higher_fence_ends_the_lower_one(
+    grants: backend_grants.Grants,
+) -> None:
+    """Guards against two gates that a server accepts at once."""
+    grants.offer(_request(20.0, sequence=9), 20.1)
+    assert not grants.offer(_request(20.2, sequence=10), 20.3)
+    assert not grants.admits("3.1.9.a", 20.4)
+    assert grants.admits("3.1.10.a", 20.4)
+    assert grants.offer(_request(20.4, sequence=9), 20.5) == "fence is lower"
