--- a/standins/backend.py
+++ b/standins/backend.py
@@ -47,7 +47,7 @@
             lifespan="off",
             access_log=False,
             proxy_headers=False,
-            log_level="warning",
+            log_level="critical",
             timeout_keep_alive=75,
         )
         self._config.load()
@@ -90,6 +90,30 @@
         )
 
 
+class _JoiningTransport:
+    """Writes the head and the body of a short answer in one call.
+
+    Two calls per answer bring one process from about 16,000 to 9,000
+    requests a second.
+    """
+
+    def __init__(self, transport: typing.Any) -> None:
+        self._transport = transport
+        self._head = b""
+
+    def write(self, data: bytes) -> None:
+        if self._head:
+            data = self._head + data
+            self._head = b""
+        elif data.startswith(b"HTTP/1.1 200"):
+            self._head = data
+            return
+        self._transport.write(data)
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._transport, name)
+
+
 class _Connection(httptools_impl.HttpToolsProtocol):
     """Connection that counts against the server's limit."""
 
@@ -100,7 +124,8 @@
         self._backend = backend
 
     def connection_made(self, transport: typing.Any) -> None:
-        super().connection_made(transport)
+        joining: typing.Any = _JoiningTransport(transport)
+        super().connection_made(joining)
         backend = self._backend
         if len(self.connections) > backend.settings.connections:
             backend.counts["connections_refused"] += 1
--- a/standins/backend_application.py
+++ b/standins/backend_application.py
@@ -171,6 +171,11 @@
         )
         padding = max(0, size - len(content))
         await _start(send, 200, len(content) + padding, request_id)
+        if self._server.cuts > 0:
+            # Returning before the body is complete closes the connection.
+            self._server.cuts -= 1
+            await send(_part(content[: len(content) // 2], more=True))
+            return
         while padding:
             await send(_part(content, more=True))
             content = b"." * min(PIECE, padding)
@@ -234,6 +239,7 @@
             server.frozen_until = now + float(wishes["freeze_s"])
         if wishes.get("silent"):
             server.silence(client)
+        server.cuts = int(wishes.get("cut", server.cuts))
         if "drain" in wishes:
             server.draining = bool(wishes["drain"])
         if wishes.get("reset"):
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -41,6 +41,7 @@
         self.slow_factor = 1.0
         self.slow_until = 0.0
         self.frozen_until = 0.0
+        self.cuts = 0
         self.clients: set[tuple[str, int]] = set()
         self.silent_clients: set[tuple[str, int]] = set()
         self.samples: collections.deque[Sample] = collections.deque()
--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -170,3 +170,13 @@
         with pytest.raises(httpcore.ReadTimeout):
             await caller.send("/price/a")
         assert (await caller.send("/price/a"))[0] == 200
+
+
+@pytest.mark.anyio
+async def test_cut_answer_breaks_the_connection() -> None:
+    """Guards against a cut that still ends as a complete answer."""
+    async with _listening(fenced=False) as caller:
+        await caller.send("/control", {"cut": 1})
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await caller.send("/price/a", x_answer_bytes="5000")
+        assert (await caller.send("/price/a"))[0] == 200
