Add typed settings, log lines and metrics

A daemon needs checked settings before it starts, and one place each for the form of its log lines and the names of its metrics.

Lines go to standard error only while it polls as writable, so a reader that stops costs lines.

Metrics are summed in memory and sent once a second.

--- /dev/null
+++ b/src/agatestile/observability/logs.py
@@ -0,0 +1,270 @@
+"""Log lines on standard error.
+
+A message starts with the prefix of its component. Lines are collected and
+written together, and a reader that stops reading standard error costs lines
+but never holds up the event loop.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import select
+import sys
+import time
+import typing
+
+import anyio
+import msgspec
+
+if typing.TYPE_CHECKING:
+    from agatestile.settings import schema
+
+MEANINGS_BY_PREFIX = {
+    "log": "reads and appends of the platform's log",
+    "state": "records applied or refused, checkpoints, snapshots",
+    "lead": "elections, grants, successions and planned moves",
+    "gate": "servers that this host gates, leases, fences",
+    "route": "the routing decision for each request",
+    "limit": "slots, queues, cold starts, retries, duplicates",
+    "lane": "connections to servers and to other daemons",
+    "table": "changes of the services table, domains and hosts",
+    "admin": "requests of operators",
+    "daemon": "start and stop of a daemon and its parts",
+    "rpc": "malformed calls between daemons",
+    "invariant": "broken invariants; always an error",
+    "logs": "log lines that were dropped",
+}
+
+FLUSH_INTERVAL = 0.1  # seconds
+BUFFER_BYTES = 1024 * 1024
+# A pipe that polls as writable takes this many bytes without blocking.
+WRITE_BYTES = select.PIPE_BUF
+
+_JSON = msgspec.json.Encoder()
+
+
+class _Record(logging.LogRecord):
+    """Record without the fields that no format here shows.
+
+    Filling them takes 4 of the 14 microseconds of a line.
+    """
+
+    pathname = filename = module = ""
+    funcName = threadName = ""
+    lineno = 0
+    process = processName = thread = taskName = None
+    stack_info = exc_text = None
+    msecs = relativeCreated = 0.0
+
+    def __init__(
+        self,
+        name: str,
+        level: int,
+        pathname: str,
+        lineno: int,
+        msg: object,
+        args: typing.Any,
+        exc_info: typing.Any,
+        *_: typing.Any,
+        **__: typing.Any,
+    ) -> None:
+        # A single mapping fills named fields, as in logging itself.
+        if args and len(args) == 1 and args[0] and isinstance(args[0], dict):
+            args = args[0]
+        self.name = name
+        self.levelno = level
+        self.levelname = logging.getLevelName(level)
+        self.msg = typing.cast(str, msg)
+        self.args = args
+        self.exc_info = exc_info
+        self.created = time.time()
+
+
+class _Clock:
+    """Text of the time, formatted once a second."""
+
+    def __init__(self) -> None:
+        self._second = -1
+        self._text = ""
+
+    def text(self, created: float) -> str:
+        second = int(created)
+        if second != self._second:
+            self._second = second
+            self._text = time.strftime(
+                "%Y-%m-%dT%H:%M:%S", time.gmtime(second)
+            )
+        return f"{self._text}.{int((created - second) * 1000):03d}Z"
+
+
+class TextFormatter(logging.Formatter):
+    """Time, level and message on one line."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._clock = _Clock()
+
+    def format(self, record: logging.LogRecord) -> str:
+        message = record.getMessage()
+        # Keys come from callers; a line break in one must not look like
+        # another line.
+        if not message.isprintable():
+            message = message.encode("unicode_escape").decode("ascii")
+        line = (
+            f"{self._clock.text(record.created)} {record.levelname} {message}"
+        )
+        if record.exc_info:
+            line = f"{line}\n{self.formatException(record.exc_info)}"
+        return line
+
+
+class JsonFormatter(logging.Formatter):
+    """One JSON object on a line."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._clock = _Clock()
+
+    def format(self, record: logging.LogRecord) -> str:
+        component, _, message = record.getMessage().partition(": ")
+        if component not in MEANINGS_BY_PREFIX:
+            component, message = "", record.getMessage()
+        fields = {
+            "time": self._clock.text(record.created),
+            "level": record.levelname.lower(),
+            "component": component,
+            "message": message,
+        }
+        if record.exc_info:
+            fields["traceback"] = self.formatException(record.exc_info)
+        return _JSON.encode(fields).decode()
+
+
+class StderrHandler(logging.Handler):
+    """Writes lines to a descriptor without blocking.
+
+    Lines are written at once until `run` is started; from then on they are
+    written together at intervals, and at once for warnings and errors.
+
+    Parameters
+    ----------
+    descriptor : int
+        File descriptor of a pipe, terminal or socket.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines lost because nobody read the descriptor.
+    """
+
+    def __init__(self, descriptor: int = 2) -> None:
+        super().__init__()
+        self.dropped = 0
+        self._reported = 0
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._lines: list[str] = []
+        self._characters = 0
+        self._rest = b""
+        self._collecting = False
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            line = self.format(record)
+        except Exception:
+            self.handleError(record)
+            return
+        if self._characters + len(line) > BUFFER_BYTES:
+            self.flush()
+        if self._characters + len(line) > BUFFER_BYTES:
+            self.dropped += 1
+            return
+        self._lines.append(line)
+        self._characters += len(line) + 1
+        if not self._collecting or record.levelno >= logging.WARNING:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        self.acquire()
+        try:
+            self._flush()
+        finally:
+            self.release()
+
+    def _flush(self) -> None:
+        if self._lines:
+            text = "\n".join(self._lines) + "\n"
+            self._rest += text.encode("utf-8", "backslashreplace")
+            self._lines.clear()
+        view, start = memoryview(self._rest), 0
+        try:
+            while start < len(view) and self._poll.poll(0):
+                chunk = view[start : start + WRITE_BYTES]
+                start += os.write(self._descriptor, chunk)
+            self._rest = bytes(view[start:])
+        except OSError:
+            # Nobody can read standard error any more.
+            self._rest = b""
+        self._characters = len(self._rest)
+        if self.dropped > self._reported and not self._rest:
+            lost, self._reported = self.dropped - self._reported, self.dropped
+            self._lines.append(f"logs: {lost} lines dropped, stderr not read")
+
+    async def run(self) -> None:
+        """Write collected lines at intervals until cancelled."""
+        self._collecting = True
+        try:
+            while True:
+                await anyio.sleep(FLUSH_INTERVAL)
+                if self._lines or self._rest:
+                    self.flush()
+        finally:
+            self._collecting = False
+            self.flush()
+
+
+def configure(settings: schema.Logging, descriptor: int = 2) -> StderrHandler:
+    """Send all log lines of the process to one handler.
+
+    Parameters
+    ----------
+    settings : schema.Logging
+        Level and format.
+    descriptor : int
+        Where lines are written.
+
+    Returns
+    -------
+    StderrHandler
+        The daemon runs its `run` for as long as it serves.
+    """
+    # Without this, each line looks up its caller, which no format shows.
+    logging._srcfile = None
+    logging.setLogRecordFactory(_Record)
+    handler = StderrHandler(descriptor)
+    handler.setFormatter(
+        JsonFormatter() if settings.format == "json" else TextFormatter()
+    )
+    logging.basicConfig(
+        level=settings.level.upper(), handlers=[handler], force=True
+    )
+    for library in ("httpcore", "uvicorn", "asyncio"):
+        logging.getLogger(library).setLevel(logging.WARNING)
+    logging.captureWarnings(True)
+    sys.excepthook = _log_uncaught
+    return handler
+
+
+def _log_uncaught(
+    kind: type[BaseException],
+    error: BaseException,
+    traceback: typing.Any,
+) -> None:
+    if issubclass(kind, KeyboardInterrupt):
+        return
+    logging.getLogger(__name__).critical(
+        "daemon: stopped by %s", kind.__name__, exc_info=error
+    )
--- /dev/null
+++ b/src/agatestile/observability/metrics.py
@@ -0,0 +1,225 @@
+"""Metrics, sent to statsd over UDP.
+
+Values are collected in memory and sent together once a second, since a
+datagram for each value would cost more than the request that it counts.
+"""
+
+from __future__ import annotations
+
+import collections
+import random
+import typing
+
+import anyio
+import statsd
+
+if typing.TYPE_CHECKING:
+    from agatestile.settings import schema
+
+SEND_INTERVAL = 1.0  # seconds
+TIMINGS_PER_INTERVAL = 100
+DATAGRAM_BYTES = 1400  # fits one Ethernet frame
+
+
+class Metric(typing.NamedTuple):
+    """Describes a metric.
+
+    Attributes
+    ----------
+    kind : str
+        "counter", "gauge" or "timer".
+    unit : str
+        Unit of a value, or what is counted.
+    suffix : str
+        What is appended to the name after a dot; empty for nothing.
+    meaning : str
+        One sentence for operators.
+    """
+
+    kind: str
+    unit: str
+    suffix: str
+    meaning: str
+
+
+REQUESTS_RECEIVED = "requests.received"
+REQUESTS_ENDED = "requests.ended"
+REQUESTS_OVERHEAD = "requests.overhead"
+REQUESTS_IN_FLIGHT = "requests.in_flight"
+REQUESTS_RETRIED = "requests.retried"
+REQUESTS_FORWARDED = "requests.forwarded"
+STATE_OFFSET = "state.offset"
+STATE_TABLE_VERSION = "state.table_version"
+LOG_READ_AGE = "log.read_age"
+GATES_HELD = "gates.held"
+RANGES_GATED = "ranges.gated"
+DOMAINS_LED = "domains.led"
+INVARIANTS_BROKEN = "invariants.broken"
+LOGS_DROPPED = "logs.dropped"
+
+METRICS_BY_NAME = {
+    REQUESTS_RECEIVED: Metric(
+        "counter", "requests", "", "Requests received from callers."
+    ),
+    REQUESTS_ENDED: Metric(
+        "counter",
+        "requests",
+        "name of the result code",
+        "Requests of callers that ended, by result code.",
+    ),
+    REQUESTS_OVERHEAD: Metric(
+        "timer",
+        "ms",
+        "",
+        "Time that a request spent in daemons and not at a server.",
+    ),
+    REQUESTS_IN_FLIGHT: Metric(
+        "gauge", "requests", "", "Requests being handled now."
+    ),
+    REQUESTS_RETRIED: Metric(
+        "counter", "requests", "", "Attempts after the first."
+    ),
+    REQUESTS_FORWARDED: Metric(
+        "counter", "requests", "", "Requests sent on to another host."
+    ),
+    STATE_OFFSET: Metric(
+        "gauge", "offset", "", "Offset of the last record applied."
+    ),
+    STATE_TABLE_VERSION: Metric(
+        "gauge", "offset", "", "Version of the services table in force."
+    ),
+    LOG_READ_AGE: Metric(
+        "gauge", "s", "", "Age of the last successful read of the log."
+    ),
+    GATES_HELD: Metric(
+        "gauge", "servers", "", "Servers that this host gates."
+    ),
+    RANGES_GATED: Metric(
+        "gauge",
+        "ranges",
+        "name of the server",
+        "Ranges owned by each server that this host gates.",
+    ),
+    DOMAINS_LED: Metric(
+        "gauge", "domains", "", "Failure domains that this host leads."
+    ),
+    INVARIANTS_BROKEN: Metric(
+        "counter",
+        "violations",
+        "name of the invariant",
+        "Checks of an invariant that failed; must stay 0.",
+    ),
+    LOGS_DROPPED: Metric(
+        "counter", "lines", "", "Log lines dropped, stderr was not read."
+    ),
+}
+
+
+class Metrics(typing.Protocol):
+    """Takes values of the metrics above."""
+
+    def count(self, name: str, amount: int = 1, suffix: str = "") -> None:
+        """Add to a counter."""
+
+    def gauge(self, name: str, value: float, suffix: str = "") -> None:
+        """Set a gauge."""
+
+    def timing(self, name: str, seconds: float, suffix: str = "") -> None:
+        """Add a duration, seconds, to a timer."""
+
+    async def run(self) -> None:
+        """Send the values until cancelled."""
+
+
+class NoMetrics:
+    """Takes values and sends nothing."""
+
+    def count(self, name: str, amount: int = 1, suffix: str = "") -> None:
+        """Do nothing."""
+
+    def gauge(self, name: str, value: float, suffix: str = "") -> None:
+        """Do nothing."""
+
+    def timing(self, name: str, seconds: float, suffix: str = "") -> None:
+        """Do nothing."""
+
+    async def run(self) -> None:
+        """Wait until cancelled."""
+        await anyio.sleep_forever()
+
+
+class StatsdMetrics:
+    """Collects values and sends them to statsd.
+
+    At most `TIMINGS_PER_INTERVAL` durations of a timer, chosen at random,
+    are sent each interval; counters and gauges are exact.
+    """
+
+    def __init__(self, settings: schema.Metrics) -> None:
+        if settings.statsd is None:
+            raise ValueError("metrics.statsd is not set")
+        self._client = statsd.StatsClient(
+            host=settings.statsd.host,
+            port=settings.statsd.port,
+            prefix=settings.prefix,
+            maxudpsize=DATAGRAM_BYTES,
+        )
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._gauges: dict[str, float] = {}
+        self._timings: dict[str, list[float]] = {}
+        self._timed: collections.Counter[str] = collections.Counter()
+
+    def count(self, name: str, amount: int = 1, suffix: str = "") -> None:
+        """Add to a counter."""
+        self._counts[_full_name(name, suffix)] += amount
+
+    def gauge(self, name: str, value: float, suffix: str = "") -> None:
+        """Set a gauge."""
+        self._gauges[_full_name(name, suffix)] = value
+
+    def timing(self, name: str, seconds: float, suffix: str = "") -> None:
+        """Add a duration to a timer."""
+        full = _full_name(name, suffix)
+        kept = self._timings.setdefault(full, [])
+        self._timed[full] += 1
+        if len(kept) < TIMINGS_PER_INTERVAL:
+            kept.append(seconds)
+            return
+        place = random.randrange(self._timed[full])  # noqa: S311
+        if place < TIMINGS_PER_INTERVAL:
+            kept[place] = seconds
+
+    async def run(self) -> None:
+        """Send the values once an interval until cancelled."""
+        try:
+            while True:
+                await anyio.sleep(SEND_INTERVAL)
+                self.send()
+        finally:
+            self.send()
+
+    def send(self) -> None:
+        """Send what was collected since the last call."""
+        with self._client.pipeline() as pipeline:
+            for name, amount in self._counts.items():
+                pipeline.incr(name, amount)
+            for name, value in self._gauges.items():
+                pipeline.gauge(name, value)
+            for name, durations in self._timings.items():
+                for seconds in durations:
+                    pipeline.timing(name, seconds * 1000)
+        self._counts.clear()
+        self._gauges.clear()
+        self._timings.clear()
+        self._timed.clear()
+
+
+def from_settings(settings: schema.Metrics) -> Metrics:
+    """Return metrics that are sent if an address is set."""
+    if settings.statsd is None:
+        return NoMetrics()
+    return StatsdMetrics(settings)
+
+
+def _full_name(name: str, suffix: str) -> str:
+    return f"{name}.{suffix}" if suffix else name
--- /dev/null
+++ b/src/agatestile/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings of one host."""
--- /dev/null
+++ b/src/agatestile/settings/schema.py
@@ -0,0 +1,161 @@
+"""Types of the settings of one host.
+
+The loader reads these types, so a new key needs a field here and a row in
+docs/configuration.md only.
+"""
+
+from __future__ import annotations
+
+import typing
+
+
+class Unit(typing.NamedTuple):
+    """Quantity written as text with a unit.
+
+    Attributes
+    ----------
+    kind : str
+        What the quantity is, for error messages.
+    factors_by_name : dict
+        What one of each unit is worth in the program's own unit.
+    whole : bool
+        Whether only whole numbers are accepted.
+    """
+
+    kind: str
+    factors_by_name: dict[str, float]
+    whole: bool
+
+
+class Pattern(typing.NamedTuple):
+    """Text of a certain form.
+
+    Attributes
+    ----------
+    expected : str
+        Description of the form, for error messages.
+    expression : str
+        Regular expression that the whole text must match.
+    """
+
+    expected: str
+    expression: str
+
+
+Duration = typing.Annotated[
+    float, Unit("a duration", {"ms": 0.001, "s": 1.0}, whole=False)
+]
+Size = typing.Annotated[
+    int, Unit("a size", {"KiB": 1024, "MiB": 1024 * 1024}, whole=True)
+]
+# Names of hosts and failure domains are sent in HTTP headers and in names
+# of metrics.
+Name = typing.Annotated[
+    str,
+    Pattern(
+        "a name of 1 to 64 letters, digits, '-' or '_'",
+        r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}",
+    ),
+]
+Prefix = typing.Annotated[
+    str,
+    Pattern(
+        "a name of 1 to 64 letters, digits, '-', '_' or '.'",
+        r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}",
+    ),
+]
+
+
+class Address(typing.NamedTuple):
+    """IPv4 address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class BaseUrl(typing.NamedTuple):
+    """HTTP address of a part of the platform."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"http://{self.host}:{self.port}"
+
+
+class Listen(typing.NamedTuple):
+    """Addresses on which a daemon listens.
+
+    Attributes
+    ----------
+    callers : Address
+        Requests of callers, from the balancer.
+    forward : Address
+        Requests forwarded by other daemons.
+    peers : Address
+        Thrift calls of other daemons.
+    admin : Address
+        Operators' interface.
+    """
+
+    callers: Address
+    forward: Address
+    peers: Address
+    admin: Address
+
+
+class Platform(typing.NamedTuple):
+    """Where the platform's log and membership list are."""
+
+    log: BaseUrl
+    membership: BaseUrl
+
+
+class Timing(typing.NamedTuple):
+    """Intervals and leases, seconds; section 5 of the design page."""
+
+    heartbeat_interval: Duration = 0.25
+    leader_lease: Duration = 1.0
+    serve_lease: Duration = 1.6
+    permit: Duration = 10.0
+    log_wait: Duration = 0.5
+
+
+class Requests(typing.NamedTuple):
+    """Limits for each request, bytes and seconds."""
+
+    header_limit: Size = 16 * 1024
+    body_memory: Size = 256 * 1024
+    head_timeout: Duration = 5.0
+    body_idle_timeout: Duration = 10.0
+
+
+class Logging(typing.NamedTuple):
+    """What is logged and in which form."""
+
+    level: typing.Literal["debug", "info", "warning", "error"] = "info"
+    format: typing.Literal["text", "json"] = "text"
+
+
+class Metrics(typing.NamedTuple):
+    """Where metrics are sent; nowhere without an address."""
+
+    statsd: Address | None = None
+    prefix: Prefix = "agatestile"
+
+
+class Settings(typing.NamedTuple):
+    """Settings of one host."""
+
+    host: Name
+    failure_domain: Name
+    failure_domains: tuple[Name, ...]
+    listen: Listen
+    platform: Platform
+    timing: Timing = Timing()
+    requests: Requests = Requests()
+    logging: Logging = Logging()
+    metrics: Metrics = Metrics()
--- /dev/null
+++ b/tests/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics and checks."""
