Add process handling and HTTP client of bench

Grants of the stand-in are now applied as a whole or not at all, and answers name the server's incarnation.

--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,230 @@
+"""Starts, watches and stops the processes of a trial."""
+
+from __future__ import annotations
+
+import http.client
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+    import types
+
+POLL_INTERVAL = 0.05
+
+
+class NotReadyError(Exception):
+    """A process ended or did not become ready in time."""
+
+
+class Process(typing.NamedTuple):
+    """A process that this module started.
+
+    Attributes
+    ----------
+    name : str
+        Unique among the processes of one trial.
+    handle : subprocess.Popen
+        The running process.
+    output : pathlib.Path
+        File that holds its standard output and errors.
+    """
+
+    name: str
+    handle: subprocess.Popen[bytes]
+    output: pathlib.Path
+
+    def text(self) -> str:
+        """Return what the process has written."""
+        return self.output.read_text(encoding="utf-8", errors="replace")
+
+
+class Processes:
+    """Owns all processes of a trial; stops them at the end of a block.
+
+    Their output goes into a temporary directory, which is kept and shown
+    when the block ends with an error.
+
+    Attributes
+    ----------
+    directory : pathlib.Path
+        The temporary directory.
+    by_name : dict of str to Process
+        All processes started, also those that have ended.
+    """
+
+    def __init__(self) -> None:
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="agatestile-"))
+        self.by_name: dict[str, Process] = {}
+
+    def __enter__(self) -> Processes:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.stop()
+        if error is None:
+            shutil.rmtree(self.directory, ignore_errors=True)
+            return
+        for name in self.by_name:
+            self.show_output(name)
+
+    def start(self, name: str, command: Sequence[str]) -> Process:
+        """Start a process in the present directory."""
+        output = self.directory / f"{name}.log"
+        with output.open("wb") as stream:
+            handle = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+            )
+        process = Process(name, handle, output)
+        self.by_name[name] = process
+        return process
+
+    def run(self, name: str, command: Sequence[str], timeout: float) -> str:
+        """Run a process to its end and return its output.
+
+        Raises
+        ------
+        NotReadyError
+            If it fails or takes longer than the timeout, in seconds.
+        """
+        process = self.start(name, command)
+        try:
+            status = process.handle.wait(timeout)
+        except subprocess.TimeoutExpired:
+            self.stop(name, grace=0.5)
+            raise NotReadyError(f"{name} took over {timeout} s") from None
+        if status:
+            raise NotReadyError(
+                f"{name} ended with {status}: {process.text()[-500:]}"
+            )
+        return process.text()
+
+    def wait_until(
+        self, what: str, check: Callable[[], bool], timeout: float
+    ) -> None:
+        """Wait for a check to succeed.
+
+        Raises
+        ------
+        NotReadyError
+            If a process of the trial ends first, or after the timeout, in
+            seconds.
+        """
+        end = time.monotonic() + timeout
+        while not check():
+            ended = self.ended()
+            if ended:
+                raise NotReadyError(f"waiting for {what}: ended: {ended}")
+            if time.monotonic() > end:
+                raise NotReadyError(f"{what}: not within {timeout} s")
+            time.sleep(POLL_INTERVAL)
+
+    def ended(self) -> list[str]:
+        """Return names of processes that failed by themselves."""
+        return [
+            name
+            for name, process in self.by_name.items()
+            if process.handle.poll() not in (None, 0)
+            and process.handle.returncode != -signal.SIGKILL
+        ]
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.by_name[name].handle.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End one process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.by_name[name].handle.wait()
+
+    def stop(self, *names: str, grace: float = 10.0) -> dict[str, int]:
+        """End processes by SIGTERM, after the grace by SIGKILL.
+
+        Parameters
+        ----------
+        *names : str
+            Which processes; all of them without a name.
+        grace : float
+            Time between the two signals, seconds.
+
+        Returns
+        -------
+        dict of str to int
+            Exit statuses by name; -9 for those that had to be killed.
+        """
+        chosen = [self.by_name[name] for name in names or self.by_name]
+        for process in chosen:
+            if process.handle.poll() is None:
+                process.handle.send_signal(signal.SIGCONT)
+                process.handle.terminate()
+        end = time.monotonic() + grace
+        for process in chosen:
+            try:
+                process.handle.wait(max(0.0, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.handle.kill()
+                process.handle.wait()
+        return {item.name: item.handle.returncode for item in chosen}
+
+    def show_output(self, name: str, lines: int = 15) -> None:
+        """Print the end of a process's output."""
+        process = self.by_name[name]
+        print(
+            f"--- {name}, status {process.handle.poll()}, {process.output}",
+            file=sys.stderr,
+        )
+        for line in process.text().splitlines()[-lines:]:
+            print(f"    {line[:300]}", file=sys.stderr)
+
+
+def python(module: str, *arguments: str) -> list[str]:
+    """Return the command that runs a module of this repository."""
+    return [sys.executable, "-m", module, *arguments]
+
+
+def http_get(address: str, path: str, timeout: float = 2.0) -> Answer | None:
+    """Return the answer to one GET, None if there is none."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request("GET", path)
+        answer = connection.getresponse()
+        return Answer(answer.status, answer.read())
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+class Answer(typing.NamedTuple):
+    """Status and body of an HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+def is_ready(address: str, path: str) -> bool:
+    """Tell whether a GET is answered with 200."""
+    answer = http_get(address, path)
+    return answer is not None and answer.status == 200
+
+
+def memory_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    statistics = pathlib.Path(f"/proc/{pid}/statm").read_text()
+    return int(statistics.split()[1]) * os.sysconf("SC_PAGE_SIZE")
--- a/standins/backend_application.py
+++ b/standins/backend_application.py
@@ -170,7 +170,13 @@
             }
         )
         padding = max(0, size - len(content))
-        await _start(send, 200, len(content) + padding, request_id)
+        await _start(
+            send,
+            200,
+            len(content) + padding,
+            (b"x-request-id", request_id.encode("latin-1")),
+            (b"x-incarnation", self._server.incarnation.encode()),
+        )
         if self._server.cuts > 0:
             # Returning before the body is complete closes the connection.
             self._server.cuts -= 1
@@ -295,7 +301,9 @@
         pass
 
 
-async def _start(send: Send, status: int, size: int, request_id: str) -> None:
+async def _start(
+    send: Send, status: int, size: int, *more: tuple[bytes, bytes]
+) -> None:
     await send(
         {
             "type": "http.response.start",
@@ -303,7 +311,7 @@
             "headers": [
                 (b"content-type", b"application/json"),
                 (b"content-length", b"%d" % size),
-                (b"x-request-id", request_id.encode("latin-1")),
+                *more,
             ],
         }
     )
@@ -315,7 +323,7 @@
 
 async def _send_json(send: Send, value: object) -> None:
     content = _ENCODE(value)
-    await _start(send, 200, len(content), "")
+    await _start(send, 200, len(content))
     await send(_part(content, more=False))
 
 
@@ -323,13 +331,11 @@
     send: Send, status: int, reason: str, *, started: bool
 ) -> None:
     content = _ENCODE({"refused": reason, "started": started})
-    headers = [
-        (b"content-type", b"application/json"),
-        (b"content-length", b"%d" % len(content)),
+    await _start(
+        send,
+        status,
+        len(content),
         (b"x-refused", reason.encode()),
         (b"x-started", b"1" if started else b"0"),
-    ]
-    await send(
-        {"type": "http.response.start", "status": status, "headers": headers}
     )
     await send(_part(content, more=False))
--- a/standins/backend_grants.py
+++ b/standins/backend_grants.py
@@ -58,9 +58,10 @@
     def offer(self, request: Request, now: float) -> str:
         """Apply a grant; return the reason for a refusal or ""."""
         reason = self._leader_refusal(request, now)
+        reason = reason or self._fence_refusal(request)
         if not reason:
             self._take_leader(request)
-            reason = self._take_fence(request, now)
+            self._take_fence(request)
         if reason:
             count = self.refused_by_reason.get(reason, 0)
             self.refused_by_reason[reason] = count + 1
@@ -102,20 +103,23 @@
             self.leader_until = until
         self.leader_until = max(self.leader_until, until)
 
-    def _take_fence(self, request: Request, now: float) -> str:
+    def _fence_refusal(self, request: Request) -> str:
         fence = request.get("fence")
-        if not fence:
+        if not fence or not self.fence:
             return ""
+        lower = fence_key(fence) < fence_key(self.fence)
+        return "fence is lower" if lower else ""
+
+    def _take_fence(self, request: Request) -> None:
+        fence = request.get("fence")
+        if not fence:
+            return
         until = float(request["stamp"] or 0) + request["serve_ms"] / 1000
         if fence == self.fence:
-            self.serve_until = max(self.serve_until, until)
-            return ""
-        if self.fence and fence_key(fence) < fence_key(self.fence):
-            return "fence is lower"
+            until = max(until, self.serve_until)
         self.fence = fence
         self.gate = request.get("gate")
         self.serve_until = until
-        return ""
 
     def reply(
         self, reason: str, now: float, incarnation: str, running: int
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -69,7 +69,7 @@
             return 409, "fence"
         if self.draining:
             self.counts["draining"] += 1
-            return 503, "draining"
+            return 503, "shed"
         offered = self.running + 1
         self.highest_offered = max(self.highest_offered, offered)
         if offered > self.settings.slots:
