--- /dev/null
+++ b/src/agatestile/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly and life cycle of a daemon."""
--- /dev/null
+++ b/src/agatestile/daemon/listeners.py
@@ -0,0 +1,69 @@
+"""HTTP listeners of a daemon, run by uvicorn on the daemon's own loop."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import uvicorn
+
+STARTUP_POLL_SECONDS = 0.01
+BACKLOG_CONNECTIONS = 2048
+
+
+class _Server(uvicorn.Server):
+    """Leaves signals to the daemon, which stops its parts in order."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> typing.Iterator[None]:
+        yield
+
+
+class Listener:
+    """One ASGI application on one address.
+
+    Parameters
+    ----------
+    name : str
+        Used in log lines.
+    application : callable
+        The ASGI application.
+    address : str
+        ``ip:port`` to listen on.
+    """
+
+    def __init__(
+        self, name: str, application: typing.Any, address: str
+    ) -> None:
+        self.name = name
+        host, _, port = address.rpartition(":")
+        self._server = _Server(
+            uvicorn.Config(
+                application,
+                host=host,
+                port=int(port),
+                http="httptools",
+                loop="none",
+                lifespan="off",
+                interface="asgi3",
+                access_log=False,
+                server_header=False,
+                date_header=False,
+                log_config=None,
+                backlog=BACKLOG_CONNECTIONS,
+            )
+        )
+
+    async def run(self) -> None:
+        """Serve until ``stop`` and until running requests have ended."""
+        await self._server.serve()
+
+    async def wait_started(self) -> None:
+        """Return once the listener accepts connections."""
+        while not self._server.started:
+            await anyio.sleep(STARTUP_POLL_SECONDS)
+
+    def stop(self) -> None:
+        """Accept no more requests; ``run`` returns after the last one."""
+        self._server.should_exit = True
