--- a/bench/processes.py
+++ b/bench/processes.py
@@ -51,7 +51,7 @@
     """Owns all processes of a trial; stops them at the end of a block.
 
     Their output goes into a temporary directory, which is kept and shown
-    when the block ends with an error.
+    when the block ends with an error or `keep_output` is set.
 
     Attributes
     ----------
@@ -59,11 +59,15 @@
         The temporary directory.
     by_name : dict of str to Process
         All processes started, also those that have ended.
+    keep_output : bool
+        Whether to keep and show the output in any case.
     """
 
     def __init__(self) -> None:
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="agatestile-"))
         self.by_name: dict[str, Process] = {}
+        self.keep_output = False
+        self._told: set[str] = set()
 
     def __enter__(self) -> Processes:
         return self
@@ -75,7 +79,7 @@
         trace: types.TracebackType | None,
     ) -> None:
         self.stop()
-        if error is None:
+        if error is None and not self.keep_output:
             shutil.rmtree(self.directory, ignore_errors=True)
             return
         for name in self.by_name:
@@ -93,6 +97,7 @@
             )
         process = Process(name, handle, output)
         self.by_name[name] = process
+        self._told.discard(name)
         return process
 
     def run(self, name: str, command: Sequence[str], timeout: float) -> str:
@@ -104,6 +109,7 @@
             If it fails or takes longer than the timeout, in seconds.
         """
         process = self.start(name, command)
+        self._told.add(name)
         try:
             status = process.handle.wait(timeout)
         except subprocess.TimeoutExpired:
@@ -136,12 +142,11 @@
             time.sleep(POLL_INTERVAL)
 
     def ended(self) -> list[str]:
-        """Return names of processes that failed by themselves."""
+        """Return names of processes that ended without being told to."""
         return [
             name
             for name, process in self.by_name.items()
-            if process.handle.poll() not in (None, 0)
-            and process.handle.returncode != -signal.SIGKILL
+            if name not in self._told and process.handle.poll() is not None
         ]
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -150,6 +155,7 @@
 
     def kill(self, name: str) -> None:
         """End one process at once."""
+        self._told.add(name)
         self.signal(name, signal.SIGKILL)
         self.by_name[name].handle.wait()
 
@@ -170,6 +176,7 @@
         """
         chosen = [self.by_name[name] for name in names or self.by_name]
         for process in chosen:
+            self._told.add(process.name)
             if process.handle.poll() is None:
                 process.handle.send_signal(signal.SIGCONT)
                 process.handle.terminate()
--- a/standins/backend_application.py
+++ b/standins/backend_application.py
@@ -3,36 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import time
 import typing
 
 import msgspec
 
+from standins import backend_messages
+
 if typing.TYPE_CHECKING:
-    from collections.abc import Awaitable
     from collections.abc import Callable
-    from collections.abc import MutableMapping
 
     from standins import backend_server
 
-    Message = MutableMapping[str, typing.Any]
-    Scope = MutableMapping[str, typing.Any]
-    Receive = Callable[[], Awaitable[Message]]
-    Send = Callable[[Message], Awaitable[None]]
-    Headers = dict[bytes, bytes]
-
 PIECE = 65_536
-DIGEST_OF_NOTHING = hashlib.blake2b(digest_size=8).hexdigest()
-
-_ENCODE = msgspec.json.Encoder().encode
-
-
-class Body(typing.NamedTuple):
-    """A request body that was read to its end."""
-
-    digest: str
-    size: int
 
 
 class Application:
@@ -66,7 +49,10 @@
         }
 
     async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
     ) -> None:
         """Answer one request."""
         own = self._own_by_path.get(scope["path"])
@@ -75,28 +61,33 @@
             return
         await self._server.thawed()
         if scope["client"] in self._server.silent_clients:
-            await _until_closed(receive)
+            await backend_messages.until_closed(receive)
             return
         handler = self._platform_by_path.get(scope["path"], self._request)
         await handler(scope, receive, send)
 
     async def _request(
-        self, scope: Scope, receive: Receive, send: Send
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
     ) -> None:
         server = self._server
-        headers: Headers = dict(scope["headers"])
+        headers: backend_messages.Headers = dict(scope["headers"])
         now = time.monotonic()
-        deadline = _deadline(headers, now)
-        refusal = server.refusal(_text(headers, b"x-fence"), now)
+        deadline = backend_messages.deadline(headers, now)
+        refusal = server.refusal(
+            backend_messages.text(headers, b"x-fence"), now
+        )
         if refusal is None and deadline <= now:
             refusal = 504, "deadline"
         if refusal is not None:
-            await _refuse(send, *refusal, started=False)
+            await backend_messages.refuse(send, *refusal, started=False)
             return
         if server.falls_over(now):
             server.counts["fell_over"] += 1
             self._fall_over(server.settings.down_seconds)
-            await _until_closed(receive)
+            await backend_messages.until_closed(receive)
             return
         server.enter()
         try:
@@ -106,41 +97,45 @@
 
     async def _run(
         self,
-        scope: Scope,
-        receive: Receive,
-        send: Send,
-        headers: Headers,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
+        headers: backend_messages.Headers,
         deadline: float,
     ) -> None:
         server = self._server
-        body = await _read_body(receive, headers, deadline)
+        body = await backend_messages.read_body(receive, headers, deadline)
         if isinstance(body, str):
             server.counts[body] += 1
             if body == "deadline":
-                await _refuse(send, 504, body, started=False)
+                await backend_messages.refuse(send, 504, body, started=False)
             return
-        request_id = _text(headers, b"x-request-id")
-        request_id = request_id or _text(headers, b"x-agatestile-request-id")
+        request_id = backend_messages.text(headers, b"x-request-id")
+        request_id = request_id or backend_messages.text(
+            headers, b"x-agatestile-request-id"
+        )
         server.count_execution(request_id)
         ending = await self._work(receive, deadline)
         if ending:
             server.counts[ending] += 1
             if ending == "deadline":
-                await _refuse(send, 504, ending, started=True)
+                await backend_messages.refuse(send, 504, ending, started=True)
             return
         if scope["client"] in server.silent_clients:
-            await _until_closed(receive)
+            await backend_messages.until_closed(receive)
             return
         await self._answer(scope, send, headers, body, request_id)
 
-    async def _work(self, receive: Receive, deadline: float) -> str:
+    async def _work(
+        self, receive: backend_messages.Receive, deadline: float
+    ) -> str:
         """Spend the service time; return what ended it early or ""."""
         now = time.monotonic()
         seconds = self._server.work_seconds(now)
         if seconds:
             try:
                 async with asyncio.timeout(min(seconds, deadline - now)):
-                    await _until_closed(receive)
+                    await backend_messages.until_closed(receive)
                 return "cancelled"
             except TimeoutError:
                 pass
@@ -149,15 +144,15 @@
 
     async def _answer(
         self,
-        scope: Scope,
-        send: Send,
-        headers: Headers,
-        body: Body,
+        scope: backend_messages.Scope,
+        send: backend_messages.Send,
+        headers: backend_messages.Headers,
+        body: backend_messages.Body,
         request_id: str,
     ) -> None:
         size = int(headers.get(b"x-answer-bytes", b"0"))
-        key = _text(headers, b"x-agatestile-key")
-        content = _ENCODE(
+        key = backend_messages.text(headers, b"x-agatestile-key")
+        content = backend_messages.encode(
             {
                 "server": self._server.settings.name,
                 "key": key
@@ -170,7 +165,7 @@
             }
         )
         padding = max(0, size - len(content))
-        await _start(
+        await backend_messages.start(
             send,
             200,
             len(content) + padding,
@@ -180,17 +175,26 @@
         if self._server.cuts > 0:
             # Returning before the body is complete closes the connection.
             self._server.cuts -= 1
-            await send(_part(content[: len(content) // 2], more=True))
+            await send(
+                backend_messages.part(content[: len(content) // 2], more=True)
+            )
             return
         while padding:
-            await send(_part(content, more=True))
+            await send(backend_messages.part(content, more=True))
             content = b"." * min(PIECE, padding)
             padding -= len(content)
-        await send(_part(content, more=False))
+        await send(backend_messages.part(content, more=False))
 
-    async def _grant(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _grant(
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
+    ) -> None:
         server = self._server
-        request = msgspec.json.decode(await _whole_body(receive))
+        request = msgspec.json.decode(
+            await backend_messages.whole_body(receive)
+        )
         await server.thawed()
         now = time.monotonic()
         reason = "does not check fences"
@@ -200,34 +204,55 @@
         reply = server.grants.reply(
             reason, now, server.incarnation, server.running
         )
-        await _send_json(send, reply)
+        await backend_messages.send_json(send, reply)
 
     async def _lagging(
-        self, scope: Scope, receive: Receive, send: Send
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
     ) -> None:
-        await _send_json(send, self._server.lagging())
+        await backend_messages.send_json(send, self._server.lagging())
 
-    async def _drain(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _drain(
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
+    ) -> None:
         self._server.draining = True
-        await _send_json(send, {"running": self._server.running})
+        await backend_messages.send_json(
+            send, {"running": self._server.running}
+        )
 
-    async def _state(self, scope: Scope, receive: Receive, send: Send) -> None:
-        await _send_json(send, self._server.report())
+    async def _state(
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
+    ) -> None:
+        await backend_messages.send_json(send, self._server.report())
 
     async def _executions(
-        self, scope: Scope, receive: Receive, send: Send
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
     ) -> None:
         report = self._server.report()
         report["executions"] = self._server.executions_by_id
-        await _send_json(send, report)
+        await backend_messages.send_json(send, report)
 
     async def _control(
-        self, scope: Scope, receive: Receive, send: Send
+        self,
+        scope: backend_messages.Scope,
+        receive: backend_messages.Receive,
+        send: backend_messages.Send,
     ) -> None:
-        body = await _whole_body(receive)
+        body = await backend_messages.whole_body(receive)
         wishes = msgspec.json.decode(body) if body else {}
         self._obey(wishes, scope["client"])
-        await _send_json(send, self._server.report())
+        await backend_messages.send_json(send, self._server.report())
         if "down_s" in wishes:
             self._fall_over(float(wishes["down_s"]))
 
@@ -250,92 +275,3 @@
             server.draining = bool(wishes["drain"])
         if wishes.get("reset"):
             server.reset()
-
-
-def _text(headers: Headers, name: bytes) -> str:
-    return headers.get(name, b"").decode("latin-1")
-
-
-def _deadline(headers: Headers, now: float) -> float:
-    value = headers.get(b"x-deadline-ms")
-    return now + float(value) / 1000 if value else float("inf")
-
-
-async def _read_body(
-    receive: Receive, headers: Headers, deadline: float
-) -> Body | str:
-    """Return the body, or why its reading ended early."""
-    if b"content-length" not in headers:
-        if b"transfer-encoding" not in headers:
-            return Body(DIGEST_OF_NOTHING, 0)
-    digest = hashlib.blake2b(digest_size=8)
-    size = 0
-    left = None
-    if deadline != float("inf"):
-        left = deadline - time.monotonic()
-    try:
-        async with asyncio.timeout(left):
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    return "broken_upload"
-                digest.update(message["body"])
-                size += len(message["body"])
-                if not message.get("more_body"):
-                    return Body(digest.hexdigest(), size)
-    except TimeoutError:
-        return "deadline"
-
-
-async def _whole_body(receive: Receive) -> bytes:
-    parts = []
-    while True:
-        message = await receive()
-        parts.append(message.get("body", b""))
-        if not message.get("more_body"):
-            return b"".join(parts)
-
-
-async def _until_closed(receive: Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
-async def _start(
-    send: Send, status: int, size: int, *more: tuple[bytes, bytes]
-) -> None:
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [
-                (b"content-type", b"application/json"),
-                (b"content-length", b"%d" % size),
-                *more,
-            ],
-        }
-    )
-
-
-def _part(content: bytes, *, more: bool) -> Message:
-    return {"type": "http.response.body", "body": content, "more_body": more}
-
-
-async def _send_json(send: Send, value: object) -> None:
-    content = _ENCODE(value)
-    await _start(send, 200, len(content))
-    await send(_part(content, more=False))
-
-
-async def _refuse(
-    send: Send, status: int, reason: str, *, started: bool
-) -> None:
-    content = _ENCODE({"refused": reason, "started": started})
-    await _start(
-        send,
-        status,
-        len(content),
-        (b"x-refused", reason.encode()),
-        (b"x-started", b"1" if started else b"0"),
-    )
-    await send(_part(content, more=False))
--- /dev/null
+++ b/standins/backend_messages.py
@@ -0,0 +1,127 @@
+"""Reads requests and writes answers of the stand-in backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+import hashlib
+import time
+import typing
+
+import msgspec
+
+Message = MutableMapping[str, typing.Any]
+Scope = MutableMapping[str, typing.Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Headers = dict[bytes, bytes]
+
+DIGEST_OF_NOTHING = hashlib.blake2b(digest_size=8).hexdigest()
+
+encode = msgspec.json.Encoder().encode
+
+
+class Body(typing.NamedTuple):
+    """A request body that was read to its end."""
+
+    digest: str
+    size: int
+
+
+def text(headers: Headers, name: bytes) -> str:
+    """Return a header as text, empty without it."""
+    return headers.get(name, b"").decode("latin-1")
+
+
+def deadline(headers: Headers, now: float) -> float:
+    """Return the clock at the request's deadline, infinite without."""
+    value = headers.get(b"x-deadline-ms")
+    return now + float(value) / 1000 if value else float("inf")
+
+
+async def read_body(
+    receive: Receive, headers: Headers, deadline: float
+) -> Body | str:
+    """Return the body, or why its reading ended early."""
+    if b"content-length" not in headers:
+        if b"transfer-encoding" not in headers:
+            return Body(DIGEST_OF_NOTHING, 0)
+    digest = hashlib.blake2b(digest_size=8)
+    size = 0
+    left = None
+    if deadline != float("inf"):
+        left = deadline - time.monotonic()
+    try:
+        async with asyncio.timeout(left):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    return "broken_upload"
+                digest.update(message["body"])
+                size += len(message["body"])
+                if not message.get("more_body"):
+                    return Body(digest.hexdigest(), size)
+    except TimeoutError:
+        return "deadline"
+
+
+async def whole_body(receive: Receive) -> bytes:
+    """Return the body of a short request."""
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def until_closed(receive: Receive) -> None:
+    """Wait until the connection is closed."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+async def start(
+    send: Send, status: int, size: int, *more: tuple[bytes, bytes]
+) -> None:
+    """Send the head of an answer."""
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [
+                (b"content-type", b"application/json"),
+                (b"content-length", b"%d" % size),
+                *more,
+            ],
+        }
+    )
+
+
+def part(content: bytes, *, more: bool) -> Message:
+    """Return a message with a part of the body."""
+    return {"type": "http.response.body", "body": content, "more_body": more}
+
+
+async def send_json(send: Send, value: object) -> None:
+    """Send a whole answer."""
+    content = encode(value)
+    await start(send, 200, len(content))
+    await send(part(content, more=False))
+
+
+async def refuse(
+    send: Send, status: int, reason: str, *, started: bool
+) -> None:
+    """Send a refusal."""
+    content = encode({"refused": reason, "started": started})
+    await start(
+        send,
+        status,
+        len(content),
+        (b"x-refused", reason.encode()),
+        (b"x-started", b"1" if started else b"0"),
+    )
+    await send(part(content, more=False))
