--- /dev/null
+++ b/src/agatestile/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the load of backend servers."""
--- /dev/null
+++ b/src/agatestile/limits/admission.py
@@ -0,0 +1,340 @@
+"""Concurrency slots of one backend server and the queue for them."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import typing
+
+import anyio
+
+from agatestile.limits import latency
+from agatestile.limits import ramp as ramps
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    from agatestile.observability import invariants
+
+_CODES = codes.ResultCode
+
+
+class Observation(typing.NamedTuple):
+    """What is known when a request leaves its slot.
+
+    Attributes
+    ----------
+    now : float
+        Runtime's clock, seconds.
+    latency : float or None
+        Seconds from sending to the head of the answer, None without one.
+    shed : bool
+        Whether the server refused for want of capacity.
+    hold_until : float
+        Until when the server may still run the request although nobody
+        waits for it; 0.0 if it certainly does not.
+    """
+
+    now: float
+    latency: float | None = None
+    shed: bool = False
+    hold_until: float = 0.0
+
+
+class Slot(typing.NamedTuple):
+    """Permission to run one request on the server."""
+
+    number: int
+
+
+class Limits(typing.NamedTuple):
+    """Bounds from the table.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that the server runs at the same time.
+    queue : int
+        Requests that may wait.
+    queue_seconds : float
+        Longest wait, seconds.
+    """
+
+    slots: int
+    queue: int
+    queue_seconds: float
+
+
+class _Waiter:
+    __slots__ = ("answer", "deadline", "event", "expires", "order")
+
+    def __init__(
+        self, order: tuple[int, int], expires: float, deadline: float
+    ) -> None:
+        self.order = order
+        self.expires = expires
+        self.deadline = deadline
+        self.event = anyio.Event()
+        self.answer: Slot | outcomes.Refusal | None = None
+
+    def __lt__(self, other: _Waiter) -> bool:
+        return self.order < other.order
+
+
+class Admission:
+    """Exact count of requests at one server, kept at its only gate.
+
+    Parameters
+    ----------
+    server : str
+        Name of the server.
+    limits : Limits
+        Bounds from the table.
+    checks : invariants.Invariants
+        Counts broken invariants.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests that hold a slot.
+    ramp : ramp.Ramp
+        State of the server's cold start.
+    quantiles : latency.DecayingQuantiles
+        Latencies of the server's answers.
+    """
+
+    def __init__(
+        self,
+        server: str,
+        limits: Limits,
+        checks: invariants.Invariants,
+    ) -> None:
+        self._server = server
+        self._limits = limits
+        self._checks = checks
+        self.in_flight = 0
+        self.ramp = ramps.Ramp(server)
+        self.quantiles = latency.DecayingQuantiles()
+        self._jumps = latency.JumpDetector()
+        self._holds: list[float] = []
+        self._waiters: list[_Waiter] = []
+        self._sequence = 0
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests in the queue."""
+        return len(self._waiters)
+
+    def set_limits(self, limits: Limits) -> None:
+        """Follow a change of the table."""
+        self._limits = limits
+
+    def hold(self, count: int, until: float) -> None:
+        """Count slots as used by requests that this gate did not send."""
+        for _ in range(count):
+            heapq.heappush(self._holds, until)
+
+    def try_enter(
+        self, now: float, deadline: float
+    ) -> Slot | outcomes.Refusal | None:
+        """Return a slot if one is free and nobody waits, else None."""
+        if now >= deadline:
+            return _refuse_deadline()
+        if self._waiters or not self._has_capacity(now):
+            return None
+        return self._grant(now)
+
+    async def enter(
+        self, deadline: float, priority: int
+    ) -> Slot | outcomes.Refusal:
+        """Wait for a slot.
+
+        Parameters
+        ----------
+        deadline : float
+            Runtime's clock at which the request is of no use any more.
+        priority : int
+            Higher is served first.
+
+        Returns
+        -------
+        Slot or Refusal
+            ``QUEUE_FULL``, ``QUEUE_TIMEOUT`` or ``DEADLINE_PASSED``.
+        """
+        now = anyio.current_time()
+        entered = self.try_enter(now, deadline)
+        if entered is not None:
+            return entered
+        waiter = self.join(now, deadline, priority)
+        if isinstance(waiter, outcomes.Refusal):
+            return waiter
+        try:
+            return await self._wait(waiter)
+        except BaseException:
+            self._abandon(waiter)
+            raise
+
+    def join(
+        self, now: float, deadline: float, priority: int
+    ) -> _Waiter | outcomes.Refusal:
+        """Take a place in the queue.
+
+        When the queue is full, a request of higher priority takes the
+        place of the last one of the lowest priority.
+        """
+        self.poll(now)
+        refusal = self._refuse_early(now, deadline, priority)
+        if refusal is not None:
+            return refusal
+        self._sequence += 1
+        expires = min(deadline, now + self._limits.queue_seconds)
+        waiter = _Waiter((-priority, self._sequence), expires, deadline)
+        heapq.heappush(self._waiters, waiter)
+        self.poll(now)
+        return waiter
+
+    def leave(self, slot: Slot, observation: Observation) -> None:
+        """Give a slot back.
+
+        Parameters
+        ----------
+        slot : Slot
+            From `enter` or `try_enter`.
+        observation : Observation
+            What the request showed about the server.
+        """
+        now = observation.now
+        self.in_flight -= 1
+        self._checks.check(
+            "slots", self.in_flight >= 0, f"{self._server}: slot left twice"
+        )
+        if observation.hold_until > now:
+            heapq.heappush(self._holds, observation.hold_until)
+        if observation.shed:
+            self.ramp.on_shed(now)
+        elif observation.latency is not None:
+            self._observe(observation.latency, now)
+        self.poll(now)
+
+    def poll(self, now: float) -> None:
+        """Hand free slots to waiters and drop those that waited too long."""
+        while self._waiters:
+            waiter = self._waiters[0]
+            if now >= waiter.expires:
+                heapq.heappop(self._waiters)
+                waiter.answer = _refuse_wait(now, waiter.deadline)
+            elif self._has_capacity(now):
+                heapq.heappop(self._waiters)
+                waiter.answer = self._grant(now)
+            else:
+                return
+            waiter.event.set()
+
+    def next_change(self, now: float) -> float:
+        """Return when capacity may come up without a request leaving."""
+        if not self._has_slot(now):
+            return self._holds[0] if self._holds else math.inf
+        return self.ramp.next_send()
+
+    async def _wait(self, waiter: _Waiter) -> Slot | outcomes.Refusal:
+        while waiter.answer is None:
+            now = anyio.current_time()
+            wake = waiter.expires
+            if self._holds or self.ramp.is_cold:
+                wake = min(wake, self.next_change(now))
+            with anyio.CancelScope(deadline=wake):
+                await waiter.event.wait()
+            now = anyio.current_time()
+            if waiter.answer is None and now >= waiter.expires:
+                self._remove(waiter)
+                return _refuse_wait(now, waiter.deadline)
+            self.poll(now)
+        return waiter.answer
+
+    def _grant(self, now: float) -> Slot | outcomes.Refusal:
+        used = self.in_flight + len(self._holds) + 1
+        allowed = self._checks.check(
+            "slots",
+            used <= self._limits.slots,
+            f"{self._server}: {used} of {self._limits.slots} slots",
+        )
+        if not allowed:
+            return outcomes.Refusal(_CODES.QUEUE_FULL, "no slot is free")
+        self.in_flight += 1
+        self._sequence += 1
+        self.ramp.on_sent(now)
+        return Slot(self._sequence)
+
+    def _has_capacity(self, now: float) -> bool:
+        return self._has_slot(now) and self.ramp.allows(now)
+
+    def _has_slot(self, now: float) -> bool:
+        while self._holds and self._holds[0] <= now:
+            heapq.heappop(self._holds)
+        used = self.in_flight + len(self._holds)
+        return used < self.ramp.slots(self._limits.slots)
+
+    def _observe(self, seconds: float, now: float) -> None:
+        if self._jumps.is_jump(seconds, self.quantiles, now):
+            self.ramp.make_cold(now, "its latency jumped")
+            self.quantiles.clear()
+        self.quantiles.observe(seconds, now)
+        if self.ramp.is_cold:
+            typical = max(self.quantiles.quantile(0.5, now), 1e-4)
+            self.ramp.on_answer(now, self._limits.slots / typical)
+
+    def _refuse_early(
+        self, now: float, deadline: float, priority: int
+    ) -> outcomes.Refusal | None:
+        waiting = len(self._waiters)
+        if waiting >= self._limits.queue:
+            if not self._evict(priority):
+                return outcomes.Refusal(
+                    _CODES.QUEUE_FULL, f"{waiting} requests wait already"
+                )
+        elif waiting:
+            typical = self.quantiles.quantile(0.5, now)
+            slots = self.ramp.slots(self._limits.slots)
+            expected = waiting * typical / max(slots, 1)
+            longest = min(deadline - now, self._limits.queue_seconds)
+            if expected > longest:
+                return outcomes.Refusal(
+                    _CODES.QUEUE_FULL,
+                    f"the expected wait is {expected * 1000:.0f} ms",
+                )
+        return None
+
+    def _evict(self, priority: int) -> bool:
+        if not self._waiters:
+            return False
+        last = max(self._waiters)
+        if -last.order[0] >= priority:
+            return False
+        self._remove(last)
+        last.answer = outcomes.Refusal(
+            _CODES.QUEUE_FULL, "a request of higher priority took its place"
+        )
+        last.event.set()
+        return True
+
+    def _remove(self, waiter: _Waiter) -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+            heapq.heapify(self._waiters)
+
+    def _abandon(self, waiter: _Waiter) -> None:
+        self._remove(waiter)
+        if isinstance(waiter.answer, Slot):
+            self.leave(waiter.answer, Observation(anyio.current_time()))
+
+
+def _refuse_wait(now: float, deadline: float) -> outcomes.Refusal:
+    if now >= deadline:
+        return _refuse_deadline()
+    return outcomes.Refusal(_CODES.QUEUE_TIMEOUT, "no slot was free in time")
+
+
+def _refuse_deadline() -> outcomes.Refusal:
+    return outcomes.Refusal(
+        _CODES.DEADLINE_PASSED, "the deadline passed before it was sent"
+    )
