Add gateway: the path of a request

The ASGI application parses a request, routes it and either acts as the gate of the owner or forwards it once. Lanes are single httpcore connections; bodies are streamed; every refusal has a result code, and one line per request tells decision, reason and code.

uvicorn bounds neither size nor time of a head, so the listener uses a protocol with both bounds. Refused uploads are read on for a moment, since a reset connection would lose the refusal.

--- /dev/null
+++ b/src/agatestile/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle of requests between callers and backend servers."""
--- /dev/null
+++ b/src/agatestile/gateway/application.py
@@ -0,0 +1,345 @@
+"""ASGI application on the callers' and on the forward address."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+import anyio.abc
+
+from agatestile.gateway import bodies
+from agatestile.gateway import calls
+from agatestile.gateway import entry
+from agatestile.gateway import forwarding
+from agatestile.gateway import options as gateway_options
+from agatestile.gateway import parsing
+from agatestile.gateway import responses
+from agatestile.limits import budget
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.gateway import asgi
+    from agatestile.gateway import ports
+    from agatestile.observability import invariants
+
+    Handler = collections.abc.Callable[
+        [calls.Call],
+        collections.abc.Awaitable[outcomes.Refusal | None],
+    ]
+
+LOG = logging.getLogger(__name__)
+
+SWEEP_SECONDS = 0.02
+"""How often waiting requests are looked at for silent lanes and callers
+that left. Most requests end before the first look and cost nothing."""
+
+IDLE_SWEEP_SECONDS = 1.0
+
+CALLS_LIMIT = 4096
+"""Requests in progress. With 256 KiB each it would bound the memory for
+bodies at 1 GiB; requests beyond it are refused before their body is read."""
+
+DEFAULT_TIMEOUT = 10.0
+"""Seconds for a service whose row sets none."""
+
+DEFAULT_BODY_LIMIT = 1024 * 1024
+"""Bytes for a service whose row sets none."""
+
+_CODES = codes.ResultCode
+
+
+class Application:
+    """Serves requests as entry host and as gate.
+
+    ``callers`` and ``forward`` are the ASGI applications for the two
+    addresses. ``run`` must run while requests are served.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    state : ports.State
+        The replicated state.
+    router : ports.Router
+        Owners and gates.
+    permits : ports.Permits
+        Leases of this host.
+    checks : invariants.Invariants
+        Counts broken invariants.
+    options : options.Options
+        Bounds from the settings.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        state: ports.State,
+        router: ports.Router,
+        permits: ports.Permits,
+        checks: invariants.Invariants,
+        options: gateway_options.Options | None = None,
+    ) -> None:
+        self._state = state
+        self._checks = checks
+        self._options = options or gateway_options.Options()
+        self._retries = budget.RetryBudget()
+        self.gates = entry.Gates(state, permits, self._retries, checks)
+        self._forwarder = forwarding.Forwarder()
+        self._entry = entry.Entry(
+            host, router, self.gates, self._forwarder, self._retries
+        )
+        self._calls: dict[int, calls.Call] = {}
+        self._running = 0
+        self._is_closing = False
+        self._idle = anyio.Event()
+
+    @property
+    def running(self) -> int:
+        """Number of requests in progress."""
+        return self._running
+
+    async def callers(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve a request as entry host."""
+        if scope["type"] == "http":
+            await self._serve(
+                scope, receive, send, self._entry.handle, "entry"
+            )
+
+    async def forward(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve a request as gate only."""
+        if scope["type"] == "http":
+            await self._serve(
+                scope, receive, send, self._entry.handle_as_gate, "gate"
+            )
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Watch the requests in progress until cancelled."""
+        next_idle = 0.0
+        async with anyio.create_task_group() as group:
+            task_status.started()
+            while True:
+                await anyio.sleep(SWEEP_SECONDS)
+                now = anyio.current_time()
+                for call in list(self._calls.values()):
+                    await self._look_at(call, now, group)
+                if now >= next_idle:
+                    next_idle = now + IDLE_SWEEP_SECONDS
+                    await self._forwarder.sweep(now)
+                await self.gates.sweep(now)
+
+    def begin_shutdown(self) -> None:
+        """Refuse new requests; those in progress go on."""
+        self._is_closing = True
+
+    async def drained(self) -> None:
+        """Wait until no request is in progress."""
+        while self._running:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def _serve(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        handler: Handler,
+        role: str,
+    ) -> None:
+        started = anyio.current_time()
+        self._retries.on_request(started)
+        self._running += 1
+        try:
+            request = self._accept(scope)
+            if isinstance(request, outcomes.Refusal):
+                _log(role, None, request, started)
+                if _has_body(scope):
+                    await responses.send_early_error((receive, send), request)
+                else:
+                    await responses.send_error(send, request)
+                return
+            call = self._call(request, (receive, send))
+            scope["agatestile.call"] = call
+            await self._run_call(call, handler, role)
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
+
+    def _accept(self, scope: asgi.Scope) -> parsing.Request | outcomes.Refusal:
+        if self._is_closing:
+            return outcomes.Refusal(
+                _CODES.SHUTTING_DOWN, "this host is shutting down"
+            )
+        if self._running > CALLS_LIMIT:
+            return outcomes.Refusal(
+                _CODES.QUEUE_FULL, "too many requests are in progress"
+            )
+        request = parsing.parse(scope)
+        if isinstance(request, outcomes.Refusal):
+            return request
+        if request.service in self._state.table.services_by_name:
+            return request
+        if self._state.offset < 0:
+            return outcomes.Refusal(
+                _CODES.NOT_READY, "the state has not been read yet"
+            )
+        return outcomes.Refusal(
+            _CODES.UNKNOWN_SERVICE,
+            f"the table has no service {request.service[:64]!r}",
+        )
+
+    async def _run_call(
+        self, call: calls.Call, handler: Handler, role: str
+    ) -> None:
+        key = id(call)
+        self._calls[key] = call
+        refusal: outcomes.Refusal | None = None
+        has_left = False
+        try:
+            with call.scope:
+                refusal = await _handle(call, handler)
+        except bodies.CallerLeft:
+            has_left = True
+        finally:
+            call.is_done = True
+            del self._calls[key]
+        if call.scope.cancelled_caught:
+            has_left = call.has_left
+            refusal = call.timed_out()
+        if has_left:
+            refusal = _left(call)
+        if refusal is not None:
+            refusal = call.truthful(refusal)
+        _log(role, call, refusal, call.started)
+        if refusal is None or call.responded or has_left:
+            return
+        if call.body.is_read:
+            await responses.send_error(call.send, refusal, call.server)
+        else:
+            channels = call.receive, call.send
+            await responses.send_early_error(channels, refusal, call.server)
+
+    def _call(
+        self,
+        request: parsing.Request,
+        channels: tuple[asgi.Receive, asgi.Send],
+    ) -> calls.Call:
+        service = self._state.table.services_by_name[request.service]
+        timeout = service.timeout_ms / 1000.0 or DEFAULT_TIMEOUT
+        if request.timeout is not None and request.timeout < timeout:
+            timeout = request.timeout
+        now = anyio.current_time()
+        body = bodies.Body(
+            channels[0],
+            request.content_length,
+            service.body_limit or DEFAULT_BODY_LIMIT,
+            self._options.body_idle_timeout,
+        )
+        scope = anyio.CancelScope(deadline=now + timeout)
+        return calls.Call(
+            request, service, body, channels, (now, now + timeout), scope
+        )
+
+    async def _look_at(
+        self, call: calls.Call, now: float, group: anyio.abc.TaskGroup
+    ) -> None:
+        lane = call.lane
+        if lane is not None and 0.0 < call.silent_at <= now:
+            call.went_silent = True
+            call.silent_at = 0.0
+            await lane.close()
+        if call.body.is_read and not call.is_watched:
+            call.is_watched = True
+            group.start_soon(_watch, call)
+
+
+async def _handle(
+    call: calls.Call, handler: Handler
+) -> outcomes.Refusal | None:
+    refusal = call.body.check_length()
+    if refusal is not None:
+        return refusal
+    try:
+        if not call.body.is_read:
+            await call.body.prefetch()
+        return await handler(call)
+    except bodies.BodyError as error:
+        return error.refusal
+    except bodies.CallerLeft:
+        raise
+    except Exception:
+        LOG.exception("route: unexpected error")
+        return outcomes.Refusal(
+            _CODES.OUTCOME_UNKNOWN, "unexpected error in this daemon"
+        )
+
+
+async def _watch(call: calls.Call) -> None:
+    """Cancel a request whose caller closes its connection."""
+    message = await call.receive()
+    while message["type"] != "http.disconnect":
+        message = await call.receive()
+    if not call.is_done:
+        call.has_left = True
+        call.scope.cancel()
+
+
+def _left(call: calls.Call) -> outcomes.Refusal:
+    code = (
+        _CODES.DEADLINE_PASSED
+        if call.run == responses.NOT_RUN
+        else _CODES.OUTCOME_UNKNOWN
+    )
+    return outcomes.Refusal(code, "the caller closed its connection")
+
+
+def _has_body(scope: asgi.Scope) -> bool:
+    return any(
+        name in (b"content-length", b"transfer-encoding")
+        for name, _ in scope["headers"]
+    )
+
+
+def _log(
+    role: str,
+    call: calls.Call | None,
+    refusal: outcomes.Refusal | None,
+    started: float,
+) -> None:
+    """Write the line of a routing decision."""
+    if not LOG.isEnabledFor(logging.INFO):
+        return
+    if refusal is None:
+        code, reason = _CODES.ANSWERED, "answered"
+    else:
+        code, reason = refusal
+    spent = (anyio.current_time() - started) * 1000.0
+    if call is None:
+        LOG.info("route: %s - code=%d %s: %s", role, code, code.name, reason)
+        return
+    LOG.info(
+        "route: %s %s position=%d server=%s gate=%s code=%d %s run=%s "
+        "ms=%.1f: %s",
+        role,
+        call.request.service,
+        call.position,
+        call.server or "-",
+        call.gate or "-",
+        code,
+        code.name,
+        call.run,
+        spent,
+        reason,
+    )
--- /dev/null
+++ b/src/agatestile/gateway/bodies.py
@@ -0,0 +1,152 @@
+"""Request bodies, read from the caller in bounded parts."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.gateway import asgi
+
+PREFETCH_BYTES = 64 * 1024
+"""Read before a request takes a slot, so that a slow sender of a small
+body holds no slot of a server."""
+
+_CODES = codes.ResultCode
+
+
+class BodyError(Exception):
+    """The caller's body cannot be read to its end.
+
+    Attributes
+    ----------
+    refusal : Refusal
+        What is wrong.
+    """
+
+    def __init__(self, refusal: outcomes.Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection."""
+
+
+class Body:
+    """Body of one request.
+
+    Parameters
+    ----------
+    receive : asgi.Receive
+        The caller.
+    length : int or None
+        Declared length, None if it is not declared.
+    limit : int
+        Largest body, bytes.
+    idle_timeout : float
+        Longest wait for the next part, seconds.
+
+    Attributes
+    ----------
+    is_read : bool
+        Whether the end was received.
+    """
+
+    def __init__(
+        self,
+        receive: asgi.Receive,
+        length: int | None,
+        limit: int,
+        idle_timeout: float,
+    ) -> None:
+        self._receive = receive
+        self._length = length
+        self._limit = limit
+        self._idle_timeout = idle_timeout
+        self._prefix: list[bytes] = []
+        self._received = 0
+        self._streamed = False
+        self.is_read = length == 0
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether the body can be sent again."""
+        return not self._streamed
+
+    def check_length(self) -> outcomes.Refusal | None:
+        """Refuse a declared length above the limit before reading."""
+        if self._length is not None and self._length > self._limit:
+            return _too_large(self._limit)
+        return None
+
+    async def prefetch(self) -> None:
+        """Read the body up to a bounded size.
+
+        Raises
+        ------
+        BodyError, CallerLeft
+            If the body cannot be read.
+        """
+        while not self.is_read and self._received < PREFETCH_BYTES:
+            part = await self._next()
+            if part:
+                self._prefix.append(part)
+
+    def content(self) -> bytes | collections.abc.AsyncIterable[bytes]:
+        """Return the body to send, from its start."""
+        if self.is_read and not self._streamed:
+            return b"".join(self._prefix)
+        return self._stream()
+
+    def framing(self, method: str) -> tuple[bytes, bytes] | None:
+        """Return the header that tells where the body ends, if any."""
+        if self.is_read and not self._streamed:
+            if self._received or method in ("POST", "PUT", "PATCH"):
+                return (b"content-length", b"%d" % self._received)
+            return None
+        if self._length is not None:
+            return (b"content-length", b"%d" % self._length)
+        return (b"transfer-encoding", b"chunked")
+
+    async def _stream(self) -> collections.abc.AsyncIterator[bytes]:
+        prefix, self._prefix = self._prefix, []
+        self._streamed = True
+        while prefix:
+            yield prefix.pop(0)
+        while not self.is_read:
+            part = await self._next()
+            if part:
+                yield part
+
+    async def _next(self) -> bytes:
+        message = None
+        with anyio.move_on_after(self._idle_timeout):
+            message = await self._receive()
+        if message is None:
+            raise BodyError(
+                outcomes.Refusal(
+                    _CODES.SLOW_SENDER,
+                    f"no part of the body came in {self._idle_timeout:g} s",
+                )
+            )
+        if message["type"] != "http.request":
+            raise CallerLeft
+        part: bytes = message.get("body", b"")
+        self._received += len(part)
+        if self._received > self._limit:
+            raise BodyError(_too_large(self._limit))
+        self.is_read = not message.get("more_body", False)
+        return part
+
+
+def _too_large(limit: int) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        _CODES.BODY_TOO_LARGE, f"the body is larger than {limit} bytes"
+    )
--- /dev/null
+++ b/src/agatestile/gateway/entry.py
@@ -0,0 +1,258 @@
+"""Routes requests: to the gate on this host or to another one's."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from agatestile.gateway import servers
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    from agatestile.gateway import calls
+    from agatestile.gateway import forwarding
+    from agatestile.gateway import ports
+    from agatestile.limits import budget
+    from agatestile.observability import invariants
+    from agatestile.routing import router as routing
+    from agatestile.state import records
+
+GRACE_SECONDS = 1.5
+"""How long a gate still takes requests for a failure domain that is out or
+a server that is leaving, for its ranges to move. The record reaches a host
+within 0.5 s, so the bound of 3 s (section 1.1) holds."""
+
+REROUTE_SECONDS = 0.5
+REROUTE_POLL = 0.02
+"""How long, and how often, to look for a changed route after a refusal."""
+
+_CODES = codes.ResultCode
+_REROUTED = frozenset(
+    (
+        _CODES.NOT_GATE,
+        _CODES.LEASE_LAPSED,
+        _CODES.CONNECT_FAILED,
+        _CODES.RANGE_MOVING,
+        _CODES.SHUTTING_DOWN,
+    )
+)
+"""Refusals after which another host may be the gate."""
+
+
+class Gates:
+    """Gates of the servers that this host sends to, by server.
+
+    Parameters
+    ----------
+    state : ports.State
+        The replicated state.
+    permits : ports.Permits
+        Leases of this host.
+    retries : budget.RetryBudget
+        Bound on retries of this daemon.
+    checks : invariants.Invariants
+        Counts broken invariants.
+    """
+
+    def __init__(
+        self,
+        state: ports.State,
+        permits: ports.Permits,
+        retries: budget.RetryBudget,
+        checks: invariants.Invariants,
+    ) -> None:
+        self._state = state
+        self._permits = permits
+        self._retries = retries
+        self._checks = checks
+        self.by_server: dict[str, servers.ServerGate] = {}
+        self._leaving_since: dict[str, float] = {}
+        self._offset = -1
+
+    async def handle(
+        self, call: calls.Call, route: routing.Route
+    ) -> outcomes.Refusal | None:
+        """Run a request as gate of its server."""
+        now = anyio.current_time()
+        refusal = self._refuse_leaving(route, now)
+        if refusal is not None:
+            return refusal
+        gate = self._gate_of(route.server, call.service)
+        if gate is None:
+            return outcomes.Refusal(
+                _CODES.NO_OWNER, f"{route.server} is not in the table"
+            )
+        return await gate.handle(call, now)
+
+    def note_running(self, server: str, running: int, until: float) -> None:
+        """Count requests of an earlier gate that a server still runs.
+
+        Parameters
+        ----------
+        server : str
+            Name of the server.
+        running : int
+            From the server's reply to the grant.
+        until : float
+            Runtime's clock at which the last of them ends.
+        """
+        gate = self._gate_of(server, None)
+        if gate is not None:
+            gate.admission.hold(running, until)
+
+    async def sweep(self, now: float) -> None:
+        """Notice what leaves and close what is not needed any more."""
+        if self._state.offset != self._offset:
+            self._offset = self._state.offset
+            self._note_leaving(now)
+        for gate in self.by_server.values():
+            await gate.sweep(now)
+
+    def _gate_of(
+        self, server: str, service: records.TableRow | None
+    ) -> servers.ServerGate | None:
+        table = self._state.table
+        row = table.servers_by_name.get(server)
+        if row is None:
+            return None
+        if service is None or service.service != row.service:
+            service = table.services_by_name[row.service]
+        gate = self.by_server.get(server)
+        if gate is None:
+            gate = servers.ServerGate(
+                row, service, self._permits, self._retries, self._checks
+            )
+            self.by_server[server] = gate
+        gate.follow(row, service)
+        return gate
+
+    def _note_leaving(self, now: float) -> None:
+        domains = self._state.domains_by_name
+        leaving = {
+            row.server
+            for row in self._state.table.servers_by_name.values()
+            if row.state == "leaving"
+            or (row.domain in domains and domains[row.domain].state == "out")
+        }
+        self._leaving_since = {
+            server: self._leaving_since.get(server, now) for server in leaving
+        }
+
+    def _refuse_leaving(
+        self, route: routing.Route, now: float
+    ) -> outcomes.Refusal | None:
+        if not self._leaving_since:
+            return None
+        since = self._leaving_since.get(route.server)
+        if since is None or now - since < GRACE_SECONDS:
+            return None
+        return outcomes.Refusal(
+            _CODES.DOMAIN_OUT,
+            f"{route.server} or its failure domain was taken out",
+        )
+
+
+class Entry:
+    """Finds the gate of each request.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    router : ports.Router
+        Owners and gates.
+    gates : Gates
+        Gates on this host.
+    forwarder : forwarding.Forwarder
+        Lanes to other hosts.
+    retries : budget.RetryBudget
+        Bound on retries of this daemon.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        router: ports.Router,
+        gates: Gates,
+        forwarder: forwarding.Forwarder,
+        retries: budget.RetryBudget,
+    ) -> None:
+        self._host = host
+        self._router = router
+        self._gates = gates
+        self._forwarder = forwarder
+        self._retries = retries
+
+    async def handle(self, call: calls.Call) -> outcomes.Refusal | None:
+        """Route a caller's request, at most twice."""
+        route = self._route(call)
+        if isinstance(route, outcomes.Refusal):
+            return route
+        refusal = await self._follow(call, route, fresh_only=False)
+        if refusal is None or not self._may_retry(call, refusal, route):
+            return refusal
+        if not self._retries.spend(anyio.current_time()):
+            return refusal._replace(
+                reason=f"{refusal.reason}; the retry budget is spent"
+            )
+        changed = await self._route_again(call, route)
+        if isinstance(changed, outcomes.Refusal):
+            return refusal
+        return await self._follow(call, changed, fresh_only=True)
+
+    async def handle_as_gate(
+        self, call: calls.Call
+    ) -> outcomes.Refusal | None:
+        """Run a request that another host forwarded."""
+        route = self._route(call)
+        if isinstance(route, outcomes.Refusal):
+            if route.code != _CODES.NO_GATE:
+                return route
+            return outcomes.Refusal(_CODES.NOT_GATE, route.reason)
+        return await self._gates.handle(call, route)
+
+    def _route(self, call: calls.Call) -> routing.Route | outcomes.Refusal:
+        route = self._router.route(call.request.service, call.request.key)
+        if not isinstance(route, outcomes.Refusal):
+            call.position = route.position
+            call.server = route.server
+            call.gate = route.gate.host
+        return route
+
+    async def _follow(
+        self, call: calls.Call, route: routing.Route, fresh_only: bool
+    ) -> outcomes.Refusal | None:
+        if route.gate.host == self._host:
+            return await self._gates.handle(call, route)
+        return await self._forwarder.handle(
+            call, route.gate.forward_address, fresh_only
+        )
+
+    def _may_retry(
+        self, call: calls.Call, refusal: outcomes.Refusal, route: routing.Route
+    ) -> bool:
+        if call.responded or not call.body.is_replayable:
+            return False
+        if codes.is_not_run(refusal.code):
+            return refusal.code in _REROUTED
+        # A gate on this host has made its own retry already.
+        return call.may_repeat and route.gate.host != self._host
+
+    async def _route_again(
+        self, call: calls.Call, old: routing.Route
+    ) -> routing.Route | outcomes.Refusal:
+        """Wait for the route to change, within a part of the time left."""
+        now = anyio.current_time()
+        until = now + min(REROUTE_SECONDS, (call.deadline - now) / 2.0)
+        while True:
+            route = self._route(call)
+            is_changed = isinstance(route, outcomes.Refusal) or (
+                (route.gate, route.fence) != (old.gate, old.fence)
+            )
+            if is_changed and not isinstance(route, outcomes.Refusal):
+                return route
+            if anyio.current_time() >= until:
+                return route
+            await anyio.sleep(REROUTE_POLL)
--- /dev/null
+++ b/src/agatestile/gateway/protocol.py
@@ -0,0 +1,176 @@
+"""HTTP protocol of the listeners: uvicorn's, with bounds on heads."""
+
+from __future__ import annotations
+
+import socket
+import typing
+
+import httptools
+from uvicorn.protocols.http import httptools_impl
+
+from agatestile.gateway import responses
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    import asyncio
+
+    from agatestile.gateway import asgi
+    from agatestile.gateway import options as gateway_options
+
+RECEIVE_BUFFER = 64 * 1024
+"""Socket buffer, bytes. It bounds how much one read returns, which uvicorn
+keeps in memory although it pauses reading above 64 KiB."""
+
+LINGER_SECONDS = 1.0
+"""How long a refused connection is read from before it is closed."""
+
+_CODES = codes.ResultCode
+
+
+class Protocol(httptools_impl.HttpToolsProtocol):
+    """One connection of a caller or of another daemon.
+
+    uvicorn limits neither the size of a head nor the time that it takes.
+    """
+
+    options: gateway_options.Options
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._head_bytes = 0
+        self._in_body = False
+        self._is_refused = False
+        self._refusal: outcomes.Refusal | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Bound the memory of the connection and the time of its head."""
+        super().connection_made(transport)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the timer."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse input and count the bytes of heads."""
+        if self._is_refused:
+            return
+        if not self._in_body:
+            self._head_bytes += len(data)
+        super().data_received(data)
+        if self._in_body or self._is_refused or not self._head_bytes:
+            return
+        if self._head_bytes > self.options.header_limit:
+            self._refuse_head()
+        elif self._head_timer is None:
+            self._start_head_timer()
+
+    def on_headers_complete(self) -> None:
+        """Check the exact size of a head before its request starts."""
+        self._stop_head_timer()
+        self._in_body = True
+        if self._head_bytes > self.options.header_limit:
+            size = len(self.url) + sum(
+                len(name) + len(value) + 4 for name, value in self.headers
+            )
+            if size > self.options.header_limit:
+                self._refusal = _too_large(self.options.header_limit)
+                raise httptools.HttpParserCallbackError("head too large")
+        self._head_bytes = 0
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Expect the next head."""
+        self._in_body = False
+        super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse input that is not HTTP and close the connection.
+
+        A response that is in progress is broken off instead, since bytes
+        written now would become a part of it.
+        """
+        self._stop_head_timer()
+        refusal = self._refusal or outcomes.Refusal(
+            _CODES.BAD_REQUEST, "the request is not valid HTTP"
+        )
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            scope: asgi.Scope = dict(cycle.scope)
+            call = scope.get("agatestile.call")
+            silent = cycle.response_started or (
+                call is not None and call.may_have_run()
+            )
+            cycle.disconnected = True
+            cycle.message_event.set()
+            if silent:
+                self.transport.close()
+                return
+        self._answer(refusal)
+
+    def _refuse_head(self) -> None:
+        self._refusal = _too_large(self.options.header_limit)
+        self.send_400_response("")
+
+    def _answer(self, refusal: outcomes.Refusal) -> None:
+        status, headers, body = responses.error_parts(refusal)
+        headers.append((b"connection", b"close"))
+        lines = [b"%s: %s\r\n" % pair for pair in headers]
+        self.transport.write(
+            b"".join(
+                [httptools_impl.STATUS_LINE[status], *lines, b"\r\n", body]
+            )
+        )
+        # Closing at once would reset the connection while the caller is
+        # still sending, and the reset would discard the answer.
+        self._is_refused = True
+        self.transport.write_eof()
+        self._head_timer = self.loop.call_later(
+            LINGER_SECONDS, self.transport.close
+        )
+
+    def _start_head_timer(self) -> None:
+        self._head_timer = self.loop.call_later(
+            self.options.head_timeout, self._on_head_timeout
+        )
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _on_head_timeout(self) -> None:
+        self._head_timer = None
+        if self.transport.is_closing() or self._in_body:
+            return
+        if not self._head_bytes:
+            self.transport.close()
+            return
+        self._refusal = outcomes.Refusal(
+            _CODES.SLOW_SENDER,
+            f"no complete head in {self.options.head_timeout:g} s",
+        )
+        self.send_400_response("")
+
+
+def with_options(options: gateway_options.Options) -> type[Protocol]:
+    """Return the protocol with its bounds.
+
+    uvicorn constructs the protocol itself, so that they are set on a
+    class.
+    """
+    return type("BoundProtocol", (Protocol,), {"options": options})
+
+
+def _too_large(limit: int) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        _CODES.HEADERS_TOO_LARGE, f"the head is larger than {limit} bytes"
+    )
--- /dev/null
+++ b/src/agatestile/gateway/responses.py
@@ -0,0 +1,160 @@
+"""Answers to callers: refusals as JSON, and headers of passed answers."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import msgspec
+
+from agatestile.gateway import parsing
+from agatestile.results import codes
+
+if typing.TYPE_CHECKING:
+    from agatestile.gateway import asgi
+    from agatestile.results import outcomes
+
+RUN, NOT_RUN, UNKNOWN = "run", "not-run", "unknown"
+
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 4 * 1024 * 1024
+"""How long and how much of a refused body is read and dropped."""
+
+_CODES = codes.ResultCode
+_STATUS_BY_CODE = {
+    _CODES.BAD_REQUEST: 400,
+    _CODES.UNKNOWN_SERVICE: 404,
+    _CODES.MISSING_KEY: 400,
+    _CODES.METHOD_NOT_ALLOWED: 405,
+    _CODES.BODY_TOO_LARGE: 413,
+    _CODES.HEADERS_TOO_LARGE: 431,
+    _CODES.SLOW_SENDER: 408,
+    _CODES.DEADLINE_PASSED: 504,
+    _CODES.DUPLICATE_RUNNING: 409,
+    _CODES.OUTCOME_UNKNOWN: 502,
+    _CODES.ANSWER_BROKEN: 502,
+    _CODES.REPEATED_AFTER_TAKEOVER: 409,
+}
+_ALLOW = ", ".join(sorted(parsing.METHODS)).encode()
+_NOT_PASSED = parsing.HOP_BY_HOP
+
+
+def run_of(code: codes.ResultCode) -> str:
+    """Return whether a request with this code ran."""
+    if code == _CODES.ANSWERED:
+        return RUN
+    return NOT_RUN if codes.is_not_run(code) else UNKNOWN
+
+
+def status_of(code: codes.ResultCode) -> int:
+    """Return the HTTP status of a refusal."""
+    return _STATUS_BY_CODE.get(code, 503)
+
+
+def error_parts(
+    refusal: outcomes.Refusal, owner: str = ""
+) -> tuple[int, asgi.Headers, bytes]:
+    """Return status, headers and body of a refusal."""
+    code = refusal.code
+    run = run_of(code)
+    body = msgspec.json.encode(
+        {
+            "code": int(code),
+            "name": code.name,
+            "reason": refusal.reason,
+            "run": run,
+        }
+    )
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+        *own_headers(int(code), run, owner),
+    ]
+    if code == _CODES.METHOD_NOT_ALLOWED:
+        headers.append((b"allow", _ALLOW))
+    return status_of(code), headers, body
+
+
+async def send_error(
+    send: asgi.Send, refusal: outcomes.Refusal, owner: str = ""
+) -> None:
+    """Answer with a refusal."""
+    status, headers, body = error_parts(refusal, owner)
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_early_error(
+    channels: tuple[asgi.Receive, asgi.Send],
+    refusal: outcomes.Refusal,
+    owner: str = "",
+) -> None:
+    """Answer with a refusal before the body was read to its end.
+
+    The connection is closed afterwards, but a part of the body is read
+    and dropped first: closing at once would reset the connection while the
+    caller is still sending, and the reset would discard the answer.
+    """
+    receive, send = channels
+    status, headers, body = error_parts(refusal, owner)
+    headers.append((b"connection", b"close"))
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body, "more_body": True})
+    with anyio.move_on_after(LINGER_SECONDS):
+        left = LINGER_BYTES
+        while left > 0:
+            message = await receive()
+            left -= len(message.get("body", b""))
+            if not message.get("more_body", False):
+                break
+    await send({"type": "http.response.body", "body": b""})
+
+
+def own_headers(code: int, run: str, owner: str) -> asgi.Headers:
+    """Return the headers that every answer carries (section 8)."""
+    headers = [
+        (b"x-agatestile-code", b"%d" % code),
+        (b"x-agatestile-run", run.encode()),
+    ]
+    if owner:
+        headers.append((b"x-agatestile-owner", owner.encode()))
+    return headers
+
+
+def passed_headers(
+    headers: asgi.Headers, keep_own: bool
+) -> tuple[asgi.Headers, dict[bytes, bytes]]:
+    """Split the headers of an answer.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        As received.
+    keep_own : bool
+        Whether the answer comes from another daemon, whose headers
+        ``x-agatestile-*`` pass on. A server's are removed.
+
+    Returns
+    -------
+    list, dict
+        Headers for the caller, and the others by name.
+    """
+    passed = []
+    removed: dict[bytes, bytes] = {}
+    for name, value in headers:
+        name = name.lower()
+        if name in _NOT_PASSED or (
+            not keep_own
+            and (name.startswith(b"x-agatestile-") or name == b"x-refused")
+        ):
+            removed[name] = value
+        else:
+            passed.append((name, value))
+    named = removed.get(b"connection")
+    if named is not None and named.lower() not in (b"keep-alive", b"close"):
+        passed = parsing.without_named(passed, named)
+    return passed, removed
