Add operators' interface and command line

Operators need one way to change the table, domains and hosts, and to see where a change is in force.

A daemon answers JSON over HTTP; the commands are a client of it. A change is reported with the hosts that have it in force, that have not yet, and that did not respond; the exit status tells refused, not reached, outcome unknown and not yet everywhere apart. A request that was sent but not answered counts as unknown only if it asked for a change.

RangeMap counts ranges by owner, since a status must not walk 100,000 ranges on the event loop.

--- /dev/null
+++ b/src/agatestile/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' interface of a daemon, and its client."""
--- /dev/null
+++ b/src/agatestile/console/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/agatestile/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands, one module each."""
--- a/src/agatestile/observability/metrics.py
+++ b/src/agatestile/observability/metrics.py
@@ -222,4 +222,5 @@
 
 
 def _full_name(name: str, suffix: str) -> str:
-    return f"{name}.{suffix}" if suffix else name
+    # A dot would add a level to the name.
+    return f"{name}.{suffix.replace('.', '_')}" if suffix else name
--- a/src/agatestile/settings/schema.py
+++ b/src/agatestile/settings/schema.py
@@ -48,20 +48,13 @@
 Size = typing.Annotated[
     int, Unit("a size", {"KiB": 1024, "MiB": 1024 * 1024}, whole=True)
 ]
-# Names of hosts and failure domains are sent in HTTP headers and in names
-# of metrics.
+# Names are sent in HTTP headers and take the same form as in the services
+# table.
 Name = typing.Annotated[
     str,
     Pattern(
-        "a name of 1 to 64 letters, digits, '-' or '_'",
-        r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}",
-    ),
-]
-Prefix = typing.Annotated[
-    str,
-    Pattern(
-        "a name of 1 to 64 letters, digits, '-', '_' or '.'",
-        r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}",
+        "a name of 1 to 128 letters, digits, '-', '_' or '.'",
+        r"[A-Za-z0-9_.-]{1,128}",
     ),
 ]
 
@@ -144,7 +137,7 @@
     """Where metrics are sent; nowhere without an address."""
 
     statsd: Address | None = None
-    prefix: Prefix = "agatestile"
+    prefix: Name = "agatestile"
 
 
 class Settings(typing.NamedTuple):
--- a/src/agatestile/state/ranges.py
+++ b/src/agatestile/state/ranges.py
@@ -136,6 +136,13 @@
         names = {self._names[index][0] for index in set(self._placements)}
         return names - {""}
 
+    def counts(self) -> collections.Counter[str]:
+        """Return how many ranges each server owns."""
+        counts: collections.Counter[str] = collections.Counter()
+        for index, count in collections.Counter(self._placements).items():
+            counts[self._names[index][0]] += count
+        return counts
+
     def replace(self, pieces: collections.abc.Sequence[Range]) -> bool:
         """Replace the positions that adjoining pieces cover.
 
--- /dev/null
+++ b/tests/admin/test_application.py
@@ -0,0 +1,76 @@
+"""Operators' interface over HTTP."""
+
+from __future__ import annotations
+
+import collections.abc
+import json
+
+import httpcore
+import pytest
+
+from agatestile.admin import application
+from tests.admin import scenes
+
+
+@pytest.fixture(scope="module")
+def address() -> collections.abc.Iterator[str]:
+    with scenes.serve(scenes.Scene().with_table()) as address:
+        yield address
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status", "name"),
+    [
+        ("GET", "nowhere", b"", 400, "BAD_REQUEST"),
+        ("GET", "explain?service=prices", b"", 400, "BAD_REQUEST"),
+        ("GET", "explain?service=no&key=k", b"", 404, "UNKNOWN_SERVICE"),
+        ("GET", "confirmations?offset=x", b"", 400, "BAD_REQUEST"),
+        ("GET", "status?%ff=%ff", b"", 200, None),
+        ("PUT", "table?base=0", b"", 405, "METHOD_NOT_ALLOWED"),
+        ("POST", "table", b"", 400, "BAD_REQUEST"),
+        ("POST", "table?base=0", b"\xff", 400, "BAD_REQUEST"),
+        ("POST", "table?base=0", b"kinds", 400, "TABLE_INVALID"),
+        ("POST", "table?base=5", scenes.SHEET.encode(), 409, "TABLE_CONFLICT"),
+        ("POST", "domains/none?state=out", b"", 404, "NAME_UNKNOWN"),
+        ("POST", "domains/radom?state=off", b"", 400, "BAD_REQUEST"),
+        ("POST", "hosts/entry-1?state=gone", b"", 400, "BAD_REQUEST"),
+        (
+            "POST",
+            "table?base=0",
+            bytes(application.BODY_LIMIT + 1),
+            413,
+            "BODY_TOO_LARGE",
+        ),
+    ],
+)
+def test_bad_request_is_refused_with_code_and_reason(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes,
+    status: int,
+    name: str | None,
+) -> None:
+    """Guards against a fault that ends in a 500 without a code."""
+    response = httpcore.request(
+        method, f"http://{address}/{path}", content=body
+    )
+    content = json.loads(response.content)
+    assert response.status == status
+    assert content.get("name") == name
+    if name is not None:
+        assert content["reason"]
+        assert content["version"] == 0
+
+
+@pytest.mark.parametrize(
+    ("state", "status"), [("active", 200), ("leaving", 503)]
+)
+def test_balancer_is_told_when_a_host_leaves(state: str, status: int) -> None:
+    scene = scenes.Scene().with_table()
+    with scenes.serve(scene) as address:
+        httpcore.request(
+            "POST", f"http://{address}/hosts/entry-1?state={state}"
+        )
+        response = httpcore.request("GET", f"http://{address}/ready")
+    assert response.status == status
--- /dev/null
+++ b/tests/console/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- /dev/null
+++ b/tests/console/test_commands.py
@@ -0,0 +1,219 @@
+"""Commands against a daemon's operators' interface."""
+
+from __future__ import annotations
+
+import collections.abc
+import json
+import pathlib
+import socket
+import threading
+
+import click
+from click import testing
+import pytest
+
+from agatestile.console import application
+from agatestile.console.exits import ExitStatus
+from agatestile.results import codes
+from agatestile.results import outcomes
+from tests.admin import scenes
+
+
+class _Daemon:
+    """A scene with the address of its operators' interface."""
+
+    def __init__(self, scene: scenes.Scene, address: str) -> None:
+        self.scene = scene
+        self.address = address
+
+    def run(self, *arguments: str) -> testing.Result:
+        """Run a command that asks this daemon."""
+        return testing.CliRunner().invoke(
+            application.main,
+            arguments,
+            env={"AGATESTILE_ADMIN": self.address},
+        )
+
+
+@pytest.fixture
+def daemon() -> collections.abc.Iterator[_Daemon]:
+    scene = scenes.Scene().with_table()
+    with scenes.serve(scene) as address:
+        yield _Daemon(scene, address)
+
+
+@pytest.fixture
+def sheet(tmp_path: pathlib.Path) -> str:
+    path = tmp_path / "services.csv"
+    path.write_text(scenes.SHEET, encoding="utf-8")
+    return str(path)
+
+
+def _commands(
+    command: click.Command, path: tuple[str, ...] = ()
+) -> collections.abc.Iterator[tuple[str, ...]]:
+    yield path
+    if isinstance(command, click.Group):
+        for name, inner in command.commands.items():
+            yield from _commands(inner, (*path, name))
+
+
+@pytest.mark.parametrize(
+    "path", list(_commands(application.main)), ids=" ".join
+)
+def test_help_of_each_command_documents_the_exit_statuses(
+    path: tuple[str, ...],
+) -> None:
+    """Guards against a command without help."""
+    result = testing.CliRunner().invoke(application.main, [*path, "--help"])
+    assert result.exit_code == 0
+    for status in ExitStatus:
+        assert f" {int(status)} " in result.output
+
+
+def test_exported_table_is_applied_again(
+    daemon: _Daemon, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a sheet that changes on its way out and back."""
+    path = str(tmp_path / "out.csv")
+    assert daemon.run("table", "export", path).output == "version 0\n"
+    rows = daemon.scene.state.table.rows
+    applied = daemon.run("table", "apply", path, "--base", "0")
+    assert applied.exit_code == ExitStatus.DONE, applied.output
+    assert "in force on: entry-1" in applied.output
+    assert daemon.scene.state.table.rows == rows
+
+
+def test_lost_race_prints_the_code_and_the_version_in_force(
+    daemon: _Daemon, sheet: str
+) -> None:
+    """Guards against an operator who overwrites another one's change."""
+    daemon.run("table", "apply", sheet, "--base", "0")
+    lost = daemon.run("table", "apply", sheet, "--base", "0")
+    assert lost.exit_code == ExitStatus.REFUSED
+    assert "TABLE_CONFLICT (400)" in lost.stderr
+    assert "version 2" in lost.stderr
+
+
+def test_current_needs_no_version(daemon: _Daemon, sheet: str) -> None:
+    done = daemon.run("table", "apply", sheet, "--base", "current")
+    assert done.exit_code == ExitStatus.DONE
+    assert "accepted as version 2" in done.output
+
+
+def test_wait_ends_when_each_reachable_host_has_the_change(
+    daemon: _Daemon, sheet: str
+) -> None:
+    """Guards against a change reported as done before it is in force."""
+    daemon.scene.peers.answers["entry-2"] = scenes.peer("entry-2", 0)
+    apply = ("table", "apply", sheet, "--base", "current", "--output", "json")
+    early = daemon.run(*apply)
+    assert early.exit_code == ExitStatus.NOT_EVERYWHERE
+    assert json.loads(early.output)["pending"] == ["entry-2"]
+    done = daemon.run(*apply, "--wait", "5")
+    assert done.exit_code == ExitStatus.DONE
+    assert json.loads(done.output)["in_force"] == ["entry-1", "entry-2"]
+
+
+def test_host_that_does_not_respond_is_named(
+    daemon: _Daemon, sheet: str
+) -> None:
+    daemon.scene.peers.answers["entry-4"] = scenes.LOST
+    result = daemon.run(
+        "table", "apply", sheet, "--base", "current", "--wait", "1"
+    )
+    assert result.exit_code == ExitStatus.NOT_EVERYWHERE
+    assert "not confirmed by: entry-4" in result.output
+
+
+@pytest.mark.parametrize(
+    ("code", "status"),
+    [
+        (codes.ResultCode.LOG_UNAVAILABLE, ExitStatus.REFUSED),
+        (codes.ResultCode.LOG_OUTCOME_UNKNOWN, ExitStatus.OUTCOME_UNKNOWN),
+    ],
+)
+@pytest.mark.parametrize(
+    "arguments",
+    [("domain", "out", "radom"), ("host", "leave", "entry-1")],
+    ids=" ".join,
+)
+def test_exit_status_tells_refused_from_unknown(
+    daemon: _Daemon,
+    arguments: tuple[str, ...],
+    code: codes.ResultCode,
+    status: ExitStatus,
+) -> None:
+    """Guards against a script that repeats what may have been done."""
+    daemon.scene.appender.refusal = outcomes.Refusal(code, "log is down")
+    result = daemon.run(*arguments)
+    assert result.exit_code == status
+    assert code.name in result.stderr
+
+
+@pytest.mark.parametrize(
+    ("arguments", "status"),
+    [
+        (("status",), ExitStatus.UNREACHABLE),
+        (("table", "show"), ExitStatus.UNREACHABLE),
+        (("domain", "in", "radom"), ExitStatus.UNREACHABLE),
+        (("host", "return"), ExitStatus.USAGE),
+        (("status", "--admin", "nowhere"), ExitStatus.USAGE),
+        (("serve",), ExitStatus.USAGE),
+        (("serve", "--config", "/none.yaml"), ExitStatus.REFUSED),
+        (("table", "check", __file__), ExitStatus.REFUSED),
+        (("table", "apply", __file__, "--base", "x"), ExitStatus.USAGE),
+    ],
+)
+def test_commands_that_reach_no_daemon(
+    arguments: tuple[str, ...], status: ExitStatus
+) -> None:
+    closed = _Daemon(scenes.Scene(), "127.0.0.1:1")
+    assert closed.run(*arguments).exit_code == status
+
+
+@pytest.mark.parametrize(
+    ("arguments", "status"),
+    [
+        (("status",), ExitStatus.UNREACHABLE),
+        (("domain", "out", "radom"), ExitStatus.OUTCOME_UNKNOWN),
+    ],
+)
+def test_connection_that_ends_without_an_answer(
+    arguments: tuple[str, ...], status: ExitStatus
+) -> None:
+    """Guards against a change with unknown outcome shown as not made."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def close_after_request() -> None:
+            connection, _ = listener.accept()
+            connection.recv(4096)
+            connection.close()
+
+        thread = threading.Thread(target=close_after_request, daemon=True)
+        thread.start()
+        port = listener.getsockname()[1]
+        result = _Daemon(scenes.Scene(), f"127.0.0.1:{port}").run(*arguments)
+        thread.join(5)
+    assert result.exit_code == status
+
+
+@pytest.mark.parametrize(
+    ("arguments", "expected"),
+    [
+        (("domain", "out", "radom"), "in force on: entry-1"),
+        (("host", "leave", "entry-1"), "in force on: entry-1"),
+        (("status",), "domain radom: in, leader entry-2"),
+        (("status", "--output", "json"), '"asked":"entry-1"'),
+        (("explain", "prices", "a key"), "why           unassigned"),
+        (("explain", "prices", "k", "--output", "json"), '"owner":""'),
+        (("table", "show"), "price-02"),
+        (("version",), "0."),
+    ],
+)
+def test_output_shows_what_was_asked(
+    daemon: _Daemon, arguments: tuple[str, ...], expected: str
+) -> None:
+    result = daemon.run(*arguments)
+    assert result.exit_code == ExitStatus.DONE, result.output
+    assert expected in result.output
