Write the pages for operators and contributors

Tests compare the tables of codes, metrics, prefixes, settings, exit statuses and commands with the code.

--- a/src/agatestile/admin/operations.py
+++ b/src/agatestile/admin/operations.py
@@ -101,6 +101,11 @@
         self._views = views
         self._peers = peers
         self._reports = reports
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Tell the balancer from now on that this host leaves."""
+        self._stopping = True
 
     def ready(self) -> bool:
         """Tell whether the balancer may send requests to this host."""
@@ -302,6 +307,8 @@
         return await self.confirmations(answer)
 
     def _leaving(self) -> bool:
+        if self._stopping:
+            return True
         known = self._state.hosts_by_name.get(self._settings.host)
         return known is not None and known.state == "leaving"
 
--- a/tests/admin/test_operations.py
+++ b/tests/admin/test_operations.py
@@ -152,6 +152,14 @@
     assert not scene.operations.ready()
 
 
+async def test_host_that_stops_is_not_ready() -> None:
+    """Guards against new requests for a daemon that got SIGTERM."""
+    scene = scenes.Scene().with_table()
+    scene.operations.stop()
+    assert not scene.operations.ready()
+    assert scene.operations.host_status()["state"] == "leaving"
+
+
 async def test_unknown_names_are_refused() -> None:
     """Guards against a typing error that is taken for a change."""
     scene = scenes.Scene().with_table()
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -17,6 +17,7 @@
 from agatestile.results import codes
 from agatestile.results import outcomes
 from tests.admin import scenes
+from tests import documents
 
 
 class _Daemon:
@@ -58,6 +59,14 @@
             yield from _commands(inner, (*path, name))
 
 
+def _find(path: tuple[str, ...]) -> click.Command:
+    command: click.Command = application.main
+    for name in path:
+        assert isinstance(command, click.Group)
+        command = command.commands[name]
+    return command
+
+
 @pytest.mark.parametrize(
     "path", list(_commands(application.main)), ids=" ".join
 )
@@ -217,3 +226,23 @@
     result = daemon.run(*arguments)
     assert result.exit_code == ExitStatus.DONE, result.output
     assert expected in result.output
+
+
+def test_page_lists_each_exit_status() -> None:
+    rows = documents.rows("cli.md", "| status | meaning |")
+    assert [int(row[0]) for row in rows] == [int(one) for one in ExitStatus]
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        path
+        for path in _commands(application.main)
+        if not isinstance(_find(path), click.Group)
+    ],
+    ids=" ".join,
+)
+def test_page_describes_each_command(path: tuple[str, ...]) -> None:
+    """Guards against a command that the page leaves out."""
+    text = (documents.DOCS / "cli.md").read_text(encoding="utf-8")
+    assert f"`agatestile {' '.join(path)}" in text
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -15,6 +15,7 @@
 
 from agatestile.observability import logs
 from agatestile.settings import schema
+from tests import documents
 
 LOG = logging.getLogger(__name__)
 
@@ -159,3 +160,11 @@
         tasks.cancel_scope.cancel()
     os.close(writer)
     assert min(costs) < 15e-6
+
+
+def test_page_lists_each_prefix() -> None:
+    """Guards against lines whose component operators cannot look up."""
+    rows = documents.rows("logs.md", "| prefix |")
+    assert [(row[0].removesuffix(":"), row[1]) for row in rows] == list(
+        logs.MEANINGS_BY_PREFIX.items()
+    )
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -9,6 +9,7 @@
 
 from agatestile.observability import metrics
 from agatestile.settings import schema
+from tests import documents
 
 
 @pytest.fixture
@@ -68,3 +69,12 @@
     sender = metrics.from_settings(schema.Metrics())
     sender.count(metrics.REQUESTS_RECEIVED)
     assert isinstance(sender, metrics.NoMetrics)
+
+
+def test_page_lists_each_metric() -> None:
+    """Guards against a page that differs from what is sent."""
+    rows = documents.rows("metrics.md", "| name | kind |")
+    assert rows == [
+        [name, metric.kind, metric.unit, metric.suffix, metric.meaning]
+        for name, metric in metrics.METRICS_BY_NAME.items()
+    ]
--- /dev/null
+++ b/tests/results/test_codes.py
@@ -0,0 +1,15 @@
+"""Result codes and their page."""
+
+from __future__ import annotations
+
+from agatestile.results import codes
+from tests import documents
+
+
+def test_page_lists_each_code_with_its_number() -> None:
+    """Guards against a code that operators cannot look up."""
+    rows = documents.rows("result-codes.md", "| number | name |")
+    assert [(int(row[0]), row[1]) for row in rows] == [
+        (int(code), code.name) for code in codes.ResultCode
+    ]
+    assert all(row[2] for row in rows)
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections.abc
 import pathlib
+import typing
 
 import pytest
 
@@ -10,6 +12,7 @@
 from agatestile.results import outcomes
 from agatestile.settings import loader
 from agatestile.settings import schema
+from tests import documents
 
 Code = codes.ResultCode
 
@@ -140,3 +143,40 @@
     assert isinstance(refusal, outcomes.Refusal)
     assert refusal.code is Code.SETTINGS_UNREADABLE
     assert "\n" not in refusal.reason
+
+
+_LEAVES = (schema.Address, schema.BaseUrl)
+
+
+def _keys(kind: typing.Any, path: str = "") -> collections.abc.Iterator[str]:
+    for key, hint in typing.get_type_hints(kind).items():
+        if hasattr(hint, "_fields") and hint not in _LEAVES:
+            yield from _keys(hint, f"{path}{key}.")
+        else:
+            yield path + key
+
+
+def test_page_lists_each_key() -> None:
+    """Guards against a key that the page lacks."""
+    rows = documents.rows("configuration.md", "| key | type |")
+    assert [row[0] for row in rows] == list(_keys(schema.Settings))
+
+
+def test_defaults_on_the_page_are_those_of_the_schema(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a default that changed in one place only."""
+    text = COMPLETE.partition("timing:")[0]
+    sections: dict[str, list[str]] = {}
+    for key, _, default, _ in documents.rows(
+        "configuration.md", "| key | type |"
+    ):
+        section, _, name = key.partition(".")
+        if default not in ("", "none"):
+            sections.setdefault(section, []).append(f"  {name}: {default}\n")
+    for section, lines in sections.items():
+        text += f"{section}:\n{''.join(lines)}"
+    assert _load(tmp_path, text) == _load(
+        tmp_path, COMPLETE.partition("timing:")[0]
+    )
+    assert len(sections["timing"]) == len(schema.Timing._fields)
