Assemble the daemon from its parts

The parts met through ports only. The factory now builds them into one daemon, and the gate of a server counts a request in its range from enter to leave, so that a range is reported as released only after its requests ended.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -149,12 +149,10 @@
     """Measure bytes of a checkpoint and the time to read it."""
     sizes, times = [], []
     for count in CHECKPOINT_COUNTS:
-        body = checkpoint.encode(_state_with_ranges(count))
+        body = checkpoint.dump(_state_with_ranges(count))
         started = time.perf_counter()
-        checkpoint.decode(body)
-        times.append(
-            (float(count), (time.perf_counter() - started) * 1000.0)
-        )
+        checkpoint.load(body)
+        times.append((float(count), (time.perf_counter() - started) * 1000.0))
         sizes.append((float(count), float(len(body))))
     return (
         slopes.Slope.from_points("checkpoint, bytes", "ranges", sizes),
@@ -173,9 +171,7 @@
         started = time.perf_counter()
         for offset, body in enumerate(bodies, start=3):
             state.apply(offset, records.decode(body))
-        times.append(
-            (float(count), (time.perf_counter() - started) * 1000.0)
-        )
+        times.append((float(count), (time.perf_counter() - started) * 1000.0))
         sizes.append((float(count), float(sum(map(len, bodies)))))
     return (
         slopes.Slope.from_points("replayed records, bytes", "moves", sizes),
--- /dev/null
+++ b/src/agatestile/daemon/factory.py
@@ -0,0 +1,174 @@
+"""Builds the object graph of a daemon."""
+
+from __future__ import annotations
+
+import secrets
+import typing
+
+from agatestile.admin import application as admin_application
+from agatestile.admin import operations as admin_operations
+from agatestile.admin import peers as admin_peers
+from agatestile.daemon import adapters
+from agatestile.daemon import handler as peer_handler
+from agatestile.daemon import listeners
+from agatestile.daemon import reporter as metrics_reporter
+from agatestile.gateway import application as gateway_application
+from agatestile.gateway import options as gateway_options
+from agatestile.log import appender as log_appender
+from agatestile.log import checkpoints
+from agatestile.log import client as log_client
+from agatestile.log import follower as log_follower
+from agatestile.membership import client as membership_client
+from agatestile.observability import invariants
+from agatestile.observability import metrics
+from agatestile.ownership import driver
+from agatestile.ownership import grant_client
+from agatestile.ownership import ports
+from agatestile.ownership import runner
+from agatestile.ownership import terms
+from agatestile.routing import router
+from agatestile.routing import views as routing_views
+from agatestile.rpc import server as rpc_server
+from agatestile.state import checkpoint
+from agatestile.state import cluster
+
+if typing.TYPE_CHECKING:
+    from agatestile.settings import schema
+
+INSTANCE_BYTES = 6
+SNAPSHOT_TIMEOUT_SECONDS = 2.0
+
+
+class Parts(typing.NamedTuple):
+    """Everything that a daemon starts and stops.
+
+    Attributes
+    ----------
+    listeners_by_name : dict of str to listeners.Listener
+        HTTP listeners: "callers", "forward" and "admin".
+    """
+
+    settings: schema.Settings
+    state: cluster.ClusterState
+    follower: log_follower.Follower
+    checkpointer: checkpoints.Checkpointer
+    membership: membership_client.MembershipClient
+    ownership: runner.Runner
+    gateway: gateway_application.Application
+    operations: admin_operations.Operations
+    metrics: metrics.Metrics
+    reporter: metrics_reporter.Reporter
+    peers: rpc_server.PeerServer
+    listeners_by_name: dict[str, listeners.Listener]
+
+
+def build(settings: schema.Settings) -> Parts:
+    """Return the parts of the daemon of one host."""
+    checks = invariants.Invariants()
+    state = cluster.ClusterState(checks)
+    timing = terms.Timing(
+        heartbeat_interval=settings.timing.heartbeat_interval,
+        leader_lease=settings.timing.leader_lease,
+        serve_lease=settings.timing.serve_lease,
+    )
+    members = membership_client.MembershipClient(
+        str(settings.platform.membership)
+    )
+    log = log_client.LogClient(str(settings.platform.log))
+    snapshots = adapters.PeerSnapshots(
+        settings.host,
+        settings.failure_domain,
+        members,
+        grant_client.PeerCalls(SNAPSHOT_TIMEOUT_SECONDS),
+    )
+    follower = log_follower.Follower(
+        log, state, snapshots, settings.timing.log_wait
+    )
+    appender = log_appender.Appender(log, follower)
+    views = routing_views.RouteViews()
+    ownership = runner.Runner(
+        driver.Self(
+            settings.host,
+            settings.failure_domain,
+            f"{settings.host}#{secrets.token_hex(INSTANCE_BYTES)}",
+            str(settings.listen.forward),
+        ),
+        settings.failure_domains,
+        state,
+        ports.Ports(
+            servers=grant_client.GrantClient(timing.call_timeout),
+            peers=grant_client.PeerCalls(timing.call_timeout),
+            appender=appender,
+            membership=adapters.ListedHosts(members),
+            on_view=views.update,
+        ),
+        timing,
+        checks,
+    )
+    gateway = gateway_application.Application(
+        settings.host,
+        state,
+        router.Router(state, views),
+        ownership.gates,
+        checks,
+        gateway_options.Options(*settings.requests),
+    )
+    operations = admin_operations.Operations(
+        settings,
+        state,
+        follower,
+        appender,
+        views,
+        admin_peers.PeerStatuses(settings.host, members),
+        {
+            "ownership": ownership.status,
+            "running": lambda: gateway.running,
+        },
+    )
+    chosen_metrics = metrics.from_settings(settings.metrics)
+    return Parts(
+        settings=settings,
+        state=state,
+        follower=follower,
+        checkpointer=checkpoints.Checkpointer(
+            log,
+            state,
+            checkpoint.Policy(settings.timing.log_retention),
+            _rank(ownership),
+        ),
+        membership=members,
+        ownership=ownership,
+        gateway=gateway,
+        operations=operations,
+        metrics=chosen_metrics,
+        reporter=metrics_reporter.Reporter(
+            chosen_metrics, state, follower, ownership, gateway
+        ),
+        peers=rpc_server.PeerServer(
+            peer_handler.Handler(state, ownership, operations)
+        ),
+        listeners_by_name={
+            "callers": listeners.Listener(
+                "callers", gateway.callers, str(settings.listen.callers)
+            ),
+            "forward": listeners.Listener(
+                "forward", gateway.forward, str(settings.listen.forward)
+            ),
+            "admin": listeners.Listener(
+                "admin",
+                admin_application.Application(operations),
+                str(settings.listen.admin),
+            ),
+        },
+    )
+
+
+def _rank(ownership: runner.Runner) -> typing.Callable[[], int | None]:
+    def rank() -> int | None:
+        names = sorted(ownership.by_domain)
+        for place, name in enumerate(names):
+            if ownership.by_domain[name].leadership is not None:
+                return place
+        return None
+
+    return rank
--- a/src/agatestile/gateway/calls.py
+++ b/src/agatestile/gateway/calls.py
@@ -15,6 +15,7 @@
     from agatestile.gateway import asgi
     from agatestile.gateway import bodies
     from agatestile.gateway import lanes
+    from agatestile.gateway import ports
     from agatestile.limits import deduplication
     from agatestile.state import records
 
@@ -52,6 +53,8 @@
         Position of the key, -1 while unknown.
     receive : asgi.Receive
         The caller's side that tells when it leaves.
+    permit : ports.Permit or None
+        Leave of this host's gate to send the request, once it has it.
     lane : lanes.Lane or None
         Lane that waits for the head of an answer.
     silent_at : float
@@ -78,6 +81,7 @@
         "is_watched",
         "lane",
         "may_repeat",
+        "permit",
         "position",
         "receive",
         "request",
@@ -116,6 +120,7 @@
         self.responded = False
         self.server = self.gate = ""
         self.position = -1
+        self.permit: ports.Permit | None = None
         self.lane: lanes.Lane | None = None
         self.silent_at = 0.0
         self.went_silent = False
--- a/src/agatestile/gateway/ports.py
+++ b/src/agatestile/gateway/ports.py
@@ -10,7 +10,6 @@
     import collections.abc
 
     from agatestile.results import outcomes
-    from agatestile.state import records
 
 
 class Permit(typing.Protocol):
@@ -21,7 +20,7 @@
         """Name of the server."""
 
     @property
-    def fence(self) -> records.Fence:
+    def fence(self) -> str:
         """Fencing token that the server checks."""
 
     @property
@@ -32,10 +31,21 @@
 class Permits(typing.Protocol):
     """Servers that this host may send to (`ownership.gates.GateTable`)."""
 
-    def permit(
+    def enter(
         self, server: str, position: int, now: float
     ) -> Permit | outcomes.Refusal:
-        """Return the permission for a position, or why there is none."""
+        """Return the permission for a position, or why there is none.
+
+        The request counts as running in its range until ``leave``.
+        """
+
+    def check(
+        self, permit: typing.Any, now: float
+    ) -> Permit | outcomes.Refusal:
+        """Check a permission again, immediately before the request is sent."""
+
+    def leave(self, permit: typing.Any) -> None:
+        """Count the end of a request that entered."""
 
 
 class Router(typing.Protocol):
--- a/src/agatestile/gateway/servers.py
+++ b/src/agatestile/gateway/servers.py
@@ -93,7 +93,7 @@
         self.identifiers = deduplication.Deduplication()
         self.lanes = lanes.Lanes(row.address, _lane_limit(row))
         self._retired: list[lanes.Lanes] = []
-        self._fence: records.Fence | None = None
+        self._fence = ""
         self._fence_text = b""
         self._expires = 0.0
         self._incarnation = b""
@@ -118,10 +118,20 @@
         self, call: calls.Call, now: float
     ) -> outcomes.Refusal | None:
         """Run a request on the server and pass its answer on."""
-        permit = self._permit(call.position, now)
+        permit = self._permits.enter(self._row.server, call.position, now)
         if isinstance(permit, outcomes.Refusal):
             return permit
+        self._note_permit(permit, now)
+        call.permit = permit
         self.requests += 1
+        try:
+            return await self._run(call, now)
+        finally:
+            self._permits.leave(permit)
+
+    async def _run(
+        self, call: calls.Call, now: float
+    ) -> outcomes.Refusal | None:
         identifier = call.request.identifier
         if call.may_repeat or not identifier:
             return await self._attempts(call)
@@ -207,9 +217,11 @@
         self, call: calls.Call, attempt: _Attempt, now: float, fresh_only: bool
     ) -> outcomes.Refusal | None:
         # The lease may have ended while the request waited.
-        permit = self._permit(call.position, now)
+        assert call.permit is not None
+        permit = self._permits.check(call.permit, now)
         if isinstance(permit, outcomes.Refusal):
             return permit
+        self._note_permit(permit, now)
         if not self._row.fenced:
             # Such a server would run the request for the old gate after
             # the lease has gone to another one.
@@ -320,30 +332,24 @@
         if call.went_silent:
             await pool.close_idle(now)
 
-    def _permit(
-        self, position: int, now: float
-    ) -> ports.Permit | outcomes.Refusal:
-        permit = self._permits.permit(self._row.server, position, now)
-        if isinstance(permit, outcomes.Refusal):
-            return permit
+    def _note_permit(self, permit: ports.Permit, now: float) -> None:
         if permit.fence is not self._fence:
             self._note_fence(permit.fence, now)
         self._expires = permit.expires
-        return permit
 
-    def _note_fence(self, fence: records.Fence, now: float) -> None:
+    def _note_fence(self, fence: str, now: float) -> None:
         if fence == self._fence:
             self._fence = fence
             return
         # Another host may have been the gate in between, so a marked
         # repetition may be of a request that this host has not seen.
         self.identifiers.taken_over = now
-        if self._fence is None:
+        if not self._fence:
             self.admission.ramp.make_cold(now, "first contact")
         elif now > self._expires:
             self.admission.ramp.make_cold(now, "contact after a lapsed lease")
         self._fence = fence
-        self._fence_text = fence.to_text().encode("ascii")
+        self._fence_text = fence.encode("ascii")
 
     def _note_incarnation(self, response: httpcore.Response) -> None:
         incarnation = _named(response, b"x-incarnation")
--- a/src/agatestile/ownership/ports.py
+++ b/src/agatestile/ownership/ports.py
@@ -101,5 +101,5 @@
     peers: Peers
     appender: Appender
     membership: Membership
-    on_view: collections.abc.Callable[[ttypes.RouteView], None]
+    on_view: collections.abc.Callable[[ttypes.RouteView], object]
     loads: Loads = NoLoads()
--- a/src/agatestile/settings/schema.py
+++ b/src/agatestile/settings/schema.py
@@ -115,6 +115,7 @@
     serve_lease: Duration = 1.6
     permit: Duration = 10.0
     log_wait: Duration = 0.5
+    log_retention: Duration = 3600.0
 
 
 class Requests(typing.NamedTuple):
