--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	$(BIN)/python -m bench.measure
 
 binary: setup
+	rm -rf build/wheel
 	mkdir -p dist
 	$(BIN)/python -m pip wheel -q --no-deps -w build/wheel .
 	$(BIN)/shiv -q -c agatestile -o dist/agatestile \
--- a/src/agatestile/console/application.py
+++ b/src/agatestile/console/application.py
@@ -1,28 +1,17 @@
-"""Entry point of the command line."""
+"""Entry point of the program."""
 
 from __future__ import annotations
 
-import click
+import importlib
+import sys
+import types
+import typing
 
-from agatestile.console.commands import domain
-from agatestile.console.commands import explain
-from agatestile.console.commands import host
-from agatestile.console.commands import serve
-from agatestile.console.commands import status
-from agatestile.console.commands import table
-from agatestile.console.commands import version
-from agatestile.console import exits
 
-
-@click.group(epilog=exits.HELP)
 def main() -> None:
-    """Route requests to backend servers that own keys exclusively."""
-
-
-main.add_command(domain.domain)
-main.add_command(explain.explain)
-main.add_command(host.host)
-main.add_command(serve.serve)
-main.add_command(status.status)
-main.add_command(table.table)
-main.add_command(version.version)
+    """Run the command line."""
+    # httpcore imports trio where it is installed, and trio starts ldconfig
+    # as a child process when it is imported. The program starts none.
+    sys.modules.setdefault("trio", typing.cast(types.ModuleType, None))
+    root = importlib.import_module("agatestile.console.commands.root")
+    root.root(prog_name="agatestile")
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -12,7 +12,7 @@
 from click import testing
 import pytest
 
-from agatestile.console import application
+from agatestile.console.commands import root
 from agatestile.console.exits import ExitStatus
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -30,7 +30,7 @@
     def run(self, *arguments: str) -> testing.Result:
         """Run a command that asks this daemon."""
         return testing.CliRunner().invoke(
-            application.main,
+            root.root,
             arguments,
             env={"AGATESTILE_ADMIN": self.address},
         )
@@ -60,21 +60,19 @@
 
 
 def _find(path: tuple[str, ...]) -> click.Command:
-    command: click.Command = application.main
+    command: click.Command = root.root
     for name in path:
         assert isinstance(command, click.Group)
         command = command.commands[name]
     return command
 
 
-@pytest.mark.parametrize(
-    "path", list(_commands(application.main)), ids=" ".join
-)
+@pytest.mark.parametrize("path", list(_commands(root.root)), ids=" ".join)
 def test_help_of_each_command_documents_the_exit_statuses(
     path: tuple[str, ...],
 ) -> None:
     """Guards against a command without help."""
-    result = testing.CliRunner().invoke(application.main, [*path, "--help"])
+    result = testing.CliRunner().invoke(root.root, [*path, "--help"])
     assert result.exit_code == 0
     for status in ExitStatus:
         assert f" {int(status)} " in result.output
@@ -237,7 +235,7 @@
     "path",
     [
         path
-        for path in _commands(application.main)
+        for path in _commands(root.root)
         if not isinstance(_find(path), click.Group)
     ],
     ids=" ".join,
