--- a/src/agatestile/observability/logs.py
+++ b/src/agatestile/observability/logs.py
@@ -31,6 +31,7 @@
     "table": "changes of the services table, domains and hosts",
     "admin": "requests of operators",
     "daemon": "start and stop of a daemon and its parts",
+    "membership": "reads of the platform's list of hosts",
     "rpc": "malformed calls between daemons",
     "invariant": "broken invariants; always an error",
     "logs": "log lines that were dropped",
--- a/src/agatestile/observability/metrics.py
+++ b/src/agatestile/observability/metrics.py
@@ -44,10 +44,8 @@
 
 REQUESTS_RECEIVED = "requests.received"
 REQUESTS_ENDED = "requests.ended"
-REQUESTS_OVERHEAD = "requests.overhead"
+REQUESTS_DURATION = "requests.duration"
 REQUESTS_IN_FLIGHT = "requests.in_flight"
-REQUESTS_RETRIED = "requests.retried"
-REQUESTS_FORWARDED = "requests.forwarded"
 STATE_OFFSET = "state.offset"
 STATE_TABLE_VERSION = "state.table_version"
 LOG_READ_AGE = "log.read_age"
@@ -59,28 +57,26 @@
 
 METRICS_BY_NAME = {
     REQUESTS_RECEIVED: Metric(
-        "counter", "requests", "", "Requests received from callers."
+        "counter",
+        "requests",
+        "entry or gate",
+        "Requests received from callers (entry) or other hosts (gate).",
     ),
     REQUESTS_ENDED: Metric(
         "counter",
         "requests",
         "name of the result code",
-        "Requests of callers that ended, by result code.",
+        "Requests that ended, by the code in the head of the answer; "
+        "NO_ANSWER if there was none.",
     ),
-    REQUESTS_OVERHEAD: Metric(
+    REQUESTS_DURATION: Metric(
         "timer",
         "ms",
-        "",
-        "Time that a request spent in daemons and not at a server.",
+        "entry or gate",
+        "Time from the head of a request to the end of its answer.",
     ),
     REQUESTS_IN_FLIGHT: Metric(
-        "gauge", "requests", "", "Requests being handled now."
-    ),
-    REQUESTS_RETRIED: Metric(
-        "counter", "requests", "", "Attempts after the first."
-    ),
-    REQUESTS_FORWARDED: Metric(
-        "counter", "requests", "", "Requests sent on to another host."
+        "gauge", "requests", "entry or gate", "Requests being handled now."
     ),
     STATE_OFFSET: Metric(
         "gauge", "offset", "", "Offset of the last record applied."
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import ast
 import collections.abc
 import fcntl
 import json
 import logging
 import os
+import pathlib
 import sys
 import time
 
@@ -18,6 +20,8 @@
 from tests import documents
 
 LOG = logging.getLogger(__name__)
+SOURCE = pathlib.Path(logs.__file__).parent.parent
+LEVELS = ("debug", "info", "warning", "error", "exception", "critical")
 
 
 @pytest.fixture(autouse=True)
@@ -168,3 +172,27 @@
     assert [(row[0].removesuffix(":"), row[1]) for row in rows] == list(
         logs.MEANINGS_BY_PREFIX.items()
     )
+
+
+def _messages() -> collections.abc.Iterator[tuple[str, str]]:
+    for path in sorted(SOURCE.rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and isinstance(node.func.value, ast.Name)
+                and node.func.value.id == "LOG"
+                and node.func.attr in LEVELS
+            ):
+                assert isinstance(node.args[0], ast.Constant), path
+                yield path.name, node.args[0].value
+
+
+@pytest.mark.parametrize(("module", "message"), list(_messages()))
+def test_each_message_starts_with_a_known_prefix(
+    module: str, message: str
+) -> None:
+    """Guards against lines that a search by component does not find."""
+    prefix, separator, _ = message.partition(": ")
+    assert separator, module
+    assert prefix in logs.MEANINGS_BY_PREFIX, module
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -38,7 +38,7 @@
         sender.count(metrics.REQUESTS_RECEIVED, 2)
         sender.count(metrics.REQUESTS_ENDED, suffix="NO_OWNER")
         sender.gauge(metrics.STATE_OFFSET, 41)
-        sender.timing(metrics.REQUESTS_OVERHEAD, 0.0025)
+        sender.timing(metrics.REQUESTS_DURATION, 0.0025)
         tasks.cancel_scope.cancel()
     lines = receiver.recv(4096).decode().splitlines()
     receiver.close()
@@ -46,7 +46,7 @@
         "agatestile.requests.received:3|c",
         "agatestile.requests.ended.NO_OWNER:1|c",
         "agatestile.state.offset:41|g",
-        "agatestile.requests.overhead:2.500000|ms",
+        "agatestile.requests.duration:2.500000|ms",
     }
 
 
@@ -54,7 +54,7 @@
     """Guards against memory and datagrams that grow with the load."""
     sender = metrics.StatsdMetrics(_settings(receiver))
     for number in range(5000):
-        sender.timing(metrics.REQUESTS_OVERHEAD, number / 1000)
+        sender.timing(metrics.REQUESTS_DURATION, number / 1000)
     sender.send()
     receiver.settimeout(0.2)
     lines: list[str] = []
