--- a/tests/log/test_timing.py
+++ b/tests/log/test_timing.py
@@ -133,9 +133,11 @@
         ) -> codes.ResultCode:
             newer = cluster.ClusterState()
             newer.apply(0, RECORD)
+            begun = anyio.current_time()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(replace, follower, newer)
                 answer = await writer.append(RECORD)
+            assert anyio.current_time() - begun < 3.0
             return scenes.code_of(answer)
 
         async def replace(
