Show limits in the status, test a whole daemon

The status had grants but no limits, although an operator who looks at slow requests needs to see whether a server is cold or its queue is long.

The binary's test now also serves with a platform that is down: the daemon starts no child process and ends after SIGTERM.

--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -8,6 +8,7 @@
 from agatestile.admin import application as admin_application
 from agatestile.admin import operations as admin_operations
 from agatestile.admin import peers as admin_peers
+from agatestile.admin import reports as admin_reports
 from agatestile.daemon import adapters
 from agatestile.daemon import handler as peer_handler
 from agatestile.daemon import listeners
@@ -123,6 +124,7 @@
         admin_peers.PeerStatuses(settings.host, members),
         {
             "ownership": ownership.status,
+            "limits": lambda: admin_reports.limits(gateway.gates.by_server),
             "running": lambda: gateway.running,
         },
     )
--- /dev/null
+++ b/tests/admin/test_reports.py
@@ -0,0 +1,32 @@
+"""Limits in the status."""
+
+from __future__ import annotations
+
+import typing
+
+from agatestile.admin import reports
+from agatestile.limits import admission
+from agatestile.observability import invariants
+
+
+class _Gate(typing.NamedTuple):
+    admission: admission.Admission
+
+
+def test_limits_show_slots_in_use_and_the_rate_of_a_cold_server() -> None:
+    """Guards against a cold server that looks idle without a reason."""
+    checks = invariants.Invariants()
+    warm, cold = (
+        admission.Admission(name, admission.Limits(2, 5, 1.0), checks)
+        for name in ("price-01", "price-02")
+    )
+    assert isinstance(warm.try_enter(1.0, 2.0), admission.Slot)
+    cold.ramp.make_cold(1.0, "first contact")
+    found = reports.limits({"price-01": _Gate(warm), "price-02": _Gate(cold)})
+    assert found["price-01"] == {
+        "in_flight": 1,
+        "waiting": 0,
+        "cold": False,
+        "rate": None,
+    }
+    assert (found["price-02"]["cold"], found["price-02"]["rate"]) == (True, 2)
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
+import typing
 
 import pytest
 
@@ -54,22 +57,31 @@
     return BINARY
 
 
+@pytest.fixture
+def environment(tmp_path: pathlib.Path) -> dict[str, str]:
+    """Return variables with which a program records its children."""
+    (tmp_path / "sitecustomize.py").write_text(RECORDER, encoding="utf-8")
+    return {
+        "PATH": os.environ["PATH"],
+        "PYTHONPATH": str(tmp_path),
+        "REPORT": str(tmp_path / "report"),
+        "SHIV_ROOT": str(tmp_path / "unpacked"),
+    }
+
+
+def _children(environment: dict[str, str]) -> list[typing.Any]:
+    report = pathlib.Path(environment["REPORT"])
+    return [json.loads(line) for line in report.read_text().splitlines()]
+
+
 @pytest.mark.slow
 def test_binary_is_one_process(
-    binary: pathlib.Path, tmp_path: pathlib.Path
+    binary: pathlib.Path, environment: dict[str, str]
 ) -> None:
     """Guards against a file that needs an installation or starts others."""
-    (tmp_path / "sitecustomize.py").write_text(RECORDER, encoding="utf-8")
-    report = tmp_path / "report"
     result = subprocess.run(
         [binary, "version"],
-        cwd=tmp_path,
-        env={
-            "PATH": os.environ["PATH"],
-            "PYTHONPATH": str(tmp_path),
-            "REPORT": str(report),
-            "SHIV_ROOT": str(tmp_path / "unpacked"),
-        },
+        env=environment,
         capture_output=True,
         text=True,
         check=True,
@@ -77,5 +89,50 @@
     )
     assert result.stdout[0].isdigit()
     assert result.stderr == ""
-    reports = [json.loads(line) for line in report.read_text().splitlines()]
-    assert reports == [[[], [], 0]]
+    assert _children(environment) == [[[], [], 0]]
+
+
+@pytest.mark.slow
+def test_daemon_is_one_process_and_ends_after_sigterm(
+    binary: pathlib.Path,
+    environment: dict[str, str],
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a daemon that starts others, or needs the platform."""
+    path = tmp_path / "host.yaml"
+    path.write_text(_settings(), encoding="utf-8")
+    with subprocess.Popen(
+        [binary, "serve", "--config", path],
+        env=environment,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as daemon:
+        assert daemon.stderr is not None
+        for line in daemon.stderr:
+            if "serves callers" in line:
+                break
+        daemon.terminate()
+        _, errors = daemon.communicate(timeout=30)
+    assert daemon.returncode == 0, errors
+    assert _children(environment) == [[[], [], 0]]
+
+
+def _settings() -> str:
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            for _ in range(5)
+        ]
+        free = [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
+    callers, forward, peers, admin, platform = free
+    return f"""\
+host: entry-1
+failure_domain: radom
+failure_domains: [radom]
+listen:
+  callers: {callers}
+  forward: {forward}
+  peers: {peers}
+  admin: {admin}
+platform: {{log: "http://{platform}", membership: "http://{platform}"}}
+"""
