--- /dev/null
+++ b/src/agatestile/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server should own which range."""
--- /dev/null
+++ b/src/agatestile/placement/rendezvous.py
@@ -0,0 +1,111 @@
+"""Weighted rendezvous hashing, with and without a bound on loads."""
+
+from __future__ import annotations
+
+import collections
+import math
+import typing
+
+import xxhash
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+SUCCESSORS = 2
+_HASHES = 1 << 64
+
+
+class Candidate(typing.NamedTuple):
+    """A backend server that may own ranges.
+
+    Attributes
+    ----------
+    name, domain : str
+        Names of the server and of its failure domain.
+    weight : int
+        Share of the service's ranges, relative to other servers.
+    """
+
+    name: str
+    domain: str
+    weight: int = 1
+
+
+class Placement(typing.NamedTuple):
+    """Owner of a range and the servers that take over when it is lost."""
+
+    server: str
+    successors: tuple[str, ...]
+
+
+def score(item: str, candidate: Candidate) -> float:
+    """Return how strongly an item is drawn to a candidate.
+
+    The highest of the scores -weight / ln(u), u uniform in (0, 1), falls
+    on each candidate with a probability proportional to its weight.
+    Source: Schindelhauer and Schomaker, "Weighted distributed hash
+    tables", 2005.
+    """
+    digest = xxhash.xxh64_intdigest(f"{item}\0{candidate.name}".encode())
+    return -candidate.weight / math.log((digest + 0.5) / _HASHES)
+
+
+def rank(
+    item: str, candidates: collections.abc.Iterable[Candidate]
+) -> list[Candidate]:
+    """Return the candidates for an item, the preferred one first."""
+    return sorted(
+        candidates,
+        key=lambda candidate: (score(item, candidate), candidate.name),
+        reverse=True,
+    )
+
+
+def place(
+    items: collections.abc.Sequence[str],
+    candidates: collections.abc.Sequence[Candidate],
+    bound: float = math.inf,
+) -> list[Placement]:
+    """Place items, such as the names of ranges.
+
+    Parameters
+    ----------
+    items : sequence of str
+        What to place.
+    candidates : sequence of Candidate
+        Where to; must not be empty.
+    bound : float
+        Most items of a server, relative to its weighted share; rounded up
+        to whole items, and at least 1.
+
+    Returns
+    -------
+    list of Placement
+        One for each item, in their order.
+    """
+    total = sum(candidate.weight for candidate in candidates)
+    counts: collections.Counter[str] = collections.Counter()
+    placed = []
+    for item in items:
+        ranked = rank(item, candidates)
+        owner = next(
+            candidate
+            for candidate in ranked
+            if bound == math.inf
+            or counts[candidate.name]
+            < math.ceil(bound * len(items) * candidate.weight / total)
+        )
+        counts[owner.name] += 1
+        placed.append(Placement(owner.name, _successors(owner, ranked)))
+    return placed
+
+
+def _successors(
+    owner: Candidate, ranked: collections.abc.Iterable[Candidate]
+) -> tuple[str, ...]:
+    names = [
+        candidate.name
+        for candidate in ranked
+        if candidate.domain == owner.domain and candidate != owner
+    ]
+    return tuple(names[:SUCCESSORS])
