--- a/src/agatestile/placement/planner.py
+++ b/src/agatestile/placement/planner.py
@@ -22,6 +22,8 @@
     ----------
     bound : float
         Load of the hottest server relative to the mean that is tolerated.
+    settled : float
+        Once it moves, it goes on until the hottest server is below this.
     rounds : int
         Rounds in a row above the bound before anything moves.
     moves : int
@@ -35,6 +37,7 @@
     """
 
     bound: float = 1.25
+    settled: float = 1.1
     rounds: int = 3
     moves: int = 4
     window: float = 60.0
@@ -142,14 +145,15 @@
         ):
             self._moved.popleft()
         board = _Board(weights_by_server, owned, hot_keys)
-        if not board.is_above(self._limits):
+        if not board.is_above(self._limits.bound, self._limits.least_load):
             self._rounds = 0
             return []
         self._rounds += 1
         if self._rounds < self._limits.rounds:
             return []
         moves: list[Move] = []
-        while board.is_above(self._limits) and self._budget.left(now):
+        settled, least = self._limits.settled, self._limits.least_load
+        while board.is_above(settled, least) and self._budget.left(now):
             move = self._best_move(board)
             if move is None:
                 break
@@ -206,12 +210,12 @@
         total = sum(weights_by_server.values())
         self.mean = sum(self._loads.values()) / total if total else 0.0
 
-    def is_above(self, limits: Limits) -> bool:
-        """Tell whether the hottest server is above the bound."""
+    def is_above(self, bound: float, least_load: float) -> bool:
+        """Tell whether the hottest server is above a bound."""
         return (
             len(self._loads) > 1
-            and self.mean >= limits.least_load
-            and self.relative(self.hottest()) > limits.bound * self.mean
+            and self.mean >= least_load
+            and self.relative(self.hottest()) > bound * self.mean
         )
 
     def relative(self, server: str, change: float = 0.0) -> float:
--- a/standins/backend_grants.py
+++ b/standins/backend_grants.py
@@ -98,10 +98,10 @@
     def _take_leader(self, request: Request) -> None:
         term = _term(request)
         until = float(request["stamp"] or 0) + request["leader_ms"] / 1000
-        if term != self.term:
-            self.term = term
-            self.leader_until = until
-        self.leader_until = max(self.leader_until, until)
+        if self.term is not None and term[2] == self.term[2]:
+            until = max(until, self.leader_until)
+        self.term = term
+        self.leader_until = until
 
     def _fence_refusal(self, request: Request) -> str:
         fence = request.get("fence")
--- a/tests/standins/test_backend_grants.py
+++ b/tests/standins/test_backend_grants.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
 import pytest
 
+from agatestile.ownership import grants as product_grants
 from standins import backend_grants
 
 
@@ -63,3 +67,40 @@
     assert not grants.admits("3.1.9.a", 20.4)
     assert grants.admits("3.1.10.a", 20.4)
     assert grants.offer(_request(20.4, sequence=9), 20.5) == "fence is lower"
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0.0, 1.5),
+            strategies.floats(-0.1, 2.5),
+            strategies.integers(1, 3),
+            strategies.sampled_from("ab"),
+            strategies.integers(1, 3),
+        ),
+        max_size=25,
+    )
+)
+def test_product_reads_the_same_rules(
+    offers: list[tuple[float, float, int, str, int]],
+) -> None:
+    """Guards against two readings of section 5.1, of which one is wrong."""
+    mine = backend_grants.Grants(10.0)
+    theirs = product_grants.GrantBook("i", 10.0)
+    now = 10.0
+    for passed, age, step, instance, sequence in offers:
+        now += passed
+        request = _request(now - age, step, instance, sequence)
+        reason = mine.offer(request, now)
+        reply = theirs.handle(
+            msgspec.convert(request, product_grants.GrantRequest), now
+        )
+        assert reply.reason == reason
+        answer = mine.reply(reason, now, "i", 0)
+        assert answer["leader_remaining_ms"] == pytest.approx(
+            reply.leader_remaining_ms, abs=0.01
+        )
+        assert answer["serve_remaining_ms"] == pytest.approx(
+            reply.serve_remaining_ms, abs=0.01
+        )
+        assert answer["fence"] == reply.fence
