Keep requests and output of the demo on request

The demo also names an address that is in use: a trial that ran beside it made the log stand-in fail with a traceback.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,6 +12,8 @@
 
 import argparse
 import asyncio
+import json
+import pathlib
 import random
 import shlex
 import sys
@@ -46,12 +48,15 @@
         Length of the measured load.
     seed : int
         Seed of the load and of the choice of the lost daemon.
+    keep : bool
+        Keep the processes' output and a list of all requests.
     """
 
     command: list[str]
     rate: float
     seconds: float
     seed: int
+    keep: bool = False
 
 
 class Trial(typing.NamedTuple):
@@ -155,7 +160,9 @@
         checks = _check(deployment, running, trial)
         _print_figures(trial, deployment)
         held = _print_checks(checks)
-        running.keep_output = not held
+        running.keep_output = options.keep or not held
+        if running.keep_output:
+            _write_records(running.directory / "requests.jsonl", trial)
         return held
 
 
@@ -188,6 +195,15 @@
     return checks
 
 
+def _write_records(path: pathlib.Path, trial: Trial) -> None:
+    with path.open("w", encoding="utf-8") as stream:
+        for part in ("warm_up", "measured"):
+            for record in getattr(trial, part):
+                fields = record.request._asdict() | record._asdict()
+                del fields["request"], fields["body"]
+                stream.write(json.dumps({"part": part, **fields}) + "\n")
+
+
 def _print_figures(trial: Trial, deployment: deployments.Deployment) -> None:
     records = trial.measured
     print(
@@ -243,9 +259,18 @@
     parser.add_argument(
         "--deployment", choices=deployments.NAMES, action="append"
     )
+    parser.add_argument(
+        "--keep",
+        action="store_true",
+        help="keep the processes' output and a list of all requests",
+    )
     given = parser.parse_args()
     options = Options(
-        shlex.split(given.agatestile), given.rate, given.seconds, given.seed
+        shlex.split(given.agatestile),
+        given.rate,
+        given.seconds,
+        given.seed,
+        given.keep,
     )
     try:
         held = [
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -80,7 +80,14 @@
         return load.load_services(self.directory / "load.yaml")
 
     def start_platform(self) -> None:
-        """Start the stand-ins and wait until they listen."""
+        """Start the stand-ins and wait until they listen.
+
+        Raises
+        ------
+        NotReadyError
+            If one of the deployment's addresses is in use.
+        """
+        self._check_addresses()
         platform = next(iter(self.settings_by_host.values())).platform
         commands = {
             "log": ["--port", str(platform.log.port)],
@@ -104,6 +111,17 @@
             START_TIMEOUT,
         )
 
+    def _check_addresses(self) -> None:
+        addresses = [f"127.0.0.1:{server.port}" for server in self.servers]
+        for settings in self.settings_by_host.values():
+            addresses += [str(address) for address in settings.listen]
+        addresses += [f"{url.host}:{url.port}" for url in settings.platform]
+        for address in addresses:
+            if processes.is_in_use(address):
+                raise processes.NotReadyError(
+                    f"{address} is in use, perhaps by another trial"
+                )
+
     def start_daemon(self, host: str) -> None:
         """Start the daemon of one entry host."""
         path = self.directory / f"{host}.yaml"
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,6 +7,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -231,6 +232,18 @@
     return answer is not None and answer.status == 200
 
 
+def is_in_use(address: str) -> bool:
+    """Tell whether a process listens on an address."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return True
+    return False
+
+
 def memory_bytes(pid: int) -> int:
     """Return the resident memory of a process."""
     statistics = pathlib.Path(f"/proc/{pid}/statm").read_text()
