Let a new gate know that its server is warm

Change: a gate reports the incarnation that it uses at full capacity; the leader passes it to the next gate with the number of requests that the server runs, as long as the server still reports that incarnation.

--- a/src/agatestile/gateway/ports.py
+++ b/src/agatestile/gateway/ports.py
@@ -27,6 +27,14 @@
     def expires(self) -> float:
         """Runtime's clock at which the permission ends."""
 
+    @property
+    def running(self) -> int:
+        """Requests that the server ran when this host became its gate."""
+
+    @property
+    def warm_incarnation(self) -> str:
+        """Incarnation known to be at full capacity, empty for none."""
+
 
 class Permits(typing.Protocol):
     """Servers that this host may send to (`ownership.gates.GateTable`)."""
--- a/src/agatestile/gateway/servers.py
+++ b/src/agatestile/gateway/servers.py
@@ -32,6 +32,11 @@
 """How long a slot stays in use after its connection was closed while the
 request ran, for the server to notice."""
 
+TAKE_OVER_SECONDS = 0.5
+"""How long a new gate leaves the slots unused in which the server ran
+requests of the earlier gate. The end of the earlier gate's connections
+cancels them; where it does not, the server sheds."""
+
 SILENCE_LEAST = 0.25
 SILENCE_FACTOR = 8.0
 """A reused lane without an answer counts as silent after this many times
@@ -100,6 +105,13 @@
         self._numbers = itertools.count(1)
         self.requests = 0
 
+    @property
+    def warm_incarnation(self) -> str:
+        """Incarnation that is used at full capacity, empty while cold."""
+        if self.admission.ramp.is_cold:
+            return ""
+        return self._incarnation.decode("ascii")
+
     def follow(self, row: records.TableRow, service: records.TableRow) -> None:
         """Follow a change of the table."""
         if row is self._row and service is self._service:
@@ -334,23 +346,30 @@
 
     def _note_permit(self, permit: ports.Permit, now: float) -> None:
         if permit.fence is not self._fence:
-            self._note_fence(permit.fence, now)
+            self._note_fence(permit, now)
         self._expires = permit.expires
 
-    def _note_fence(self, fence: str, now: float) -> None:
+    def _note_fence(self, permit: ports.Permit, now: float) -> None:
+        fence = permit.fence
         if fence == self._fence:
             self._fence = fence
             return
         # Another host may have been the gate in between, so a marked
         # repetition may be of a request that this host has not seen.
         self.identifiers.taken_over = now
-        if not self._fence:
-            self.admission.ramp.make_cold(now, "first contact")
-        elif now > self._expires:
-            self.admission.ramp.make_cold(now, "contact after a lapsed lease")
+        if not self._fence or now > self._expires:
+            self._take_over(permit, now)
         self._fence = fence
         self._fence_text = fence.encode("ascii")
 
+    def _take_over(self, permit: ports.Permit, now: float) -> None:
+        """Start slowly, unless the earlier gate knew the server as warm."""
+        if permit.warm_incarnation:
+            self._incarnation = permit.warm_incarnation.encode("ascii")
+            self.admission.hold(permit.running, now + TAKE_OVER_SECONDS)
+        else:
+            self.admission.ramp.make_cold(now, "first contact of this gate")
+
     def _note_incarnation(self, response: httpcore.Response) -> None:
         incarnation = _named(response, b"x-incarnation")
         if incarnation is None or incarnation == self._incarnation:
--- a/src/agatestile/ownership/gates.py
+++ b/src/agatestile/ownership/gates.py
@@ -36,6 +36,11 @@
         Service of the server.
     position : int
         Position of the request's key.
+    running : int
+        Requests that the server ran when this host became its gate.
+    warm_incarnation : str
+        Incarnation that the earlier gate used at full capacity, empty if
+        the server may be cold.
     """
 
     server: str
@@ -43,6 +48,8 @@
     expires: float
     service: str
     position: int
+    running: int = 0
+    warm_incarnation: str = ""
 
 
 class Reference(typing.NamedTuple):
@@ -72,6 +79,8 @@
     fence: str
     stamp: float
     domain: str
+    running: int
+    warm_incarnation: str
 
 
 class _View:
@@ -158,21 +167,27 @@
             return None
         for reference in reply.release or ():
             self._released.add(Reference.from_thrift(reference))
-        grants = {grant.server: grant.fence for grant in reply.grants or ()}
+        grants = {grant.server: grant for grant in reply.grants or ()}
         self._take_grants(domain, grants, reply.stamp)
         return reply.view
 
     def _take_grants(
-        self, domain: str, grants: dict[str, str], stamp: float
+        self, domain: str, grants: dict[str, ttypes.GateGrant], stamp: float
     ) -> None:
         for server, holding in list(self._holdings.items()):
             if holding.domain == domain and server not in grants:
                 del self._holdings[server]
-        for server, fence in grants.items():
-            if self._fences.get(server) != fence:
+        for server, grant in grants.items():
+            if self._fences.get(server) != grant.fence:
                 self._release_open_intents(server)
-                self._fences[server] = fence
-            self._holdings[server] = _Holding(fence, stamp, domain)
+                self._fences[server] = grant.fence
+            self._holdings[server] = _Holding(
+                grant.fence,
+                stamp,
+                domain,
+                grant.running or 0,
+                grant.warm_incarnation or "",
+            )
 
     def _release_open_intents(self, server: str) -> None:
         """Release ranges that an earlier gate of the server may have.
@@ -221,7 +236,15 @@
             f"{server} at {position}, stamp {holding.stamp}, now {now}",
         ):
             return _refuse(codes.ResultCode.LEASE_LAPSED, server)
-        return Permit(server, holding.fence, expires, row.service, position)
+        return Permit(
+            server,
+            holding.fence,
+            expires,
+            row.service,
+            position,
+            holding.running,
+            holding.warm_incarnation,
+        )
 
     def enter(
         self, server: str, position: int, now: float
--- a/src/agatestile/ownership/leadership.py
+++ b/src/agatestile/ownership/leadership.py
@@ -146,6 +146,10 @@
         if not self.may_act(now):
             return refuse_heartbeat(heartbeat, "")
         host = self._note_host(heartbeat, now)
+        for report in heartbeat.gates or ():
+            post = self.posts.get(report.server)
+            if post is not None:
+                post.note_report(report)
         if known >= self.first_term:
             for report in heartbeat.gates or ():
                 host.claims[report.server] = report.fence
@@ -189,9 +193,7 @@
             leader=self.host,
             term=terms.to_thrift(self.votes.term),
             stamp=heartbeat.stamp,
-            grants=[
-                ttypes.GateGrant(post.row.server, post.fence) for post in told
-            ],
+            grants=[post.to_grant() for post in told],
             release=[
                 reference.to_thrift()
                 for post in told
--- a/src/agatestile/ownership/posts.py
+++ b/src/agatestile/ownership/posts.py
@@ -80,8 +80,8 @@
         Whether a host was told that it is the gate with this fence.
     is_lost : bool
         Whether the server does not answer and its lease has ended.
-    probed_at : float
-        When a server that does not check fences last answered, seconds.
+    warm_incarnation : str
+        Incarnation that a gate last used at full capacity.
     """
 
     def __init__(
@@ -95,6 +95,29 @@
         self.is_settled = False
         self.is_told = False
         self.is_lost = False
+        self.warm_incarnation = ""
+
+    def note_report(self, report: ttypes.GateReport) -> None:
+        """Take the report of the host that is the gate."""
+        if report.fence == self.fence:
+            self.warm_incarnation = report.warm_incarnation or ""
+
+    def to_grant(self) -> ttypes.GateGrant:
+        """Return the message that tells the host of its gate.
+
+        A gate that takes over a warm server need not start slowly, unless
+        the server was started again in the meantime.
+        """
+        reply = self.lease.reply
+        if reply is None:
+            return ttypes.GateGrant(self.row.server, self.fence, 0, "")
+        is_warm = reply.incarnation == self.warm_incarnation
+        return ttypes.GateGrant(
+            self.row.server,
+            self.fence,
+            reply.running,
+            self.warm_incarnation if is_warm else "",
+        )
 
     @property
     def is_confirmed(self) -> bool:
--- a/src/agatestile/rpc/agatestile.thrift
+++ b/src/agatestile/rpc/agatestile.thrift
@@ -32,6 +32,8 @@
   3: i32 in_flight
   4: double requests_per_second
   5: double latency_ms
+  // Incarnation that the gate uses at full capacity, empty while cold.
+  6: string warm_incarnation
 }
 
 struct RangeLoad {
@@ -73,6 +75,10 @@
 struct GateGrant {
   1: string server
   2: string fence
+  // What the server last reported to the leader: requests that it runs, and
+  // its incarnation if the earlier gate used that one at full capacity.
+  3: i32 running
+  4: string warm_incarnation
 }
 
 struct GateAddress {
