--- a/src/agatestile/gateway/lanes.py
+++ b/src/agatestile/gateway/lanes.py
@@ -77,6 +77,20 @@
         )
         return await self._connection.handle_async_request(request)
 
+    def sent_at(self, started: float) -> float:
+        """Return when the present request began to be sent, seconds.
+
+        Parameters
+        ----------
+        started : float
+            Runtime's clock when the lane was taken, the answer for a lane
+            that was open already.
+        """
+        stream = self._backend.stream
+        if self.is_fresh and stream is not None:
+            return stream.opened
+        return started
+
     def was_written(self) -> bool:
         """Tell whether a part of the present request may have been sent."""
         stream = self._backend.stream
--- a/src/agatestile/gateway/servers.py
+++ b/src/agatestile/gateway/servers.py
@@ -243,7 +243,7 @@
         )
         if isinstance(response, outcomes.Refusal):
             return self._failed(call, attempt, response, sent), False
-        attempt.latency = anyio.current_time() - sent
+        attempt.latency = anyio.current_time() - lane.sent_at(sent)
         answered = _named(response, b"x-request-id")
         if answered is not None and answered != identifier:
             return outcomes.Refusal(
--- a/src/agatestile/gateway/streams.py
+++ b/src/agatestile/gateway/streams.py
@@ -26,6 +26,8 @@
 
     Attributes
     ----------
+    opened : float
+        Runtime's clock when the stream was opened.
     bytes_written : int
         Bytes that were handed to the operating system, or may have been.
     """
@@ -35,6 +37,7 @@
         self._gathered: list[bytes] = []
         self._gathered_bytes = 0
         self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self.opened = anyio.current_time()
         self.bytes_written = 0
 
     async def read(
--- a/src/agatestile/limits/admission.py
+++ b/src/agatestile/limits/admission.py
@@ -282,6 +282,10 @@
         if self.ramp.is_cold:
             typical = max(self.quantiles.quantile(0.5, now), 1e-4)
             self.ramp.on_answer(now, self._limits.slots / typical)
+            if not self.ramp.is_cold:
+                # Answers of a server that runs one request at a time say
+                # little about those when all its slots are in use.
+                self.quantiles.clear()
 
     def _refuse_early(
         self, now: float, deadline: float, priority: int
--- a/src/agatestile/limits/latency.py
+++ b/src/agatestile/limits/latency.py
@@ -96,7 +96,9 @@
 class JumpDetector:
     """Notices that a server became much slower than it was.
 
-    A single slow answer is common, so several in a row are needed.
+    A single slow answer is common, so several in a row are needed. A pause
+    of this process delays all answers that are under way, so they must
+    also be spread over some time.
 
     Parameters
     ----------
@@ -107,17 +109,25 @@
         fast servers does not count.
     run : int
         Slow answers in a row that make a jump.
+    span : float
+        Seconds between the first and the last of them.
     """
 
     WARM_UP = 50
 
     def __init__(
-        self, factor: float = 4.0, least: float = 0.05, run: int = 5
+        self,
+        factor: float = 4.0,
+        least: float = 0.05,
+        run: int = 5,
+        span: float = 0.25,
     ) -> None:
         self._factor = factor
         self._least = least
         self._run = run
+        self._span = span
         self._slow = 0
+        self._first = 0.0
 
     def is_jump(
         self, seconds: float, usual: DecayingQuantiles, now: float
@@ -132,8 +142,10 @@
         if seconds < max(high * self._factor, high + self._least):
             self._slow = 0
             return False
+        if not self._slow:
+            self._first = now
         self._slow += 1
-        if self._slow < self._run:
+        if self._slow < self._run or now - self._first < self._span:
             return False
         self._slow = 0
         return True
