--- a/bench/throughput_processes.py
+++ b/bench/throughput_processes.py
@@ -29,20 +29,28 @@
 SLOTS = 64
 HOST = "bench-1"
 ANSWER = b"." * 64
-_FENCE = records.Fence(records.Term(1, 1, "bench-1-0"), 1)
+_FENCE = records.Fence(records.Term(1, 1, "bench-1-0"), 1).to_text()
 _HEADERS = [(b"content-length", b"%d" % len(ANSWER))]
 
 
 class _Permit(typing.NamedTuple):
     server: str
-    fence: records.Fence
+    fence: str
     expires: float
+    running: int = 0
+    warm_incarnation: str = ""
 
 
 class _Permits:
-    def permit(self, server: str, position: int, now: float) -> _Permit:
+    def enter(self, server: str, position: int, now: float) -> _Permit:
         return _Permit(server, _FENCE, now + 1.6)
 
+    def check(self, permit: _Permit, now: float) -> _Permit:
+        return permit._replace(expires=now + 1.6)
+
+    def leave(self, permit: _Permit) -> None:
+        return None
+
 
 def cluster_of(address: str, ranges: int) -> cluster.ClusterState:
     """Return a state with one server that owns a number of ranges."""
