Rebalance ranges by the loads of gates

Ranges stayed where the initial assignment put them, whatever their load, since nothing read the load reports.

Every 10 s the leader now runs the planner on the loads of ranges and proposes the moves through the existing handover, with a log line each. A load belongs to its range, so a report from before a move counts for the new owner, and only while its sender is the gate of that owner. A service is left alone for 10 s after a change of its gates or ranges and while an Intent is open.

Run: tests/ownership, tests/placement, tests/gateway. Not run: tests that start deployments.

--- a/src/agatestile/gateway/loads.py
+++ b/src/agatestile/gateway/loads.py
@@ -50,7 +50,9 @@
 
     def note_of(self, server: str) -> collections.abc.Callable[[int], None]:
         """Return what counts a request of a server, given its position."""
-        meter = meters.Meter(lambda: self._range_map(server), clock.now())
+        meter = meters.Meter(
+            server, lambda: self._range_map(server), clock.now()
+        )
         self._meters[server] = meter
         return meter.note
 
--- a/src/agatestile/gateway/meters.py
+++ b/src/agatestile/gateway/meters.py
@@ -75,6 +75,8 @@
 
     Parameters
     ----------
+    server : str
+        The gate's server.
     range_map : callable returning ranges.RangeMap
         Present ranges of the server's service.
     now : float
@@ -83,9 +85,11 @@
 
     def __init__(
         self,
+        server: str,
         range_map: collections.abc.Callable[[], ranges.RangeMap | None],
         now: float,
     ) -> None:
+        self._server = server
         self._range_map = range_map
         self._batch: list[int] = []
         self._total = _Window(now)
@@ -139,7 +143,18 @@
             (estimate.item, (estimate.weight - estimate.error) * scale)
             for estimate in self._sketch.top(HOT_KEYS_REPORTED)
         ]
-        return [(position, rate) for position, rate in found if rate >= least]
+        return [
+            (position, rate)
+            for position, rate in found
+            if rate >= least and self._owns(position)
+        ]
+
+    def _owns(self, position: int) -> bool:
+        range_map = self._range_map()
+        return (
+            range_map is not None
+            and range_map.find(position).server == self._server
+        )
 
     def _fold(self) -> None:
         """Count the batch."""
@@ -163,12 +178,12 @@
             window.count += count
 
     def _forget(self, now: float) -> None:
-        """Forget idle ranges and those that were split or merged."""
+        """Forget ranges that are idle or were moved, split or merged."""
         range_map = self._range_map()
         for key, window in list(self._by_range.items()):
             if range_map is not None:
                 current = range_map.find(key[0])
-                is_current = (current.start, current.end) == key
+                is_current = current[:3] == (*key, self._server)
                 if is_current and window.rate(now) >= LEAST_RATE / 10:
                     continue
             del self._by_range[key]
--- a/src/agatestile/ownership/driver.py
+++ b/src/agatestile/ownership/driver.py
@@ -14,6 +14,7 @@
 from agatestile.ownership import handover
 from agatestile.ownership import leadership
 from agatestile.ownership import ports
+from agatestile.ownership import rebalancing
 from agatestile.ownership import terms
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -79,6 +80,7 @@
         self.leader = ""
         self.leadership: leadership.Leadership | None = None
         self.handover: handover.Handover | None = None
+        self.rebalancer: rebalancing.Rebalancer | None = None
         self.leaves = False
         self._me = me
         self._state = state
@@ -115,7 +117,18 @@
         if self.leadership is None or not self.leadership.may_act(now):
             known = "" if self.leader == self._me.name else self.leader
             return leadership.refuse_heartbeat(heartbeat, known)
-        return self.leadership.on_heartbeat(heartbeat, now)
+        return self._answer(self.leadership, heartbeat, now)
+
+    def _answer(
+        self,
+        leader: leadership.Leadership,
+        heartbeat: ttypes.Heartbeat,
+        now: float,
+    ) -> ttypes.HeartbeatReply:
+        reply = leader.on_heartbeat(heartbeat, now)
+        if reply.leads and self.rebalancer is not None:
+            self.rebalancer.note(heartbeat, now)
+        return reply
 
     async def _pause(self, seconds: float) -> None:
         with anyio.move_on_after(max(0.0, seconds)):
@@ -293,6 +306,9 @@
             votes, self._me.name, self._state, self._checks, now
         )
         self.handover = handover.Handover(self.leadership)
+        self.rebalancer = rebalancing.Rebalancer(
+            self.leadership, self.handover, now
+        )
         self._sent = {}
         LOG.info(
             "lead: %s term %s: majority obtained, result %d",
@@ -306,7 +322,7 @@
             tasks.start_soon(self._write_log, leader)
             await self._lead_until_lost(leader, tasks)
             tasks.cancel_scope.cancel()
-        self.leadership = self.handover = None
+        self.leadership = self.handover = self.rebalancer = None
         self.leader = ""
         self._heard_at = anyio.current_time()
         LOG.warning(
@@ -333,9 +349,11 @@
             self._send_grants(leader, tasks, is_due, now)
             current = leader.view().sequence
             if is_due or current != sequence:
-                self._take(leader.on_heartbeat(self._heartbeat(now), now))
+                self._take(self._answer(leader, self._heartbeat(now), now))
                 self._announce(leader, tasks, current != sequence, now)
                 sequence = current
+            if is_due and self.rebalancer is not None:
+                self.rebalancer.tick(now)
             await anyio.sleep(TICK)
 
     def _send_grants(
--- a/src/agatestile/ownership/handover.py
+++ b/src/agatestile/ownership/handover.py
@@ -9,6 +9,7 @@
 from agatestile.ownership import gates
 from agatestile.ownership import terms
 from agatestile.ownership import vacating
+from agatestile.placement import rendezvous
 from agatestile.state import ranges
 from agatestile.state import records
 
@@ -19,6 +20,9 @@
     from agatestile.state import cluster
 
 RANGES_PER_SERVER = 8
+LOAD_BOUND = 1.25
+"""Most unowned ranges that a server is given, relative to its share of all
+ranges by weight (section 9 of the design page)."""
 MAX_CHANGES = 256
 """Changes in one Intent; keeps a record below about 64 KiB."""
 TAKE_OVER_DELAY = 1.0
@@ -49,36 +53,47 @@
 def _assign_service(
     state: cluster.ClusterState, service: str
 ) -> list[records.RangeChange]:
-    chooser = vacating.Chooser(state, service)
-    unowned = [
-        current
+    rows = vacating.Chooser(state, service).rows
+    if not rows:
+        return []
+    pieces = [
+        piece
         for current in state.ranges_by_service[service]
         if not current.server and current.intent == ranges.NO_INTENT
+        for piece in _split(current, RANGES_PER_SERVER * len(rows))
+    ]
+    placed = rendezvous.place(
+        [f"{service}:{piece.start}" for piece in pieces],
+        [
+            rendezvous.Candidate(row.server, row.domain, row.weight)
+            for row in rows
+        ],
+        LOAD_BOUND,
+        state.ranges_by_service[service].counts(),
+    )
+    return [
+        records.RangeChange(
+            service,
+            piece.start,
+            piece.end,
+            (piece.version,),
+            placement.server,
+            placement.successors,
+        )
+        for piece, placement in zip(pieces, placed, strict=True)
+    ]
+
+
+def _split(current: ranges.Range, count: int) -> list[ranges.Range]:
+    """Return the pieces of a range, several if it has all positions."""
+    if current.end - current.start < ranges.END:
+        return [current]
+    starts = [index * ranges.END // count for index in range(count)]
+    ends = [*starts[1:], ranges.END]
+    return [
+        current._replace(start=start, end=end)
+        for start, end in zip(starts, ends, strict=True)
     ]
-    if not chooser.rows or not unowned:
-        return []
-    changes = []
-    for current in unowned:
-        pieces = 1
-        if current.end - current.start == ranges.END:
-            pieces = RANGES_PER_SERVER * len(chooser.rows)
-        width = (current.end - current.start) // pieces
-        for index in range(pieces):
-            last = index == pieces - 1
-            start = current.start + index * width
-            end = current.end if last else start + width
-            server, successors = chooser.choose()
-            changes.append(
-                records.RangeChange(
-                    service,
-                    start,
-                    end,
-                    (current.version,),
-                    server,
-                    successors,
-                )
-            )
-    return changes
 
 
 def releases(
@@ -158,6 +173,11 @@
         """Ask for moves, as placement does."""
         self._proposed.extend(changes)
 
+    @property
+    def has_proposals(self) -> bool:
+        """Whether proposed moves wait for the log."""
+        return bool(self._proposed)
+
     def is_registered(self) -> bool:
         """Tell whether the log shows this leadership as the last one."""
         term = self._leader.state.domain(self._leader.domain).term
--- /dev/null
+++ b/src/agatestile/ownership/load_reports.py
@@ -0,0 +1,149 @@
+"""Loads that the gates of one failure domain reported to its leader."""
+
+from __future__ import annotations
+
+import typing
+
+from agatestile.placement import planner
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.ownership import leadership
+    from agatestile.ownership import posts
+    from agatestile.rpc.generated.agatestile_rpc import ttypes
+    from agatestile.state import ranges
+
+LONGEST_AGE = 6.0
+"""Seconds for which a report counts; three of its intervals of 2 s."""
+
+
+class _Rate(typing.NamedTuple):
+    """Requests a second, with the gate that reported them, and when."""
+
+    rate: float
+    fence: str
+    seen: float
+
+
+class LoadReports:
+    """Latest loads by range and by key.
+
+    A report counts only while its sender is the gate of the range's owner.
+    Loads belong to ranges and not to servers, so a report that is older
+    than a move is counted for the new owner.
+
+    Parameters
+    ----------
+    leader : leadership.Leadership
+        The leadership that it serves.
+    """
+
+    def __init__(self, leader: leadership.Leadership) -> None:
+        self._leader = leader
+        self._by_range: dict[tuple[str, int, int], _Rate] = {}
+        self._by_key: dict[tuple[str, int], _Rate] = {}
+
+    def note(self, heartbeat: ttypes.Heartbeat, now: float) -> None:
+        """Take the loads in a heartbeat that the leader accepted."""
+        fences = {
+            report.server: report.fence for report in heartbeat.gates or ()
+        }
+        for load in heartbeat.loads or ():
+            fence = self._fence_of(
+                load.service_name, load.start, heartbeat, fences
+            )
+            if fence:
+                self._by_range[load.service_name, load.start, load.end] = (
+                    _Rate(load.requests_per_second, fence, now)
+                )
+        for key in heartbeat.hot_keys or ():
+            fence = self._fence_of(
+                key.service_name, key.position, heartbeat, fences
+            )
+            if fence:
+                self._by_key[key.service_name, key.position] = _Rate(
+                    key.requests_per_second, fence, now
+                )
+
+    def forget_old(self, now: float) -> None:
+        """Forget what does not count any more."""
+        oldest = now - LONGEST_AGE
+        self._by_range = {
+            key: rate
+            for key, rate in self._by_range.items()
+            if rate.seen >= oldest
+        }
+        self._by_key = {
+            key: rate
+            for key, rate in self._by_key.items()
+            if rate.seen >= oldest
+        }
+
+    def owned(
+        self, service: str, servers: collections.abc.Container[str]
+    ) -> list[planner.OwnedRange]:
+        """Return the ranges with load that these servers own."""
+        found = []
+        for (name, start, end), rate in sorted(self._by_range.items()):
+            if name != service:
+                continue
+            current = self._counted(service, start, rate)
+            if (
+                current is not None
+                and current.server in servers
+                and (current.start, current.end) == (start, end)
+            ):
+                found.append(
+                    planner.OwnedRange(start, end, current.server, rate.rate)
+                )
+        return found
+
+    def hot_keys(self, service: str) -> list[planner.HotKey]:
+        """Return the keys known to be hot."""
+        return [
+            planner.HotKey(position, rate.rate)
+            for (name, position), rate in sorted(self._by_key.items())
+            if name == service
+            and self._counted(service, position, rate) is not None
+        ]
+
+    def _counted(
+        self, service: str, position: int, rate: _Rate
+    ) -> ranges.Range | None:
+        """Return the range of a report that counts, else None."""
+        current = self._range_at(service, position)
+        if current is None:
+            return None
+        post = self._leader.posts.get(current.server)
+        if post is None or not post.is_told or post.fence != rate.fence:
+            return None
+        return current
+
+    def _fence_of(
+        self,
+        service: str,
+        position: int,
+        heartbeat: ttypes.Heartbeat,
+        fences: dict[str, str],
+    ) -> str:
+        """Return the fence of a load's sender, empty if it is no gate."""
+        current = self._range_at(service, position)
+        if current is None:
+            return ""
+        post = self._leader.posts.get(current.server)
+        if post is None or not _is_gate(post, heartbeat):
+            return ""
+        return post.fence if fences.get(current.server) == post.fence else ""
+
+    def _range_at(self, service: str, position: int) -> ranges.Range | None:
+        range_map = self._leader.state.ranges_by_service.get(service)
+        return range_map.find(position) if range_map is not None else None
+
+
+def _is_gate(post: posts.Post, heartbeat: ttypes.Heartbeat) -> bool:
+    return (
+        post.is_told
+        and post.host == heartbeat.host
+        and post.instance == heartbeat.instance
+    )
--- /dev/null
+++ b/src/agatestile/ownership/rebalancing.py
@@ -0,0 +1,216 @@
+"""Decides which ranges of a failure domain move between its servers."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from agatestile.ownership import load_reports
+from agatestile.ownership import merging
+from agatestile.ownership import vacating
+from agatestile.placement import planner
+from agatestile.results import codes
+from agatestile.state import records
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.ownership import handover
+    from agatestile.ownership import leadership
+    from agatestile.rpc.generated.agatestile_rpc import ttypes
+
+LOG = logging.getLogger(__name__)
+
+ROUND = 10.0
+"""Seconds between two comparisons of the loads (section 9 of the design
+page)."""
+
+SETTLE = 10.0
+"""Seconds that a service's ranges and gates must be unchanged before its
+loads are compared: figures lag by up to 5 s, and the gates' windows need
+another 5 s to show a new range."""
+
+
+class Rebalancer:
+    """Proposes moves of ranges to balance the loads of a domain.
+
+    The earlier leader's moves are not known. So a new leader moves nothing
+    until they no longer count against the budget and no range that moved
+    then could return too early.
+
+    Parameters
+    ----------
+    leader : leadership.Leadership
+        The leadership that it serves.
+    writer : handover.Handover
+        Takes the proposals.
+    now : float
+        Start of the leadership, seconds.
+    limits : planner.Limits, optional
+        When and how much to move.
+    """
+
+    def __init__(
+        self,
+        leader: leadership.Leadership,
+        writer: handover.Handover,
+        now: float,
+        limits: planner.Limits | None = None,
+    ) -> None:
+        self.reports = load_reports.LoadReports(leader)
+        self._leader = leader
+        self._writer = writer
+        self._limits = limits or planner.Limits()
+        self._budget = planner.Budget(self._limits)
+        self._planners: dict[str, planner.Planner] = {}
+        self._merger = merging.Merger(leader.state)
+        self._settings: dict[str, tuple[typing.Any, ...]] = {}
+        self._changed_at: dict[str, float] = {}
+        wait = max(self._limits.window, self._limits.return_after)
+        self._next_round = now + wait - (self._limits.rounds - 1) * ROUND
+
+    def note(self, heartbeat: ttypes.Heartbeat, now: float) -> None:
+        """Take the loads in a heartbeat that the leader accepted."""
+        self.reports.note(heartbeat, now)
+
+    def tick(self, now: float) -> None:
+        """Note what changes, and compare the loads when a round is due.
+
+        To be called at each heartbeat interval, so that no change between
+        two rounds is missed.
+        """
+        services = self._servers_by_service()
+        for service, servers in services.items():
+            self._note_setting(service, servers, now)
+        if now < self._next_round:
+            return
+        self._next_round = now + ROUND
+        self.reports.forget_old(now)
+        if not self._may_propose(now):
+            return
+        for service, servers in services.items():
+            if now >= self._changed_at[service] + SETTLE:
+                self._run_round(service, servers, now)
+
+    def _may_propose(self, now: float) -> bool:
+        state = self._leader.state
+        return (
+            self._leader.may_act(now)
+            and self._writer.is_registered()
+            and not self._writer.has_proposals
+            and state.domain(self._leader.domain).state == "in"
+        )
+
+    def _servers_by_service(self) -> dict[str, dict[str, int]]:
+        """Return the weights of the servers that can take ranges."""
+        found: dict[str, dict[str, int]] = {}
+        for name, post in sorted(self._leader.posts.items()):
+            weights = found.setdefault(post.row.service, {})
+            if post.is_told and post.row.state == "active":
+                weights[name] = post.row.weight
+        return found
+
+    def _note_setting(
+        self, service: str, servers: dict[str, int], now: float
+    ) -> None:
+        """Note when gates or ranges of a service change."""
+        leader = self._leader
+        setting = (
+            tuple((name, leader.posts[name].fence) for name in servers),
+            any(step.service == service for step in leader.steps),
+            self._has_intent(service),
+        )
+        is_unsettled = any(setting[1:])
+        if is_unsettled or setting != self._settings.get(service):
+            self._settings[service] = setting
+            self._changed_at[service] = now
+
+    def _has_intent(self, service: str) -> bool:
+        return any(
+            change.service == service
+            for intent in self._leader.state.intents.by_offset.values()
+            if intent.domain == self._leader.domain
+            for change in intent.changes
+        )
+
+    def _run_round(
+        self, service: str, servers: dict[str, int], now: float
+    ) -> None:
+        plan = self._planners.get(service)
+        if plan is None:
+            plan = self._planners[service] = planner.Planner(
+                service, self._limits, self._budget
+            )
+        owned = self.reports.owned(service, servers)
+        hot_keys = self.reports.hot_keys(service)
+        moves = plan.plan(now, servers, owned, hot_keys)
+        if moves:
+            changes = [self._change(move) for move in moves]
+            self._log_moves(moves, servers, owned)
+        else:
+            changes = self._merger.plan(service, servers, owned, hot_keys)
+            self._log_merges(changes)
+        if changes:
+            self._changed_at[service] = now
+            self._writer.propose(changes)
+
+    def _change(self, move: planner.Move) -> records.RangeChange:
+        state = self._leader.state
+        bases = tuple(
+            current.version
+            for current in state.ranges_by_service[move.service].overlapping(
+                move.start, move.end
+            )
+        )
+        row = state.table.servers_by_name[move.target]
+        chooser = vacating.Chooser(state, move.service)
+        return records.RangeChange(
+            move.service,
+            move.start,
+            move.end,
+            bases,
+            move.target,
+            chooser.successors(row),
+        )
+
+    def _log_moves(
+        self,
+        moves: collections.abc.Iterable[planner.Move],
+        servers: collections.abc.Mapping[str, int],
+        owned: collections.abc.Iterable[planner.OwnedRange],
+    ) -> None:
+        loads = dict.fromkeys(servers, 0.0)
+        for current in owned:
+            loads[current.server] += current.load
+        mean = sum(loads.values()) / sum(servers.values())
+        for move in moves:
+            LOG.info(
+                "lead: %s %s [%d, %d) is to move from %s to %s: loads are "
+                "%.2f and %.2f of the mean of %.1f requests/s, result %d",
+                self._leader.domain,
+                move.service,
+                move.start,
+                move.end,
+                move.source,
+                move.target,
+                loads[move.source] / servers[move.source] / mean,
+                loads[move.target] / servers[move.target] / mean,
+                mean,
+                codes.ResultCode.ANSWERED,
+            )
+
+    def _log_merges(
+        self, changes: collections.abc.Iterable[records.RangeChange]
+    ) -> None:
+        for change in changes:
+            LOG.info(
+                "lead: %s %s [%d, %d) of %s is to be merged: %d ranges have "
+                "little load, result %d",
+                self._leader.domain,
+                change.service,
+                change.start,
+                change.end,
+                change.server,
+                len(change.bases),
+                codes.ResultCode.ANSWERED,
+            )
--- a/src/agatestile/placement/rendezvous.py
+++ b/src/agatestile/placement/rendezvous.py
@@ -65,6 +65,7 @@
     items: collections.abc.Sequence[str],
     candidates: collections.abc.Sequence[Candidate],
     bound: float = math.inf,
+    owned: collections.abc.Mapping[str, int] | None = None,
 ) -> list[Placement]:
     """Place items, such as the names of ranges.
 
@@ -77,6 +78,8 @@
     bound : float
         Most items of a server, relative to its weighted share; rounded up
         to whole items, and at least 1.
+    owned : mapping of str to int, optional
+        Items that servers have already.
 
     Returns
     -------
@@ -84,7 +87,13 @@
         One for each item, in their order.
     """
     total = sum(candidate.weight for candidate in candidates)
-    counts: collections.Counter[str] = collections.Counter()
+    counts = collections.Counter(
+        {
+            candidate.name: (owned or {}).get(candidate.name, 0)
+            for candidate in candidates
+        }
+    )
+    count = len(items) + counts.total()
     placed = []
     for item in items:
         ranked = rank(item, candidates)
@@ -93,7 +102,7 @@
             for candidate in ranked
             if bound == math.inf
             or counts[candidate.name]
-            < math.ceil(bound * len(items) * candidate.weight / total)
+            < math.ceil(bound * count * candidate.weight / total)
         )
         counts[owner.name] += 1
         placed.append(Placement(owner.name, _successors(owner, ranked)))
--- a/tests/placement/test_rendezvous.py
+++ b/tests/placement/test_rendezvous.py
@@ -49,3 +49,12 @@
 def test_few_items_fit_with_a_tight_bound() -> None:
     """Guards against a bound below one item that leaves one unplaced."""
     assert len(rendezvous.place(ITEMS[:2], SERVERS, bound=1.0)) == 2
+
+
+def test_bound_counts_what_servers_have() -> None:
+    """Guards against unowned ranges that pile up on a full server."""
+    owned = {"s1": 20, "s3": 1}
+    placed = rendezvous.place(ITEMS[:3], SERVERS, 1.25, owned)
+    assert "s1" not in {item.server for item in placed}
+    alone = rendezvous.place(ITEMS[:3], SERVERS[1:2], 1.25, owned)
+    assert [item.server for item in alone] == ["s1"] * 3
