--- /dev/null
+++ b/src/agatestile/daemon/changes.py
@@ -0,0 +1,57 @@
+"""Logs each operator's change when it comes into force on this host."""
+
+from __future__ import annotations
+
+import functools
+import logging
+import typing
+
+from agatestile.state import records
+
+if typing.TYPE_CHECKING:
+    from agatestile.state import cluster
+
+LOG = logging.getLogger(__name__)
+
+
+def log_change(applied: cluster.Applied | None) -> None:
+    """Log a record that was applied; None if the state was replaced."""
+    if applied is not None:
+        _log(applied.record, applied.offset)
+
+
+@functools.singledispatch
+def _log(record: records.Record, offset: int) -> None:
+    """Leave out records of leaders, which log their own decisions."""
+
+
+@_log.register
+def _log_table(record: records.TableChange, offset: int) -> None:
+    LOG.info(
+        "table: version %d by %s with %d rows in force",
+        offset,
+        record.operator,
+        len(record.rows),
+    )
+
+
+@_log.register
+def _log_domain(record: records.DomainChange, offset: int) -> None:
+    LOG.info(
+        "table: domain %s %s by %s at offset %d in force",
+        record.domain,
+        record.state,
+        record.operator,
+        offset,
+    )
+
+
+@_log.register
+def _log_host(record: records.HostChange, offset: int) -> None:
+    LOG.info(
+        "table: host %s %s by %s at offset %d in force",
+        record.host,
+        record.state,
+        record.operator,
+        offset,
+    )
--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -10,6 +10,7 @@
 from agatestile.admin import peers as admin_peers
 from agatestile.admin import reports as admin_reports
 from agatestile.daemon import adapters
+from agatestile.daemon import changes
 from agatestile.daemon import handler as peer_handler
 from agatestile.daemon import listeners
 from agatestile.daemon import reporter as metrics_reporter
@@ -86,6 +87,7 @@
     follower = log_follower.Follower(
         log, state, snapshots, settings.timing.log_wait
     )
+    follower.subscribe(changes.log_change)
     appender = log_appender.Appender(log, follower)
     views = routing_views.RouteViews()
     ownership = runner.Runner(
