--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -185,7 +185,7 @@
                 and node.func.attr in LEVELS
             ):
                 assert isinstance(node.args[0], ast.Constant), path
-                yield path.name, node.args[0].value
+                yield path.name, str(node.args[0].value)
 
 
 @pytest.mark.parametrize(("module", "message"), list(_messages()))
