--- a/bench/demo.py
+++ b/bench/demo.py
@@ -213,12 +213,11 @@
     )
     for result, count in verdict.count_results(records).most_common():
         print(f"  {count:7d}  {result}")
-    figures = verdict.latencies(records)
-    shown = ", ".join(
-        f"p{part:g} {figures.get_value_at_percentile(part) / 1000:.1f} ms"
-        for part in (50, 99, 99.9)
-    )
-    print(f"latency of answered requests from intended start: {shown}")
+    print("latency of answered requests from intended start:")
+    print(f"  {_latencies(records)}  all")
+    for service in deployment.repeatable_by_service:
+        chosen = [item for item in records if item.request.service == service]
+        print(f"  {_latencies(chosen)}  {service}")
     moved, seen = verdict.moved_keys(records)
     print(f"keys that changed owner: {moved} of {seen} seen")
     gaps = verdict.unavailable(records)
@@ -236,6 +235,14 @@
     print(f"backend servers counted: {listed}")
 
 
+def _latencies(records: list[load.Record]) -> str:
+    figures = verdict.latencies(records)
+    return ", ".join(
+        f"p{part:g} {figures.get_value_at_percentile(part) / 1000:7.1f} ms"
+        for part in (50, 99, 99.9)
+    )
+
+
 def _print_checks(checks: list[verdict.Check]) -> bool:
     for check in checks:
         word = "BROKEN" if check.broken else "held"
