--- a/src/agatestile/gateway/servers.py
+++ b/src/agatestile/gateway/servers.py
@@ -6,8 +6,7 @@
 import logging
 import typing
 
-import anyio
-
+from agatestile.gateway import clock
 from agatestile.gateway import lanes
 from agatestile.gateway import responses
 from agatestile.gateway import transfers
@@ -17,11 +16,10 @@
 from agatestile.results import outcomes
 
 if typing.TYPE_CHECKING:
-    import httpcore
-
     from agatestile.gateway import asgi
     from agatestile.gateway import calls
     from agatestile.gateway import ports
+    from agatestile.gateway import wire
     from agatestile.limits import budget
     from agatestile.observability import invariants
     from agatestile.state import records
@@ -32,6 +30,11 @@
 """How long a slot stays in use after its connection was closed while the
 request ran, for the server to notice."""
 
+TAKE_OVER_SECONDS = 0.5
+"""How long a new gate leaves the slots unused in which the server ran
+requests of the earlier gate. The end of the earlier gate's connections
+cancels them; where it does not, the server sheds."""
+
 SILENCE_LEAST = 0.25
 SILENCE_FACTOR = 8.0
 """A reused lane without an answer counts as silent after this many times
@@ -100,6 +103,13 @@
         self._numbers = itertools.count(1)
         self.requests = 0
 
+    @property
+    def warm_incarnation(self) -> str:
+        """Incarnation that is used at full capacity, empty while cold."""
+        if self.admission.ramp.is_cold:
+            return ""
+        return self._incarnation.decode("ascii")
+
     def follow(self, row: records.TableRow, service: records.TableRow) -> None:
         """Follow a change of the table."""
         if row is self._row and service is self._service:
@@ -107,9 +117,7 @@
         if row.address != self._row.address:
             self._retired.append(self.lanes)
             self.lanes = lanes.Lanes(row.address, _lane_limit(row))
-            self.admission.ramp.make_cold(
-                anyio.current_time(), "its address changed"
-            )
+            self.admission.ramp.make_cold(clock.now(), "its address changed")
         self.lanes.limit = _lane_limit(row)
         self._row, self._service = row, service
         self.admission.set_limits(_limits_of(row, service))
@@ -150,22 +158,20 @@
             if call.run == responses.NOT_RUN:
                 self.identifiers.forget(identifier)
             else:
-                self.identifiers.finish(
-                    identifier, anyio.current_time(), call.answer
-                )
+                self.identifiers.finish(identifier, clock.now(), call.answer)
 
-    async def sweep(self, now: float) -> None:
+    def sweep(self, now: float) -> None:
         """Close lanes that are not needed any more."""
-        await self.lanes.close_idle(now - lanes.CLOSE_AFTER)
+        self.lanes.close_idle(now - lanes.CLOSE_AFTER)
         for retired in self._retired:
-            await retired.close_idle(now)
+            retired.close_idle(now)
         self._retired = [some for some in self._retired if some.open]
 
     async def _attempts(self, call: calls.Call) -> outcomes.Refusal | None:
         refusal = await self._attempt(call, fresh_only=False)
         if refusal is None or not self._may_retry(call, refusal):
             return refusal
-        if not self._retries.spend(anyio.current_time()):
+        if not self._retries.spend(clock.now()):
             return outcomes.Refusal(
                 _CODES.RETRY_BUDGET_SPENT
                 if call.run == responses.NOT_RUN
@@ -190,13 +196,13 @@
     async def _attempt(
         self, call: calls.Call, fresh_only: bool
     ) -> outcomes.Refusal | None:
-        now = anyio.current_time()
+        now = clock.now()
         slot = self.admission.try_enter(now, call.deadline)
         if slot is None:
             slot = await self.admission.enter(
                 call.deadline, self._service.priority
             )
-            now = anyio.current_time()
+            now = clock.now()
         if isinstance(slot, outcomes.Refusal):
             return slot
         attempt = _Attempt()
@@ -206,7 +212,7 @@
             self.admission.leave(
                 slot,
                 admission.Observation(
-                    anyio.current_time(),
+                    clock.now(),
                     attempt.latency,
                     attempt.shed,
                     attempt.hold_until,
@@ -227,7 +233,7 @@
             # the lease has gone to another one.
             call.shorten(permit.expires)
         pool = self.lanes
-        lane = await pool.take(now, fresh_only, call.may_repeat)
+        lane = pool.take(now, fresh_only, call.may_repeat)
         if lane is None:
             return outcomes.Refusal(
                 _CODES.QUEUE_FULL, "no connection to the server is free"
@@ -238,7 +244,7 @@
             return refusal
         finally:
             if is_clean:
-                await pool.give_back(lane, anyio.current_time())
+                pool.give_back(lane, clock.now())
             else:
                 await self._discard(call, attempt, pool, lane)
 
@@ -247,7 +253,7 @@
     ) -> tuple[outcomes.Refusal | None, bool]:
         """Return the refusal, if any, and whether the lane can be reused."""
         identifier = self._identifier_of(call)
-        sent = anyio.current_time()
+        sent = clock.now()
         call.went_silent = False
         call.silent_at = self._silent_at(call, lane, sent)
         response = await transfers.send(
@@ -255,13 +261,13 @@
         )
         if isinstance(response, outcomes.Refusal):
             return self._failed(call, attempt, response, sent), False
-        attempt.latency = anyio.current_time() - sent
-        answered = _named(response, b"x-request-id")
+        attempt.latency = clock.now() - lane.sent_at(sent)
+        answered = response.header(b"x-request-id")
         if answered is not None and answered != identifier:
             return outcomes.Refusal(
                 _CODES.ANSWER_BROKEN, "the answer is for another request"
             ), False
-        refused = _named(response, b"x-refused")
+        refused = response.header(b"x-refused")
         if refused is not None:
             refusal = self._refused(call, attempt, response, refused)
             is_clean = await transfers.read_small(response) is not None
@@ -293,7 +299,7 @@
         self,
         call: calls.Call,
         attempt: _Attempt,
-        response: httpcore.Response,
+        response: wire.Answer,
         why: bytes,
     ) -> outcomes.Refusal:
         """Return what a refusal of the server means."""
@@ -306,7 +312,7 @@
             )
         text = why.decode("latin-1")[:64]
         is_fence = response.status == 409 and why == b"fence"
-        if is_fence or _named(response, b"x-started") == b"0":
+        if is_fence or response.header(b"x-started") == b"0":
             call.run = call.run_before
             return outcomes.Refusal(
                 _CODES.SERVER_REFUSED, f"the server refused it: {text}"
@@ -324,41 +330,46 @@
         pool: lanes.Lanes,
         lane: lanes.Lane,
     ) -> None:
-        now = anyio.current_time()
+        now = clock.now()
         if lane.was_written() and call.run != responses.NOT_RUN:
             held = min(call.deadline, now) + CANCEL_SECONDS
             attempt.hold_until = max(attempt.hold_until, held)
-        await pool.discard(lane)
+        pool.discard(lane)
         if call.went_silent:
-            await pool.close_idle(now)
+            pool.close_idle(now)
 
     def _note_permit(self, permit: ports.Permit, now: float) -> None:
         if permit.fence is not self._fence:
-            self._note_fence(permit.fence, now)
+            self._note_fence(permit, now)
         self._expires = permit.expires
 
-    def _note_fence(self, fence: str, now: float) -> None:
+    def _note_fence(self, permit: ports.Permit, now: float) -> None:
+        fence = permit.fence
         if fence == self._fence:
             self._fence = fence
             return
         # Another host may have been the gate in between, so a marked
         # repetition may be of a request that this host has not seen.
         self.identifiers.taken_over = now
-        if not self._fence:
-            self.admission.ramp.make_cold(now, "first contact")
-        elif now > self._expires:
-            self.admission.ramp.make_cold(now, "contact after a lapsed lease")
+        if not self._fence or now > self._expires:
+            self._take_over(permit, now)
         self._fence = fence
         self._fence_text = fence.encode("ascii")
 
-    def _note_incarnation(self, response: httpcore.Response) -> None:
-        incarnation = _named(response, b"x-incarnation")
+    def _take_over(self, permit: ports.Permit, now: float) -> None:
+        """Start slowly, unless the earlier gate knew the server as warm."""
+        if permit.warm_incarnation:
+            self._incarnation = permit.warm_incarnation.encode("ascii")
+            self.admission.hold(permit.running, now + TAKE_OVER_SECONDS)
+        else:
+            self.admission.ramp.make_cold(now, "first contact of this gate")
+
+    def _note_incarnation(self, response: wire.Answer) -> None:
+        incarnation = response.header(b"x-incarnation")
         if incarnation is None or incarnation == self._incarnation:
             return
         if self._incarnation:
-            self.admission.ramp.make_cold(
-                anyio.current_time(), "it was started again"
-            )
+            self.admission.ramp.make_cold(clock.now(), "it was started again")
         self._incarnation = incarnation
 
     def _identifier_of(self, call: calls.Call) -> bytes:
@@ -388,13 +399,6 @@
         return now + min(wait, (call.deadline - now) / 2.0)
 
 
-def _named(response: httpcore.Response, name: bytes) -> bytes | None:
-    for known, value in response.headers:
-        if known.lower() == name:
-            return value
-    return None
-
-
 def _limits_of(
     row: records.TableRow, service: records.TableRow
 ) -> admission.Limits:
--- a/src/agatestile/observability/metrics.py
+++ b/src/agatestile/observability/metrics.py
@@ -44,44 +44,38 @@
 
 REQUESTS_RECEIVED = "requests.received"
 REQUESTS_ENDED = "requests.ended"
-REQUESTS_OVERHEAD = "requests.overhead"
+REQUESTS_DURATION = "requests.duration"
 REQUESTS_IN_FLIGHT = "requests.in_flight"
-REQUESTS_RETRIED = "requests.retried"
-REQUESTS_FORWARDED = "requests.forwarded"
 STATE_OFFSET = "state.offset"
 STATE_TABLE_VERSION = "state.table_version"
 LOG_READ_AGE = "log.read_age"
 GATES_HELD = "gates.held"
-RANGES_GATED = "ranges.gated"
 DOMAINS_LED = "domains.led"
 INVARIANTS_BROKEN = "invariants.broken"
-LOGS_DROPPED = "logs.dropped"
 
 METRICS_BY_NAME = {
     REQUESTS_RECEIVED: Metric(
-        "counter", "requests", "", "Requests received from callers."
+        "counter",
+        "requests",
+        "entry or gate",
+        "Requests received from callers (entry) or other hosts (gate).",
     ),
     REQUESTS_ENDED: Metric(
         "counter",
         "requests",
         "name of the result code",
-        "Requests of callers that ended, by result code.",
+        "Requests that ended, by the code in the head of the answer; "
+        "NO_ANSWER if there was none.",
     ),
-    REQUESTS_OVERHEAD: Metric(
+    REQUESTS_DURATION: Metric(
         "timer",
         "ms",
-        "",
-        "Time that a request spent in daemons and not at a server.",
+        "entry or gate",
+        "Time from the head of a request to the end of its answer.",
     ),
     REQUESTS_IN_FLIGHT: Metric(
         "gauge", "requests", "", "Requests being handled now."
     ),
-    REQUESTS_RETRIED: Metric(
-        "counter", "requests", "", "Attempts after the first."
-    ),
-    REQUESTS_FORWARDED: Metric(
-        "counter", "requests", "", "Requests sent on to another host."
-    ),
     STATE_OFFSET: Metric(
         "gauge", "offset", "", "Offset of the last record applied."
     ),
@@ -94,12 +88,6 @@
     GATES_HELD: Metric(
         "gauge", "servers", "", "Servers that this host gates."
     ),
-    RANGES_GATED: Metric(
-        "gauge",
-        "ranges",
-        "name of the server",
-        "Ranges owned by each server that this host gates.",
-    ),
     DOMAINS_LED: Metric(
         "gauge", "domains", "", "Failure domains that this host leads."
     ),
@@ -109,9 +97,6 @@
         "name of the invariant",
         "Checks of an invariant that failed; must stay 0.",
     ),
-    LOGS_DROPPED: Metric(
-        "counter", "lines", "", "Log lines dropped, stderr was not read."
-    ),
 }
 
 
@@ -185,7 +170,7 @@
         if len(kept) < TIMINGS_PER_INTERVAL:
             kept.append(seconds)
             return
-        place = random.randrange(self._timed[full])  # noqa: S311
+        place = int(random.random() * self._timed[full])
         if place < TIMINGS_PER_INTERVAL:
             kept[place] = seconds
 
