Lead domains without fence-checking servers

A domain in which no server checks fences had no votes and so no leader. Its leader now holds its lease through the log: it has to be the registered one and to have read the log within 1.6 s. A 1.0 s lease would lapse between two long polls of 0.5 s.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import typing
 
@@ -94,12 +95,20 @@
         self.checks = invariants.Invariants()
         self.state = cluster.ClusterState(self.checks)
         self.results: dict[int, cluster.Applied | outcomes.Refusal] = {}
+        self.last_read = -math.inf
         self.scope = anyio.CancelScope()
         self.runner = runner.Runner(
             driver.Self(name, domain, f"{name}#{start}", name),
             world.domains,
             self.state,
-            ports.Ports(self, self, self, Members(world), lambda view: None),
+            ports.Ports(
+                self,
+                self,
+                self,
+                Members(world),
+                lambda view: None,
+                last_read=lambda: self.last_read,
+            ),
             world.timing,
             self.checks,
         )
@@ -121,6 +130,7 @@
             await anyio.sleep(POLL)
 
     def read_log(self) -> None:
+        self.last_read = anyio.current_time()
         start = self.state.offset + 1
         for offset, body in enumerate(self._world.log[start:], start):
             before = self.state.offset
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -30,14 +30,17 @@
 
 
 def table() -> tuple[records.TableRow, ...]:
-    """Return a table of two services, one of unfenced servers."""
+    """Return a table of two services, one of unfenced servers.
+
+    Domain d has no server that checks fences, and no host.
+    """
     rows = [
         records.TableRow("service", "price", timeout_ms=1000),
         records.TableRow("service", "photo", timeout_ms=1000),
     ]
-    for domain in "abc":
-        for index in range(5):
-            fenced = index < 3
+    for domain in "abcd":
+        for index in range(5 if domain < "d" else 2):
+            fenced = index < 3 and domain < "d"
             rows.append(
                 records.TableRow(
                     "server",
--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -101,6 +101,7 @@
             appender=appender,
             membership=adapters.ListedHosts(members),
             on_view=views.update,
+            last_read=lambda: follower.last_read,
         ),
         timing,
         checks,
--- a/src/agatestile/ownership/election.py
+++ b/src/agatestile/ownership/election.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from agatestile.ownership import grants
+from agatestile.ownership import leases
 from agatestile.ownership import terms
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -48,7 +49,7 @@
 
     Parameters
     ----------
-    votes : grants.Votes
+    votes : leases.Votes
         Leases of the domain's servers, not used before.
     state : cluster.ClusterState
         The host's copy of the state.
@@ -58,7 +59,7 @@
 
     def __init__(
         self,
-        votes: grants.Votes,
+        votes: leases.Votes,
         state: cluster.ClusterState,
         began: float,
     ) -> None:
@@ -69,7 +70,7 @@
 
     def request(
         self, server: str, now: float
-    ) -> tuple[grants.GrantRequest, grants.Exchange]:
+    ) -> tuple[grants.GrantRequest, leases.Exchange]:
         """Return the next grant for a server."""
         lease = self.votes.by_server[server]
         term = self.votes.term
@@ -80,7 +81,7 @@
     def receive(
         self,
         server: str,
-        exchange: grants.Exchange,
+        exchange: leases.Exchange,
         reply: grants.GrantReply,
         now: float,
     ) -> None:
--- a/src/agatestile/ownership/handover.py
+++ b/src/agatestile/ownership/handover.py
@@ -6,7 +6,7 @@
 import typing
 import uuid
 
-from agatestile.ownership import gates
+from agatestile.ownership import permits
 from agatestile.ownership import terms
 from agatestile.ownership import vacating
 from agatestile.state import ranges
@@ -83,9 +83,9 @@
 
 def releases(
     leader: leadership.Leadership, now: float
-) -> dict[str, list[gates.Reference]]:
+) -> dict[str, list[permits.Reference]]:
     """Return, by server, the ranges that its gate has to release."""
-    references: dict[str, list[gates.Reference]] = collections.defaultdict(
+    references: dict[str, list[permits.Reference]] = collections.defaultdict(
         list
     )
     for offset, intent in _open_intents(leader):
@@ -118,7 +118,7 @@
 
 def _pieces(
     leader: leadership.Leadership, offset: int, change: records.RangeChange
-) -> list[tuple[str, gates.Reference]]:
+) -> list[tuple[str, permits.Reference]]:
     """Return the ranges that an Intent's change still covers."""
     service = change.service
     range_map = leader.state.ranges_by_service.get(service)
@@ -127,7 +127,7 @@
     return [
         (
             leader.steps.owner_of(leader.state, service, current),
-            gates.Reference(
+            permits.Reference(
                 service, current.start, current.end, current.version
             ),
         )
@@ -215,7 +215,7 @@
         return ready
 
     def _is_released(
-        self, owner: str, reference: gates.Reference, now: float
+        self, owner: str, reference: permits.Reference, now: float
     ) -> bool:
         post = self._leader.posts.get(owner)
         if post is None or not self._leader.is_group_settled(
@@ -259,8 +259,23 @@
                 tuple(changes[:MAX_CHANGES]),
             )
         self._idle_at = seen
+        self._follow_emptied()
         return None
 
+    def _follow_emptied(self) -> None:
+        """Note whether a domain that is out still owns ranges."""
+        leader = self._leader
+        if leader.chart.state == "in":
+            return
+        owners = {
+            server
+            for range_map in leader.state.ranges_by_service.values()
+            for server in range_map.owners()
+        }
+        owns = not owners.isdisjoint(leader.posts)
+        if owns == (leader.chart.state == "out"):
+            leader.chart.send("owns" if owns else "emptied")
+
     def _delay(self) -> float:
         names = {
             row.domain
--- /dev/null
+++ b/src/agatestile/ownership/leading.py
@@ -0,0 +1,173 @@
+"""Carries out what the leader of one failure domain decides."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+import anyio.abc
+
+from agatestile.ownership import handover
+from agatestile.ownership import terms
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    from agatestile.ownership import exchanges
+    from agatestile.ownership import leadership
+    from agatestile.ownership import ports
+
+LOG = logging.getLogger(__name__)
+
+TICK = 0.02
+"""Interval of a leader's decisions, seconds; bounds how late it sees that
+a lease has ended."""
+LOG_PAUSE = 0.25
+"""Pause after the log refused a record, seconds."""
+
+
+class Leading:
+    """Sends grants and announcements and writes to the log.
+
+    Parameters
+    ----------
+    leader : leadership.Leadership
+        Decides.
+    used : ports.Ports
+        Calls to servers, peers and the log.
+    timing : terms.Timing
+        Lengths of leases.
+    calls : exchanges.Exchanges
+        Grants under way.
+    beat : callable
+        Gives the leader its own host's heartbeat.
+    """
+
+    def __init__(
+        self,
+        leader: leadership.Leadership,
+        used: ports.Ports,
+        timing: terms.Timing,
+        calls: exchanges.Exchanges,
+        beat: typing.Callable[[], None],
+    ) -> None:
+        self.leadership = leader
+        self.handover = handover.Handover(leader)
+        self.leaves = False
+        self._ports = used
+        self._timing = timing
+        self._calls = calls
+        self._beat = beat
+        self._sent: dict[str, str] = {}
+        self._announcing: set[str] = set()
+
+    async def run(self) -> None:
+        """Lead until the majority is lost or the host leaves."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write_log)
+            await self._lead(tasks)
+            tasks.cancel_scope.cancel()
+        LOG.warning(
+            "lead: %s term %s: given up, result %d",
+            self.leadership.domain,
+            self.leadership.votes.term,
+            codes.ResultCode.NOT_LEADER,
+        )
+
+    async def _lead(self, tasks: anyio.abc.TaskGroup) -> None:
+        due, sequence = anyio.current_time(), -1
+        while self.leadership.may_act(anyio.current_time()):
+            now = anyio.current_time()
+            if self.leaves and self.leadership.has_other_host(now):
+                return
+            self.leadership.tick(now)
+            is_due = now >= due
+            if is_due:
+                due = now + self._timing.heartbeat_interval
+            self._send_grants(tasks, is_due, now)
+            current = self.leadership.view().sequence
+            if is_due or current != sequence:
+                self._beat()
+                self._announce(tasks, current != sequence, now)
+                sequence = current
+            await anyio.sleep(TICK)
+
+    def _send_grants(
+        self, tasks: anyio.abc.TaskGroup, is_due: bool, now: float
+    ) -> None:
+        for server, post in self.leadership.posts.items():
+            is_new = self._sent.get(server, "") != post.fence
+            if self._calls.is_busy(server) or not (is_due or is_new):
+                continue
+            if not post.row.fenced:
+                if is_due:
+                    tasks.start_soon(
+                        self._calls.probe,
+                        post.row,
+                        self.leadership.note_probe,
+                    )
+                continue
+            prepared = self.leadership.request(server, now)
+            if prepared is None:
+                return
+            self._sent[server] = post.fence
+            tasks.start_soon(
+                self._calls.grant,
+                post.row,
+                prepared,
+                self.leadership.receive,
+            )
+
+    def _announce(
+        self, tasks: anyio.abc.TaskGroup, to_all: bool, now: float
+    ) -> None:
+        """Ask hosts for a heartbeat: all, or those not heard lately."""
+        for host in self._ports.membership.hosts():
+            record = self.leadership.hosts.get(host.name)
+            is_live = record is not None and record.is_live(now, self._timing)
+            if (
+                host.name != self.leadership.host
+                and host.name not in self._announcing
+                and (to_all or not is_live)
+            ):
+                tasks.start_soon(self._announce_to, host)
+
+    async def _announce_to(self, host: ports.Host) -> None:
+        self._announcing.add(host.name)
+        try:
+            await self._ports.peers.call(
+                host.peers,
+                "announce",
+                self.leadership.domain,
+                terms.to_thrift(self.leadership.votes.term),
+                self.leadership.host,
+            )
+        finally:
+            self._announcing.discard(host.name)
+
+    async def _write_log(self) -> None:
+        while True:
+            record = self.handover.next_record(anyio.current_time())
+            if record is None:
+                await anyio.sleep(TICK)
+                continue
+            offset = await self._ports.appender.append(record)
+            if isinstance(offset, outcomes.Refusal):
+                LOG.warning(
+                    "lead: %s %s not in force: %s",
+                    self.leadership.domain,
+                    type(record).__name__,
+                    offset,
+                )
+                await anyio.sleep(LOG_PAUSE)
+                continue
+            self.handover.note_applied(record, offset)
+            LOG.info(
+                "lead: %s %s at offset %d, %d changes, result %d",
+                self.leadership.domain,
+                type(record).__name__,
+                offset,
+                len(getattr(record, "changes", ())),
+                codes.ResultCode.ANSWERED,
+            )
--- /dev/null
+++ b/src/agatestile/ownership/permits.py
@@ -0,0 +1,126 @@
+"""Permits of gates and the ranges that gates release."""
+
+from __future__ import annotations
+
+import typing
+
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.rpc.generated.agatestile_rpc import ttypes
+from agatestile.state import ranges
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from agatestile.state import cluster
+
+
+class Permit(typing.NamedTuple):
+    """Leave to send one request to a server.
+
+    Attributes
+    ----------
+    server : str
+        The server.
+    fence : str
+        Fencing token for the request.
+    expires : float
+        End of the gate's lease on the runtime's clock, seconds.
+    service : str
+        Service of the server.
+    position : int
+        Position of the request's key.
+    """
+
+    server: str
+    fence: str
+    expires: float
+    service: str
+    position: int
+
+
+class Reference(typing.NamedTuple):
+    """A range that a gate has to release, or has released."""
+
+    service: str
+    start: int
+    end: int
+    version: int
+
+    @classmethod
+    def from_thrift(cls, reference: ttypes.RangeReference) -> Reference:
+        """Return the reference in a message."""
+        return cls(
+            reference.service_name,
+            reference.start,
+            reference.end,
+            reference.version,
+        )
+
+    def to_thrift(self) -> ttypes.RangeReference:
+        """Return the form used in messages."""
+        return ttypes.RangeReference(*self)
+
+
+class ReleasedRanges:
+    """Ranges that this host serves no more, until the log moves them.
+
+    Parameters
+    ----------
+    state : cluster.ClusterState
+        The host's copy of the state.
+    """
+
+    def __init__(self, state: cluster.ClusterState) -> None:
+        self._state = state
+        self._references: set[Reference] = set()
+
+    def __iter__(self) -> collections.abc.Iterator[Reference]:
+        self._forget_moved()
+        return iter(tuple(self._references))
+
+    def add(self, reference: Reference) -> None:
+        """Release a range."""
+        self._references.add(reference)
+
+    def add_open_intents(self, service: str) -> None:
+        """Release all ranges of a service that have an open Intent."""
+        for current in self._state.ranges_by_service[service]:
+            if current.intent != ranges.NO_INTENT:
+                self.add(Reference(service, *current[:2], current.version))
+
+    def covers(self, service: str, position: int) -> bool:
+        """Tell whether a position is released."""
+        if not self._references:
+            return False
+        range_map = self._state.ranges_by_service[service]
+        version = range_map.find(position).version
+        return any(
+            reference.service == service
+            and reference.start <= position < reference.end
+            and reference.version >= version
+            for reference in self._references
+        )
+
+    def _forget_moved(self) -> None:
+        for reference in tuple(self._references):
+            range_map = self._state.ranges_by_service.get(reference.service)
+            if range_map is None or all(
+                current.version > reference.version
+                for current in range_map.overlapping(
+                    reference.start, reference.end
+                )
+            ):
+                self._references.discard(reference)
+
+
+def refuse(code: codes.ResultCode, server: str) -> outcomes.Refusal:
+    """Return the refusal of a gate."""
+    reasons = {
+        codes.ResultCode.NOT_GATE: "this host is not the gate",
+        codes.ResultCode.LEASE_LAPSED: "the gate's lease has ended",
+        codes.ResultCode.DOMAIN_OUT: "the server or its domain leaves",
+        codes.ResultCode.NO_OWNER: "the server does not own the position",
+        codes.ResultCode.RANGE_MOVING: "the range is being moved",
+    }
+    return outcomes.Refusal(code, f"{server}: {reasons[code]}")
--- a/src/agatestile/ownership/ports.py
+++ b/src/agatestile/ownership/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from agatestile.results import outcomes
@@ -94,8 +95,19 @@
         return []
 
 
+def _never() -> float:
+    return -math.inf
+
+
 class Ports(typing.NamedTuple):
-    """All of them."""
+    """All of them.
+
+    Attributes
+    ----------
+    last_read : callable
+        Returns when the last successful read of the log began, seconds;
+        used in domains in which no server checks fences.
+    """
 
     servers: Servers
     peers: Peers
@@ -103,3 +115,4 @@
     membership: Membership
     on_view: collections.abc.Callable[[ttypes.RouteView], object]
     loads: Loads = NoLoads()
+    last_read: collections.abc.Callable[[], float] = _never
--- a/src/agatestile/ownership/posts.py
+++ b/src/agatestile/ownership/posts.py
@@ -5,13 +5,14 @@
 import math
 import typing
 
-from agatestile.ownership import gates
+from agatestile.charts import interpreter
+from agatestile.ownership import permits
 from agatestile.rpc.generated.agatestile_rpc import ttypes
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from agatestile.ownership import grants
+    from agatestile.ownership import leases
     from agatestile.ownership import terms
     from agatestile.state import records
 
@@ -28,7 +29,7 @@
     claims : dict of str to str
         Fences, by server, of the gates that the host held when it first
         knew of this leader, or later.
-    released : set of gates.Reference
+    released : set of permits.Reference
         Ranges that the host has released.
     """
 
@@ -41,7 +42,7 @@
         self.leaving = False
         self.seen = -math.inf
         self.claims: dict[str, str] = {}
-        self.released: set[gates.Reference] = set()
+        self.released: set[permits.Reference] = set()
 
     def update(self, heartbeat: ttypes.Heartbeat, now: float) -> None:
         """Take a heartbeat."""
@@ -51,7 +52,7 @@
         self.leaving = bool(heartbeat.leaving)
         self.seen = now
         self.released = {
-            gates.Reference.from_thrift(reference)
+            permits.Reference.from_thrift(reference)
             for reference in heartbeat.released or ()
         }
 
@@ -67,43 +68,53 @@
     ----------
     row : records.TableRow
         The server's row of the table.
-    lease : grants.ServerLease
+    lease : leases.ServerLease
         Leases of the server.
     fence : str
         Fence in the grants that are sent, empty for none.
     host, instance : str
         Host that is the gate with this fence.
-    is_settled : bool
-        Whether no gate of an earlier leader can reach the server any more
-        without this leader knowing it.
     is_told : bool
         Whether a host was told that it is the gate with this fence.
-    is_lost : bool
-        Whether the server does not answer and its lease has ended.
-    probed_at : float
-        When a server that does not check fences last answered, seconds.
+    chart : interpreter.Chart
+        State of the server.
     """
 
     def __init__(
-        self, row: records.TableRow, lease: grants.ServerLease
+        self, row: records.TableRow, lease: leases.ServerLease
     ) -> None:
         self.row = row
         self.lease = lease
         self.fence = ""
         self.host = ""
         self.instance = ""
-        self.is_settled = False
         self.is_told = False
-        self.is_lost = False
+        self.chart = interpreter.Chart("server")
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no gate of an earlier leader is left unknown.
+
+        Such a gate may serve ranges that the earlier leader stepped.
+        """
+        return self.chart.state != "unsettled"
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the server is silent and its lease has ended."""
+        return self.chart.state == "lost"
 
     @property
     def is_confirmed(self) -> bool:
         """Whether the server accepted the fence, if it checks fences."""
         if not self.row.fenced:
-            return True
+            return bool(self.fence)
         reply = self.lease.reply
         return bool(
-            reply and reply.accepted and self.fence == (reply.fence or "")
+            self.fence
+            and reply
+            and reply.accepted
+            and self.fence == reply.fence
         )
 
     def place(self, fence: str, host: HostRecord) -> None:
@@ -111,7 +122,6 @@
         self.fence, self.host = fence, host.name
         self.instance = host.instance
         self.is_told = False
-        self.is_lost = False
 
     def clear(self) -> None:
         """Name no gate."""
--- a/src/agatestile/ownership/runner.py
+++ b/src/agatestile/ownership/runner.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import anyio
 
+from agatestile.charts import interpreter
 from agatestile.observability import invariants
 from agatestile.ownership import driver
 from agatestile.ownership import gates
@@ -20,6 +22,8 @@
     from agatestile.state import cluster
     from agatestile.state import records
 
+LOG = logging.getLogger(__name__)
+
 
 class Runner:
     """Heartbeats, elections, leadership and gates of a host.
@@ -45,6 +49,8 @@
         Gates that this host holds.
     checks : invariants.Invariants
         Counts broken invariants.
+    chart : interpreter.Chart
+        State of the host.
     """
 
     def __init__(
@@ -60,6 +66,7 @@
         self._me = me
         self._state = state
         self._leaves = False
+        self.chart = interpreter.Chart("host")
         self._timing = timing or terms.Timing()
         self.gates = gates.GateTable(state, self._timing, self.checks)
         self.by_domain = {
@@ -130,10 +137,14 @@
         return {
             "host": self._me.name,
             "instance": self._me.instance,
-            "leaving": self._leaves,
+            "state": self.chart.state,
+            "leaving": self.chart.state != "active",
             "domains": {
                 domain: {
                     "leader": one.leader,
+                    "lease": one.chart.state,
+                    "state": _domain_state(one),
+                    "servers": _server_states(one),
                     "leads": one.leadership is not None
                     and one.leadership.may_act(now),
                     "term": list(self.gates.view(domain).known_term),
@@ -145,9 +156,40 @@
             "violations": dict(self.checks.violations_by_name),
         }
 
+    def _follow_host(self, leaves: bool) -> None:
+        now = anyio.current_time()
+        state = self.chart.state
+        holds = any(self.gates.held(name, now) for name in self.by_domain)
+        event = ""
+        if leaves == (state == "active"):
+            event = "leave" if leaves else "return"
+        elif state != "active" and holds == (state == "forwarding"):
+            event = "gate named" if holds else "gates given up"
+        if not event:
+            return
+        self.checks.check(
+            "chart-host",
+            self.chart.send(event),
+            f"{self._me.name}: {event} in state {state}",
+        )
+        LOG.info("gate: host %s is %s", self._me.name, self.chart.state)
+
     def _note_state(self) -> None:
         self.gates.note_state(anyio.current_time())
         host = self._state.hosts_by_name.get(self._me.name)
         leaves = self._leaves or (host is not None and host.state == "leaving")
         for one in self.by_domain.values():
-            one.leaves = leaves
+            one.set_leaving(leaves)
+        self._follow_host(leaves)
+
+
+def _domain_state(one: driver.Driver) -> str:
+    return one.leadership.chart.state if one.leadership else ""
+
+
+def _server_states(one: driver.Driver) -> dict[str, str]:
+    if one.leadership is None:
+        return {}
+    return {
+        name: post.chart.state for name, post in one.leadership.posts.items()
+    }
--- a/src/agatestile/ownership/terms.py
+++ b/src/agatestile/ownership/terms.py
@@ -24,6 +24,9 @@
         From the server's stamp that a grant echoes.
     serve_lease : float
         From the stamp of the grantee that a grant echoes.
+    log_lease : float
+        How long a leader without fence-checking servers relies on its
+        last read of the log; longer than two long polls.
     drift : float
         Allowance for clocks that differ in speed, as a fraction.
     silence : float
@@ -37,6 +40,7 @@
     heartbeat_interval: float = 0.25
     leader_lease: float = 1.0
     serve_lease: float = 1.6
+    log_lease: float = 1.6
     drift: float = 0.05
     silence: float = 0.75
     stagger: float = 0.05
@@ -52,6 +56,11 @@
         """How long others wait for a serve lease to end, seconds."""
         return self.serve_lease * (1 + self.drift)
 
+    @property
+    def log_wait(self) -> float:
+        """How long others wait for a log lease to end, seconds."""
+        return self.log_lease * (1 + self.drift)
+
 
 def next_term(
     seen: collections.abc.Iterable[records.Term], instance: str
--- a/tests/ownership/scene.py
+++ b/tests/ownership/scene.py
@@ -6,6 +6,7 @@
 from agatestile.ownership import gates
 from agatestile.ownership import grants
 from agatestile.ownership import leadership
+from agatestile.ownership import leases
 from agatestile.ownership import terms
 from agatestile.rpc.generated.agatestile_rpc import ttypes
 from agatestile.state import cluster
@@ -95,7 +96,7 @@
             for name in ("p1", "p2", "p3")
         }
         self.silent: set[str] = set()
-        self.votes = grants.Votes(DOMAIN, instance, TIMING)
+        self.votes = leases.Votes(DOMAIN, instance, TIMING)
         self.votes.set_servers(
             row
             for row in known.table.servers_by_name.values()
@@ -115,7 +116,7 @@
     def _exchange(
         self,
         name: str,
-        prepared: tuple[grants.GrantRequest, grants.Exchange],
+        prepared: tuple[grants.GrantRequest, leases.Exchange],
     ) -> None:
         if name in self.silent:
             return
--- a/tests/ownership/test_election.py
+++ b/tests/ownership/test_election.py
@@ -4,6 +4,7 @@
 
 from agatestile.ownership import election
 from agatestile.ownership import grants
+from agatestile.ownership import leases
 from agatestile.ownership import ports
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -13,7 +14,7 @@
 
 def campaign(instance: str, now: float) -> election.Campaign:
     known = scene.state()
-    votes = grants.Votes(scene.DOMAIN, instance, scene.TIMING)
+    votes = leases.Votes(scene.DOMAIN, instance, scene.TIMING)
     votes.set_servers(scene.table()[1:4])
     return election.Campaign(votes, known, now)
 
--- a/tests/ownership/test_gates.py
+++ b/tests/ownership/test_gates.py
@@ -4,6 +4,7 @@
 
 from agatestile.observability import invariants
 from agatestile.ownership import gates
+from agatestile.ownership import permits
 from agatestile.ownership import terms
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -42,8 +43,8 @@
     )
 
 
-def code(answer: gates.Permit | outcomes.Refusal) -> codes.ResultCode:
-    if isinstance(answer, gates.Permit):
+def code(answer: permits.Permit | outcomes.Refusal) -> codes.ResultCode:
+    if isinstance(answer, permits.Permit):
         return codes.ResultCode.ANSWERED
     return answer.code
 
@@ -53,7 +54,7 @@
     table = gate_table()
     table.apply_reply(scene.DOMAIN, reply(10.0))
     permit = table.enter("p1", 5, 11.5)
-    assert isinstance(permit, gates.Permit)
+    assert isinstance(permit, permits.Permit)
     assert permit.expires == 11.6
     assert code(table.check(permit, 11.7)) is codes.ResultCode.LEASE_LAPSED
     assert code(table.permit("p1", 5, 11.7)) is codes.ResultCode.LEASE_LAPSED
@@ -102,8 +103,8 @@
     table = gate_table()
     table.apply_reply(scene.DOMAIN, reply(10.0))
     permit = table.enter("p1", 5, 10.1)
-    assert isinstance(permit, gates.Permit)
-    reference = gates.Reference("price", 0, scene.MIDDLE, 2)
+    assert isinstance(permit, permits.Permit)
+    reference = permits.Reference("price", 0, scene.MIDDLE, 2)
     table.apply_reply(
         scene.DOMAIN, reply(10.2, release=(reference.to_thrift(),))
     )
@@ -122,7 +123,7 @@
     scene.append(known, records.Intent("i", scene.DOMAIN, scene.LEAD, (move,)))
     table.apply_reply(scene.DOMAIN, reply(10.0))
     assert code(table.permit("p1", 5, 10.1)) is codes.ResultCode.RANGE_MOVING
-    assert table.released() == [gates.Reference("price", 0, scene.MIDDLE, 3)]
+    assert table.released() == [permits.Reference("price", 0, scene.MIDDLE, 3)]
 
 
 def test_answer_of_an_earlier_leader_is_ignored() -> None:
--- a/tests/ownership/test_grants.py
+++ b/tests/ownership/test_grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from agatestile.ownership import grants
+from agatestile.ownership import leases
 from agatestile.ownership import terms
 from agatestile.state import records
 
@@ -78,7 +79,7 @@
 
 def test_leader_counts_its_lease_from_before_the_stamp_was_made() -> None:
     """Guards against a leader that relies on a lease already over."""
-    votes = grants.Votes("radom", ONE.instance, TIMING)
+    votes = leases.Votes("radom", ONE.instance, TIMING)
     votes.set_servers([records.TableRow("server", "price", "p1", "radom")])
     votes.term = ONE
     lease = votes.by_server["p1"]
@@ -95,7 +96,7 @@
 
 def test_serve_lease_counts_as_lapsed_only_after_every_grant_sent() -> None:
     """Guards against failover while an unanswered grant still holds."""
-    lease = grants.ServerLease(TIMING)
+    lease = leases.ServerLease(TIMING)
     book = grants.GrantBook("i1", -5.0)
     sent, exchange = lease.ask("radom", ONE, 1.0)
     lease.receive(exchange, book.handle(sent, 1.0), 1.2)
--- a/tests/ownership/test_leadership.py
+++ b/tests/ownership/test_leadership.py
@@ -6,6 +6,7 @@
 
 from agatestile.observability import invariants
 from agatestile.ownership import gates
+from agatestile.ownership import permits
 from agatestile.rpc.generated.agatestile_rpc import ttypes
 from agatestile.state import records
 from tests.ownership import scene
@@ -14,7 +15,7 @@
 def served(domain: scene.Domain, server: str, now: float) -> bool:
     """Tell whether an order for position 5 runs on a server."""
     permit = domain.gates.permit(server, 5, now)
-    return isinstance(permit, gates.Permit) and domain.books[server].accepts(
+    return isinstance(permit, permits.Permit) and domain.books[server].accepts(
         permit.fence, now
     )
 
@@ -144,7 +145,7 @@
         domain.beat(now, "h2", other)
     after = domain.leader.posts["p1"].fence
     assert records.Fence.from_text(after) > records.Fence.from_text(before)
-    assert isinstance(other.permit("p1", 5, now), gates.Permit)
+    assert isinstance(other.permit("p1", 5, now), permits.Permit)
     assert not domain.books["p1"].accepts(before, now)
 
 
@@ -160,9 +161,9 @@
             lease.held_until = now + 1
             domain.leader.note_probe(name, now)
         domain.beat(now)
-    assert isinstance(domain.gates.permit("p1", 5, now), gates.Permit)
+    assert isinstance(domain.gates.permit("p1", 5, now), permits.Permit)
     last, other = now, gates.GateTable(known, scene.TIMING, domain.checks)
-    while not isinstance(other.permit("p1", 5, now), gates.Permit):
+    while not isinstance(other.permit("p1", 5, now), permits.Permit):
         now += 0.05
         assert now < last + 3
         for name, lease in domain.votes.by_server.items():
@@ -170,7 +171,7 @@
             domain.leader.note_probe(name, now)
         domain.beat(now, "h2", other)
     assert now >= last + scene.TIMING.serve_wait
-    assert not isinstance(domain.gates.permit("p1", 5, now), gates.Permit)
+    assert not isinstance(domain.gates.permit("p1", 5, now), permits.Permit)
 
 
 def test_view_changes_its_sequence_only_with_its_contents() -> None:
@@ -184,3 +185,23 @@
     view = domain.leader.view()
     assert view.sequence > sequence
     assert isinstance(view.steps[0], ttypes.RangeStep)
+
+
+def test_owner_waits_until_all_earlier_steps_are_known() -> None:
+    """Guards against a returned owner beside an unknown successor."""
+    known = scene.state()
+    first = scene.Domain(known, 100.0)
+    first.run(100.0, 101.0)
+    first.silent.add("p1")
+    now = first.run(101.0, 103.2)
+    first.silent.clear()
+    now = first.run(now, now + 0.5)
+    second = scene.Domain(
+        known, now + 0.85, "h2#b", first.books, records.Term(1, 3, "h2#b")
+    )
+    second.silent.add("p2")
+    ended = second.run(now + 0.85, now + 1.25)
+    permit = first.gates.permit("p2", 5, ended)
+    assert isinstance(permit, permits.Permit)
+    assert first.books["p2"].accepts(permit.fence, ended)
+    assert not served(second, "p1", ended)
