Move ranges of lost servers without successors

A lost server whose ranges name no live successor kept them until it returned. Its leader now moves them through the log once the lease has lapsed, if need be to another domain.

A leader no longer raises its term with each attempt to write during a log outage, nor after it lost its majority; a candidate takes a term above any that a host knows, since hosts ignore lower ones.

--- a/src/agatestile/ownership/appointments.py
+++ b/src/agatestile/ownership/appointments.py
@@ -23,6 +23,8 @@
 BALANCE = 5.0
 """Interval, seconds, at which a gate moves to a better host. Each move
 makes the server's next gate forget request identifiers, so they are rare."""
+FORGET = 60.0
+"""A host that was silent for this many seconds is forgotten."""
 
 
 class Appointments:
@@ -104,6 +106,7 @@
         if now >= self._balanced_at + BALANCE:
             self._balanced_at = now
             self._balance(now)
+            self._forget_hosts(now)
 
     def _send(self, post: posts.Post, event: str) -> None:
         state = post.chart.state
@@ -243,6 +246,12 @@
         ):
             self._name(post, best, "gates are balanced")
 
+    def _forget_hosts(self, now: float) -> None:
+        holders = {post.host for post in self.posts.values()}
+        for name, host in list(self.hosts.items()):
+            if name not in holders and now - host.seen > FORGET:
+                del self.hosts[name]
+
     def _log(
         self, post: posts.Post, code: codes.ResultCode, reason: str
     ) -> None:
--- a/src/agatestile/ownership/driver.py
+++ b/src/agatestile/ownership/driver.py
@@ -24,6 +24,7 @@
     from agatestile.observability import invariants
     from agatestile.ownership import handover as moves
     from agatestile.state import cluster
+    from agatestile.state import records
 
 LOG = logging.getLogger(__name__)
 
@@ -89,6 +90,7 @@
         self._checks = checks
         self._heard_at = -1.0
         self._refused = ""
+        self._rival = terms.NO_TERM
         self._leading: leading.Leading | None = None
         self._calls = exchanges.Exchanges(used.servers, state)
         self._standing = standing.Standing(
@@ -148,6 +150,10 @@
         self._wake = anyio.Event()
         return woken or self._heard_at > heard
 
+    def known_term(self) -> records.Term:
+        """Return the highest term that a host is known to have heard of."""
+        return max(self._rival, self._gates.view(self.domain).known_term)
+
     async def find_leader(self, named: str) -> bool:
         """Turn to the host that the servers name; True if it leads."""
         if not named or named in (self.leader, self._me.name):
@@ -267,6 +273,7 @@
             await led.run()
         finally:
             self._leading = None
+        self._rival = max(self._rival, led.leadership.rival)
         is_held = led.leadership.may_act(anyio.current_time())
         self._note("resigned" if is_held else "lapsed")
         self.leader = ""
--- a/src/agatestile/ownership/election.py
+++ b/src/agatestile/ownership/election.py
@@ -127,8 +127,14 @@
         ]
         return terms.host_of(max(held).instance) if held else ""
 
-    def stand(self) -> None:
-        """Take a term above all that the servers and the log know."""
+    def stand(self, known: records.Term = terms.NO_TERM) -> None:
+        """Take a term above all that servers, log and hosts know.
+
+        Parameters
+        ----------
+        known : records.Term
+            Highest term that a host is known to have heard of.
+        """
         domain = self._state.domain(self.votes.domain)
         seen = [
             reply.term
@@ -136,7 +142,11 @@
             if reply.term is not None
         ]
         seen.append(records.Term(domain.lead_offset, 0, ""))
+        seen.append(known)
         if domain.term is not None:
             seen.append(domain.term)
         self.votes.term = terms.next_term(seen, self.votes.instance)
+        self.votes.highest_epoch = max(
+            self.votes.highest_epoch, self.votes.term.epoch
+        )
         self._is_voting = True
--- a/src/agatestile/ownership/handover.py
+++ b/src/agatestile/ownership/handover.py
@@ -9,7 +9,6 @@
 from agatestile.ownership import permits
 from agatestile.ownership import terms
 from agatestile.ownership import vacating
-from agatestile.state import ranges
 from agatestile.state import records
 
 if typing.TYPE_CHECKING:
@@ -18,7 +17,6 @@
     from agatestile.ownership import leadership
     from agatestile.state import cluster
 
-RANGES_PER_SERVER = 8
 MAX_CHANGES = 256
 """Changes in one Intent; keeps a record below about 64 KiB."""
 TAKE_OVER_DELAY = 1.0
@@ -42,45 +40,10 @@
         return ()
     changes: list[records.RangeChange] = []
     for service in sorted(state.ranges_by_service):
-        changes.extend(_assign_service(state, service))
+        changes.extend(vacating.assign_unowned(state, service))
     return tuple(changes)
 
 
-def _assign_service(
-    state: cluster.ClusterState, service: str
-) -> list[records.RangeChange]:
-    chooser = vacating.Chooser(state, service)
-    unowned = [
-        current
-        for current in state.ranges_by_service[service]
-        if not current.server and current.intent == ranges.NO_INTENT
-    ]
-    if not chooser.rows or not unowned:
-        return []
-    changes = []
-    for current in unowned:
-        pieces = 1
-        if current.end - current.start == ranges.END:
-            pieces = RANGES_PER_SERVER * len(chooser.rows)
-        width = (current.end - current.start) // pieces
-        for index in range(pieces):
-            last = index == pieces - 1
-            start = current.start + index * width
-            end = current.end if last else start + width
-            server, successors = chooser.choose()
-            changes.append(
-                records.RangeChange(
-                    service,
-                    start,
-                    end,
-                    (current.version,),
-                    server,
-                    successors,
-                )
-            )
-    return changes
-
-
 def releases(
     leader: leadership.Leadership, now: float
 ) -> dict[str, list[permits.Reference]]:
@@ -149,7 +112,7 @@
         self._leader = leader
         self._first_term = leader.votes.term
         self._proposed: list[records.RangeChange] = []
-        self._idle_at: tuple[int, int, int] | None = None
+        self._idle_at: tuple[typing.Any, ...] | None = None
         self._unowned_since: float | None = None
 
     def propose(
@@ -183,15 +146,17 @@
                 return self._assign(ready)
         return self._plan(now)
 
-    def note_applied(self, record: records.Record, offset: int) -> None:
+    def note_applied(
+        self, record: records.Record, offset: int, now: float
+    ) -> None:
         """Take the offset at which a record was applied."""
-        if isinstance(record, records.Lead):
+        if isinstance(record, records.Lead) and self._leader.may_act(now):
             self._leader.votes.raise_epoch(offset)
 
     def _lead(self) -> records.Record:
         votes = self._leader.votes
         registered = self._leader.state.domain(self._leader.domain).term
-        if registered is not None and registered >= self._first_term:
+        if registered is not None and votes.term <= registered:
             votes.term = terms.next_term(
                 (votes.term, registered), votes.instance
             )
@@ -234,7 +199,10 @@
 
     def _plan(self, now: float) -> records.Record | None:
         state, steps = self._leader.state, self._leader.steps
-        seen = (state.offset, steps.sequence, len(self._proposed))
+        lost = frozenset(
+            name for name, post in self._leader.posts.items() if post.is_lost
+        )
+        seen = (state.offset, steps.sequence, len(self._proposed), lost)
         if seen == self._idle_at:
             return None
         unowned = initial_assignment(state, self._leader.domain)
@@ -246,8 +214,10 @@
             return self._assign(unowned)
         self._unowned_since = None
         changes = vacating.confirm_steps(state, steps)
+        if not changes and lost:
+            changes = vacating.rescue(state, steps, lost)
         if not changes:
-            changes = vacating.vacate(state, steps, self._leader.domain)
+            changes = vacating.vacate(state, self._leader.domain, lost)
         if not changes:
             changes, self._proposed = self._proposed, []
         if changes:
--- a/src/agatestile/ownership/leadership.py
+++ b/src/agatestile/ownership/leadership.py
@@ -49,6 +49,8 @@
         The hosts that sent heartbeats, by name.
     chart : interpreter.Chart
         State of the failure domain.
+    rival : records.Term
+        Term above this leader's that a host knows.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.steps = succession.Steps()
         self.chart = interpreter.Chart("domain")
         self.is_deposed = False
+        self.rival = terms.NO_TERM
         self._timing = votes.timing
         self._appointments = appointments.Appointments(
             votes, state, checks, now
@@ -150,6 +153,7 @@
         known = terms.from_thrift(heartbeat.known_term)
         if known > self.votes.term:
             self.is_deposed = True
+            self.rival = max(self.rival, known)
         if not self.may_act(now):
             return refuse_heartbeat(heartbeat, "")
         host = self.hosts.get(heartbeat.host)
--- a/src/agatestile/ownership/leading.py
+++ b/src/agatestile/ownership/leading.py
@@ -24,7 +24,9 @@
 """Interval of a leader's decisions, seconds; bounds how late it sees that
 a lease has ended."""
 LOG_PAUSE = 0.25
-"""Pause after the log refused a record, seconds."""
+MAX_LOG_PAUSE = 2.0
+"""Pauses after the log refused a record, seconds; each is twice as long as
+the one before."""
 
 
 class Leading:
@@ -134,6 +136,9 @@
                 tasks.start_soon(self._announce_to, host)
 
     async def _announce_to(self, host: ports.Host) -> None:
+        # A term raised after the majority was lost must not reach hosts.
+        if not self.leadership.may_act(anyio.current_time()):
+            return
         self._announcing.add(host.name)
         try:
             await self._ports.peers.call(
@@ -147,26 +152,29 @@
             self._announcing.discard(host.name)
 
     async def _write_log(self) -> None:
+        pause, shown = LOG_PAUSE, ""
         while True:
             record = self.handover.next_record(anyio.current_time())
             if record is None:
                 await anyio.sleep(TICK)
                 continue
             offset = await self._ports.appender.append(record)
+            kind = type(record).__name__
             if isinstance(offset, outcomes.Refusal):
-                LOG.warning(
-                    "lead: %s %s not in force: %s",
-                    self.leadership.domain,
-                    type(record).__name__,
-                    offset,
-                )
-                await anyio.sleep(LOG_PAUSE)
+                refusal = f"{kind} not in force: {offset}"
+                if refusal != shown:
+                    LOG.warning("lead: %s %s", self.leadership.domain, refusal)
+                shown = refusal
+                await anyio.sleep(pause)
+                pause = min(2 * pause, MAX_LOG_PAUSE)
                 continue
-            self.handover.note_applied(record, offset)
+            pause, shown = LOG_PAUSE, ""
+            now = anyio.current_time()
+            self.handover.note_applied(record, offset, now)
             LOG.info(
                 "lead: %s %s at offset %d, %d changes, result %d",
                 self.leadership.domain,
-                type(record).__name__,
+                kind,
                 offset,
                 len(getattr(record, "changes", ())),
                 codes.ResultCode.ANSWERED,
--- a/src/agatestile/ownership/standing.py
+++ b/src/agatestile/ownership/standing.py
@@ -38,6 +38,9 @@
     async def pause(self, seconds: float) -> bool:
         """Wait; True if a leader was heard of meanwhile."""
 
+    def known_term(self) -> records.Term:
+        """Return the highest term that a host is known to have heard of."""
+
 
 class Standing:
     """Runs a host's campaigns in one failure domain.
@@ -114,7 +117,7 @@
             await self._poll(tasks, campaign, campaign.has_answers)
             if campaign.wait() != 0:
                 return _refuse("another candidate was first")
-        campaign.stand()
+        campaign.stand(contest.known_term())
         await self._poll(
             tasks,
             campaign,
@@ -155,6 +158,7 @@
         if await contest.pause(self.stagger(leaves)):
             return _refuse("another host leads")
         seen = [records.Term(domain.lead_offset, 0, "")]
+        seen.append(contest.known_term())
         if domain.term is not None:
             seen.append(domain.term)
         votes = leases.LogVotes(
--- a/src/agatestile/ownership/vacating.py
+++ b/src/agatestile/ownership/vacating.py
@@ -13,6 +13,7 @@
     from agatestile.state import cluster
 
 SUCCESSORS = 2
+RANGES_PER_SERVER = 8
 
 
 class Chooser:
@@ -24,6 +25,8 @@
         The present state.
     service : str
         Name of the service.
+    exclude : set of str
+        Servers that get no ranges.
 
     Attributes
     ----------
@@ -31,12 +34,18 @@
         Active servers in domains that are in.
     """
 
-    def __init__(self, state: cluster.ClusterState, service: str) -> None:
+    def __init__(
+        self,
+        state: cluster.ClusterState,
+        service: str,
+        exclude: frozenset[str] = frozenset(),
+    ) -> None:
         self.rows = sorted(
             (
                 row
                 for row in state.table.servers_by_service.get(service, ())
                 if row.state == "active"
+                and row.server not in exclude
                 and state.domain(row.domain).state == "in"
             ),
             key=lambda row: row.server,
@@ -78,6 +87,42 @@
         return tuple(others[:SUCCESSORS])
 
 
+def assign_unowned(
+    state: cluster.ClusterState, service: str
+) -> list[records.RangeChange]:
+    """Return owners for the unowned ranges of a service."""
+    chooser = Chooser(state, service)
+    unowned = [
+        current
+        for current in state.ranges_by_service[service]
+        if not current.server and current.intent == ranges.NO_INTENT
+    ]
+    if not chooser.rows or not unowned:
+        return []
+    changes = []
+    for current in unowned:
+        pieces = 1
+        if current.end - current.start == ranges.END:
+            pieces = RANGES_PER_SERVER * len(chooser.rows)
+        width = (current.end - current.start) // pieces
+        for index in range(pieces):
+            last = index == pieces - 1
+            start = current.start + index * width
+            end = current.end if last else start + width
+            server, successors = chooser.choose()
+            changes.append(
+                records.RangeChange(
+                    service,
+                    start,
+                    end,
+                    (current.version,),
+                    server,
+                    successors,
+                )
+            )
+    return changes
+
+
 def confirm_steps(
     state: cluster.ClusterState, steps: succession.Steps
 ) -> list[records.RangeChange]:
@@ -101,8 +146,32 @@
     return changes
 
 
+def rescue(
+    state: cluster.ClusterState,
+    steps: succession.Steps,
+    lost: frozenset[str],
+) -> list[records.RangeChange]:
+    """Return moves of ranges whose lost owner has no live successor."""
+    changes = []
+    for service, range_map in state.ranges_by_service.items():
+        if lost.isdisjoint(range_map.owners()):
+            continue
+        chooser = Chooser(state, service, lost)
+        for current in range_map:
+            owner = steps.owner_of(state, service, current)
+            if (
+                owner in lost
+                and current.intent == ranges.NO_INTENT
+                and chooser.rows
+            ):
+                near = state.table.domain_of(owner)
+                server, successors = chooser.choose(near)
+                changes.append(_change(service, current, server, successors))
+    return changes
+
+
 def vacate(
-    state: cluster.ClusterState, steps: succession.Steps, domain: str
+    state: cluster.ClusterState, domain: str, lost: frozenset[str]
 ) -> list[records.RangeChange]:
     """Return the moves off servers and domains that go out of service."""
     changes = []
@@ -115,7 +184,7 @@
     if not leaving:
         return []
     for service, range_map in state.ranges_by_service.items():
-        chooser = Chooser(state, service)
+        chooser = Chooser(state, service, lost)
         if not chooser.rows:
             continue
         for current in range_map:
