--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -8,6 +8,7 @@
 from agatestile.admin import application as admin_application
 from agatestile.admin import operations as admin_operations
 from agatestile.admin import peers as admin_peers
+from agatestile.admin import reports as admin_reports
 from agatestile.daemon import adapters
 from agatestile.daemon import handler as peer_handler
 from agatestile.daemon import listeners
@@ -21,6 +22,7 @@
 from agatestile.membership import client as membership_client
 from agatestile.observability import invariants
 from agatestile.observability import metrics
+from agatestile.observability import requests
 from agatestile.ownership import driver
 from agatestile.ownership import grant_client
 from agatestile.ownership import ports
@@ -123,6 +125,7 @@
         admin_peers.PeerStatuses(settings.host, members),
         {
             "ownership": ownership.status,
+            "limits": lambda: admin_reports.limits(gateway.gates.by_server),
             "running": lambda: gateway.running,
         },
     )
@@ -150,10 +153,14 @@
         ),
         listeners_by_name={
             "callers": listeners.Listener(
-                "callers", gateway.callers, str(settings.listen.callers)
+                "callers",
+                requests.counted(gateway.callers, chosen_metrics, "entry"),
+                str(settings.listen.callers),
             ),
             "forward": listeners.Listener(
-                "forward", gateway.forward, str(settings.listen.forward)
+                "forward",
+                requests.counted(gateway.forward, chosen_metrics, "gate"),
+                str(settings.listen.forward),
             ),
             "admin": listeners.Listener(
                 "admin",
--- a/src/agatestile/ownership/gates.py
+++ b/src/agatestile/ownership/gates.py
@@ -25,6 +25,8 @@
     fence: str
     stamp: float
     domain: str
+    running: int
+    warm_incarnation: str
 
 
 class _View:
@@ -111,21 +113,27 @@
             return None
         for reference in reply.release or ():
             self._released.add(permits.Reference.from_thrift(reference))
-        grants = {grant.server: grant.fence for grant in reply.grants or ()}
+        grants = {grant.server: grant for grant in reply.grants or ()}
         self._take_grants(domain, grants, reply.stamp)
         return reply.view
 
     def _take_grants(
-        self, domain: str, grants: dict[str, str], stamp: float
+        self, domain: str, grants: dict[str, ttypes.GateGrant], stamp: float
     ) -> None:
         for server, holding in list(self._holdings.items()):
             if holding.domain == domain and server not in grants:
                 del self._holdings[server]
-        for server, fence in grants.items():
-            if self._fences.get(server) != fence:
+        for server, grant in grants.items():
+            if self._fences.get(server) != grant.fence:
                 self._take_over(server)
-                self._fences[server] = fence
-            self._holdings[server] = _Holding(fence, stamp, domain)
+                self._fences[server] = grant.fence
+            self._holdings[server] = _Holding(
+                grant.fence,
+                stamp,
+                domain,
+                grant.running or 0,
+                grant.warm_incarnation or "",
+            )
 
     def _take_over(self, server: str) -> None:
         """Release ranges that an earlier gate of the server may have.
@@ -165,7 +173,13 @@
         ):
             return permits.refuse(codes.ResultCode.LEASE_LAPSED, server)
         return permits.Permit(
-            server, holding.fence, expires, row.service, position
+            server,
+            holding.fence,
+            expires,
+            row.service,
+            position,
+            holding.running,
+            holding.warm_incarnation,
         )
 
     def enter(
--- a/src/agatestile/ownership/permits.py
+++ b/src/agatestile/ownership/permits.py
@@ -30,6 +30,11 @@
         Service of the server.
     position : int
         Position of the request's key.
+    running : int
+        Requests that the server ran when this host became its gate.
+    warm_incarnation : str
+        Incarnation that the earlier gate used at full capacity, empty if
+        the server may be cold.
     """
 
     server: str
@@ -37,6 +42,8 @@
     expires: float
     service: str
     position: int
+    running: int = 0
+    warm_incarnation: str = ""
 
 
 class Reference(typing.NamedTuple):
--- a/src/agatestile/ownership/posts.py
+++ b/src/agatestile/ownership/posts.py
@@ -76,6 +76,8 @@
         Host that is the gate with this fence.
     is_told : bool
         Whether a host was told that it is the gate with this fence.
+    warm_incarnation : str
+        Incarnation that a gate last used at full capacity.
     chart : interpreter.Chart
         State of the server.
     """
@@ -89,8 +91,31 @@
         self.host = ""
         self.instance = ""
         self.is_told = False
+        self.warm_incarnation = ""
         self.chart = interpreter.Chart("server")
 
+    def note_report(self, report: ttypes.GateReport) -> None:
+        """Take the report of the host that is the gate."""
+        if report.fence == self.fence:
+            self.warm_incarnation = report.warm_incarnation or ""
+
+    def to_grant(self) -> ttypes.GateGrant:
+        """Return the message that tells the host of its gate.
+
+        A gate that takes over a warm server need not start slowly, unless
+        the server was started again in the meantime.
+        """
+        reply = self.lease.reply
+        if reply is None:
+            return ttypes.GateGrant(self.row.server, self.fence, 0, "")
+        is_warm = reply.incarnation == self.warm_incarnation
+        return ttypes.GateGrant(
+            self.row.server,
+            self.fence,
+            reply.running,
+            self.warm_incarnation if is_warm else "",
+        )
+
     @property
     def is_settled(self) -> bool:
         """Whether no gate of an earlier leader is left unknown.
