--- a/tests/state/scenes.py
+++ b/tests/state/scenes.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-import typing
+import itertools
 
+from agatestile.results import codes
+from agatestile.results import outcomes
 from agatestile.state import cluster
 from agatestile.state import ranges
 from agatestile.state import records
@@ -11,6 +13,7 @@
 
 DOMAINS = ("warszawa-a", "radom")
 TERMS = {name: records.Term(0, 1, f"{name}#1") for name in DOMAINS}
+_NUMBERS = itertools.count()
 CSV = """\
 kind,service,server,domain,address,slots,connections,timeout_ms,on_cut
 service,prices,,,,,,500,stay
@@ -26,8 +29,8 @@
 def rows(text: str = CSV) -> tuple[records.TableRow, ...]:
     """Return the rows of a sheet that must be right."""
     found = table.from_csv(text)
-    assert isinstance(found, tuple) and not hasattr(found, "code"), found
-    return typing.cast(tuple[records.TableRow, ...], found)
+    assert not isinstance(found, outcomes.Refusal), found
+    return found
 
 
 def change(
@@ -44,12 +47,33 @@
 
 def assign(domain: str, *changes: records.RangeChange) -> records.Assign:
     """Return an Assign of the domain's leader."""
-    return records.Assign("a", domain, TERMS[domain], changes)
+    return records.Assign(f"a{next(_NUMBERS)}", domain, TERMS[domain], changes)
 
 
 def intent(domain: str, *changes: records.RangeChange) -> records.Intent:
     """Return an Intent of the domain's leader."""
-    return records.Intent("i", domain, TERMS[domain], changes)
+    return records.Intent(f"i{next(_NUMBERS)}", domain, TERMS[domain], changes)
+
+
+def refused(
+    state: cluster.ClusterState, offset: int, record: records.Record
+) -> codes.ResultCode:
+    """Apply a record that must be refused and return the code."""
+    return code_of(state.apply(offset, record))
+
+
+def code_of(answer: object) -> codes.ResultCode:
+    """Return the code of an answer that must be a refusal."""
+    assert isinstance(answer, outcomes.Refusal), answer
+    return answer.code
+
+
+def applied(
+    state: cluster.ClusterState, offset: int, record: records.Record
+) -> None:
+    """Apply a record that must take effect."""
+    answer = state.apply(offset, record)
+    assert isinstance(answer, cluster.Applied), answer
 
 
 def led_state() -> cluster.ClusterState:
@@ -64,5 +88,5 @@
         assign("warszawa-a", change("promotions", *whole, "q1")),
     ]
     for offset, record in enumerate(setup):
-        assert isinstance(state.apply(offset, record), cluster.Applied)
+        applied(state, offset, record)
     return state
