Test the gate of a server over loopback

A gate that cannot be reached is NO_GATE now, and only this makes the entry route again; CONNECT_FAILED tells of the server.

--- a/src/agatestile/gateway/entry.py
+++ b/src/agatestile/gateway/entry.py
@@ -32,9 +32,9 @@
 _CODES = codes.ResultCode
 _REROUTED = frozenset(
     (
+        _CODES.NO_GATE,
         _CODES.NOT_GATE,
         _CODES.LEASE_LAPSED,
-        _CODES.CONNECT_FAILED,
         _CODES.RANGE_MOVING,
         _CODES.SHUTTING_DOWN,
     )
--- a/src/agatestile/gateway/forwarding.py
+++ b/src/agatestile/gateway/forwarding.py
@@ -93,6 +93,9 @@
             call, lane, _headers(call, address, now)
         )
         if isinstance(response, outcomes.Refusal):
+            if response.code == _CODES.CONNECT_FAILED:
+                # That code tells of the server; here the gate is missing.
+                response = response._replace(code=_CODES.NO_GATE)
             return response, False
         code = _code_of(response)
         if code is None:
--- /dev/null
+++ b/tests/gateway/scenes.py
@@ -0,0 +1,301 @@
+"""A gateway between a raw caller and a server that tests script."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import typing
+
+import anyio
+
+from agatestile.gateway import application
+from agatestile.gateway import listener
+from agatestile.gateway import options
+from agatestile.observability import invariants
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.routing import router
+from agatestile.routing import views
+from agatestile.rpc.generated.agatestile_rpc import ttypes
+from agatestile.state import cluster
+from agatestile.state import records
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+END = 1 << 62
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class Permit(typing.NamedTuple):
+    """Leave to send."""
+
+    server: str
+    fence: str
+    expires: float
+
+
+class Permits:
+    """Leases that a test gives and takes."""
+
+    def __init__(self, server: str) -> None:
+        self.server = server
+        self.fence = "1.1.1.a"
+        self.lapsed = False
+        self.running = 0
+
+    def enter(
+        self, server: str, position: int, now: float
+    ) -> Permit | outcomes.Refusal:
+        permit = self.check(Permit(server, self.fence, now + 1.6), now)
+        if isinstance(permit, Permit):
+            self.running += 1
+        return permit
+
+    def check(
+        self, permit: typing.Any, now: float
+    ) -> Permit | outcomes.Refusal:
+        if permit.server != self.server:
+            return outcomes.Refusal(codes.ResultCode.NOT_GATE, "not gate")
+        if self.lapsed:
+            return outcomes.Refusal(codes.ResultCode.LEASE_LAPSED, "lapsed")
+        return Permit(permit.server, self.fence, now + 1.6)
+
+    def leave(self, permit: typing.Any) -> None:
+        self.running -= 1
+
+
+class Request(typing.NamedTuple):
+    """Request as a server sees it."""
+
+    line: str
+    headers: dict[str, str]
+    connection: int
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def body(self) -> bytes:
+        length = int(self.headers.get("content-length", "0"))
+        return await self.reader.readexactly(length)
+
+    async def answer(self, data: bytes = OK) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+
+Script = typing.Callable[[Request], typing.Awaitable[None]]
+
+
+class Server:
+    """Backend server whose answers are a script of the test."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.address = ""
+        self.requests: list[Request] = []
+        self.connections = 0
+        self.running = self.highest = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        number = self.connections
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing():
+                head = await reader.readuntil(b"\r\n\r\n")
+                line, *lines = head.decode().split("\r\n")
+                pairs = [text.split(": ", 1) for text in lines if text]
+                headers = {name.lower(): value for name, value in pairs}
+                request = Request(line, headers, number, reader, writer)
+                self.requests.append(request)
+                self.running += 1
+                self.highest = max(self.highest, self.running)
+                try:
+                    await self.script(request)
+                finally:
+                    self.running -= 1
+        writer.close()
+
+
+class Reply(typing.NamedTuple):
+    """What a caller received until the connection was closed."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_complete: bool
+
+    @property
+    def code(self) -> int:
+        return int(self.headers["x-agatestile-code"])
+
+    @property
+    def run(self) -> str:
+        run = self.headers["x-agatestile-run"]
+        if self.code:
+            assert json.loads(self.body)["run"] == run
+        return run
+
+
+class Scene(typing.NamedTuple):
+    """One gateway in front of one scripted server."""
+
+    gateway: application.Application
+    callers: str
+    forward: str
+    server: Server
+    permits: Permits
+    checks: invariants.Invariants
+    tasks: anyio.abc.TaskGroup
+    listeners: list[listener.Listener]
+
+    async def ask(
+        self,
+        target: str = "/prices/k",
+        method: str = "GET",
+        body: bytes = b"",
+        **headers: str,
+    ) -> Reply:
+        return await ask(self.callers, target, method, body, **headers)
+
+    def warm(self) -> None:
+        """Skip the cold start, which has tests of its own."""
+        gate = self.gateway.gates._gate_of("p1", None)
+        assert gate is not None
+        gate._fence = self.permits.fence
+        gate._fence_text = gate._fence.encode()
+
+
+def state_of(address: str, **columns: typing.Any) -> cluster.ClusterState:
+    """Return a state in which server p1 owns all keys of prices."""
+    service = {
+        "timeout_ms": 1000,
+        "queue": 2,
+        "queue_ms": 300,
+        "body_limit": 50_000_000,
+        **columns,
+    }
+    slots = service.pop("slots", 2)
+    rows = (
+        records.TableRow(kind="service", service="prices", **service),
+        records.TableRow(
+            kind="server",
+            service="prices",
+            server="p1",
+            domain="radom",
+            address=address,
+            slots=slots,
+            connections=130,
+        ),
+    )
+    term = records.Term(0, 1, "a")
+    change = records.RangeChange("prices", 0, END, (0,), "p1")
+    state = cluster.ClusterState()
+    state.apply(0, records.TableChange("1", "o", -1, rows))
+    state.apply(1, records.Lead("2", "radom", term))
+    state.apply(2, records.Assign("3", "radom", term, (change,)))
+    return state
+
+
+def views_of(host: str, forward: str) -> views.RouteViews:
+    """Return views in which a host is the gate of p1."""
+    route_views = views.RouteViews()
+    gate = ttypes.GateAddress("p1", host, forward)
+    route_views.update(
+        ttypes.RouteView("radom", ttypes.Term(0, 1, "a"), 1, [gate], [])
+    )
+    return route_views
+
+
+@contextlib.asynccontextmanager
+async def scene(
+    script: Script,
+    limits: options.Options | None = None,
+    **columns: typing.Any,
+) -> collections.abc.AsyncIterator[Scene]:
+    """Run a gateway that is the gate of a scripted server."""
+    server = Server(script)
+    listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    host, port = listening.sockets[0].getsockname()
+    server.address = f"{host}:{port}"
+    permits, checks = Permits("p1"), invariants.Invariants()
+    state = state_of(server.address, **columns)
+    gateway = application.Application(
+        "h1",
+        state,
+        router.Router(state, views_of("h1", "127.0.0.1:1")),
+        permits,
+        checks,
+        limits,
+    )
+    bounds = limits or options.Options()
+    listeners = [
+        listener.Listener(app, "127.0.0.1:0", bounds)
+        for app in (gateway.callers, gateway.forward)
+    ]
+    async with anyio.create_task_group() as tasks:
+        for runner in (*[some.run for some in listeners], gateway.run):
+            await tasks.start(runner)
+        made = Scene(
+            gateway,
+            listeners[0].address,
+            listeners[1].address,
+            server,
+            permits,
+            checks,
+            tasks,
+            listeners,
+        )
+        made.warm()
+        yield made
+        tasks.cancel_scope.cancel()
+    listening.close()
+    assert not checks.violations_by_name
+
+
+async def connect(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a caller's connection."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def ask(
+    address: str,
+    target: str = "/prices/k",
+    method: str = "GET",
+    body: bytes = b"",
+    **headers: str,
+) -> Reply:
+    """Send one request on a connection of its own."""
+    reader, writer = await connect(address)
+    lines = [f"{method} {target} HTTP/1.1", "host: x", "connection: close"]
+    if body or method == "POST":
+        lines.append(f"content-length: {len(body)}")
+    lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+    writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+    return await read(reader, writer)
+
+
+async def read(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> Reply:
+    """Read a reply until the connection is closed."""
+    data = b""
+    with contextlib.suppress(ConnectionError):
+        while part := await reader.read(65536):
+            data += part
+    writer.close()
+    head, _, body = data.partition(b"\r\n\r\n")
+    if not head:
+        return Reply(0, {}, b"", False)
+    line, *lines = head.decode().split("\r\n")
+    headers = dict(text.split(": ", 1) for text in lines)
+    if "content-length" in headers:
+        is_complete = len(body) == int(headers["content-length"])
+    else:
+        is_complete = body.endswith(b"0\r\n\r\n")
+    return Reply(int(line.split()[1]), headers, body, is_complete)
