--- /dev/null
+++ b/tests/limits/test_budget.py
@@ -0,0 +1,28 @@
+"""Retry budget."""
+
+from __future__ import annotations
+
+from agatestile.limits import budget
+
+
+def test_retries_are_a_tenth_of_recent_requests() -> None:
+    # Without the bound, an outage doubles the load.
+    made = budget.RetryBudget()
+    for number in range(1000):
+        made.on_request(100.0 + number / 200.0)
+    assert sum(made.spend(105.0) for _ in range(500)) == 100
+
+
+def test_requests_older_than_the_window_do_not_count() -> None:
+    made = budget.RetryBudget()
+    for _ in range(1000):
+        made.on_request(100.0)
+    assert sum(made.spend(111.0) for _ in range(500)) == budget.FLOOR
+    assert not made.spend(115.0)
+    assert made.spend(122.0)
+
+
+def test_first_retry_of_a_quiet_daemon_is_allowed() -> None:
+    made = budget.RetryBudget()
+    made.on_request(1.0)
+    assert made.spend(1.0)
