--- a/src/agatestile/gateway/application.py
+++ b/src/agatestile/gateway/application.py
@@ -11,11 +11,13 @@
 from agatestile.gateway import bodies
 from agatestile.gateway import calls
 from agatestile.gateway import clock
+from agatestile.gateway import decisions
 from agatestile.gateway import entry
 from agatestile.gateway import forwarding
 from agatestile.gateway import options as gateway_options
 from agatestile.gateway import parsing
 from agatestile.gateway import responses
+from agatestile.gateway import watching
 from agatestile.limits import budget
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -34,12 +36,6 @@
 
 LOG = logging.getLogger(__name__)
 
-SWEEP_SECONDS = 0.02
-"""How often waiting requests are looked at for silent lanes and callers
-that left. Most requests end before the first look and cost nothing."""
-
-IDLE_SWEEP_SECONDS = 1.0
-
 CALLS_LIMIT = 4096
 """Requests in progress. With 256 KiB each it would bound the memory for
 bodies at 1 GiB; requests beyond it are refused before their body is read."""
@@ -93,7 +89,7 @@
         self._entry = entry.Entry(
             host, router, self.gates, self._forwarder, self._retries
         )
-        self._calls: dict[int, calls.Call] = {}
+        self._watcher = watching.Watcher()
         self._running = 0
         self._is_closing = False
         self._idle = anyio.Event()
@@ -127,17 +123,13 @@
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Watch the requests in progress until cancelled."""
-        next_idle = 0.0
         async with anyio.create_task_group() as group:
             task_status.started()
             while True:
-                await anyio.sleep(SWEEP_SECONDS)
+                await anyio.sleep(watching.SWEEP_SECONDS)
                 now = clock.now()
-                for call in list(self._calls.values()):
-                    self._look_at(call, now, group)
-                if now >= next_idle:
-                    next_idle = now + IDLE_SWEEP_SECONDS
-                    self._forwarder.sweep(now)
+                self._watcher.sweep(now, group)
+                self._forwarder.sweep(now)
                 self.gates.sweep(now)
 
     def begin_shutdown(self) -> None:
@@ -164,7 +156,7 @@
         try:
             request = self._accept(scope)
             if isinstance(request, outcomes.Refusal):
-                _log(role, None, request, started)
+                decisions.log(role, None, request, started)
                 if _has_body(scope):
                     await responses.send_early_error((receive, send), request)
                 else:
@@ -204,8 +196,7 @@
     async def _run_call(
         self, call: calls.Call, handler: Handler, role: str
     ) -> None:
-        key = id(call)
-        self._calls[key] = call
+        self._watcher.add(call)
         refusal: outcomes.Refusal | None = None
         has_left = False
         try:
@@ -214,8 +205,7 @@
         except bodies.CallerLeft:
             has_left = True
         finally:
-            call.is_done = True
-            del self._calls[key]
+            self._watcher.remove(call)
         if call.scope.cancelled_caught:
             has_left = call.has_left
             refusal = call.timed_out()
@@ -223,7 +213,7 @@
             refusal = _left(call)
         if refusal is not None:
             refusal = call.truthful(refusal)
-        _log(role, call, refusal, call.started)
+        decisions.log(role, call, refusal, call.started)
         if refusal is None or call.responded or has_left:
             return
         if call.body.is_read:
@@ -253,18 +243,6 @@
             request, service, body, channels, (now, now + timeout), scope
         )
 
-    def _look_at(
-        self, call: calls.Call, now: float, group: anyio.abc.TaskGroup
-    ) -> None:
-        lane = call.lane
-        if lane is not None and 0.0 < call.silent_at <= now:
-            call.went_silent = True
-            call.silent_at = 0.0
-            lane.close()
-        if call.body.is_read and not call.is_watched:
-            call.is_watched = True
-            group.start_soon(_watch, call)
-
 
 async def _handle(
     call: calls.Call, handler: Handler
@@ -287,16 +265,6 @@
         )
 
 
-async def _watch(call: calls.Call) -> None:
-    """Cancel a request whose caller closes its connection."""
-    message = await call.receive()
-    while message["type"] != "http.disconnect":
-        message = await call.receive()
-    if not call.is_done:
-        call.has_left = True
-        call.scope.cancel()
-
-
 def _left(call: calls.Call) -> outcomes.Refusal:
     code = (
         _CODES.DEADLINE_PASSED
@@ -311,36 +279,3 @@
         name in (b"content-length", b"transfer-encoding")
         for name, _ in scope["headers"]
     )
-
-
-def _log(
-    role: str,
-    call: calls.Call | None,
-    refusal: outcomes.Refusal | None,
-    started: float,
-) -> None:
-    """Write the line of a routing decision."""
-    if not LOG.isEnabledFor(logging.INFO):
-        return
-    if refusal is None:
-        code, reason = _CODES.ANSWERED, "answered"
-    else:
-        code, reason = refusal
-    spent = (clock.now() - started) * 1000.0
-    if call is None:
-        LOG.info("route: %s - code=%d %s: %s", role, code, code.name, reason)
-        return
-    LOG.info(
-        "route: %s %s position=%d server=%s gate=%s code=%d %s run=%s "
-        "ms=%.1f: %s",
-        role,
-        call.request.service,
-        call.position,
-        call.server or "-",
-        call.gate or "-",
-        code,
-        code.name,
-        call.run,
-        spent,
-        reason,
-    )
--- a/src/agatestile/gateway/servers.py
+++ b/src/agatestile/gateway/servers.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import itertools
 import logging
 import typing
 
 from agatestile.gateway import clock
+from agatestile.gateway import exchange
 from agatestile.gateway import lanes
 from agatestile.gateway import responses
 from agatestile.gateway import transfers
@@ -16,10 +16,8 @@
 from agatestile.results import outcomes
 
 if typing.TYPE_CHECKING:
-    from agatestile.gateway import asgi
     from agatestile.gateway import calls
     from agatestile.gateway import ports
-    from agatestile.gateway import wire
     from agatestile.limits import budget
     from agatestile.observability import invariants
     from agatestile.state import records
@@ -30,26 +28,9 @@
 """How long a slot stays in use after its connection was closed while the
 request ran, for the server to notice."""
 
-SILENCE_LEAST = 0.25
-SILENCE_FACTOR = 8.0
-"""A reused lane without an answer counts as silent after this many times
-the 99% quantile, since established connections can stop working while new
-ones do (section 1.2 of the design)."""
-
 _CODES = codes.ResultCode
 
 
-class _Attempt:
-    """What one use of a slot showed."""
-
-    __slots__ = ("hold_until", "latency", "shed")
-
-    def __init__(self) -> None:
-        self.hold_until = 0.0
-        self.latency: float | None = None
-        self.shed = False
-
-
 class ServerGate:
     """The only sender to one backend server while its permit lasts.
 
@@ -92,10 +73,8 @@
         self.lanes = lanes.Lanes(row.address, _lane_limit(row))
         self._retired: list[lanes.Lanes] = []
         self._fence = ""
-        self._fence_text = b""
         self._expires = 0.0
-        self._incarnation = b""
-        self._numbers = itertools.count(1)
+        self._exchange = exchange.Exchange(row.server, self.admission)
         self.requests = 0
 
     def follow(self, row: records.TableRow, service: records.TableRow) -> None:
@@ -193,7 +172,7 @@
             now = clock.now()
         if isinstance(slot, outcomes.Refusal):
             return slot
-        attempt = _Attempt()
+        attempt = exchange.Attempt()
         try:
             return await self._use_slot(call, attempt, now, fresh_only)
         finally:
@@ -208,7 +187,11 @@
             )
 
     async def _use_slot(
-        self, call: calls.Call, attempt: _Attempt, now: float, fresh_only: bool
+        self,
+        call: calls.Call,
+        attempt: exchange.Attempt,
+        now: float,
+        fresh_only: bool,
     ) -> outcomes.Refusal | None:
         # The lease may have ended while the request waited.
         assert call.permit is not None
@@ -228,93 +211,20 @@
             )
         is_clean = False
         try:
-            refusal, is_clean = await self._exchange(call, attempt, lane)
+            refusal, is_clean = await self._exchange.run(
+                call, attempt, lane, pool.host_header
+            )
             return refusal
         finally:
             if is_clean:
                 pool.give_back(lane, clock.now())
             else:
-                await self._discard(call, attempt, pool, lane)
-
-    async def _exchange(
-        self, call: calls.Call, attempt: _Attempt, lane: lanes.Lane
-    ) -> tuple[outcomes.Refusal | None, bool]:
-        """Return the refusal, if any, and whether the lane can be reused."""
-        identifier = self._identifier_of(call)
-        sent = clock.now()
-        call.went_silent = False
-        call.silent_at = self._silent_at(call, lane, sent)
-        response = await transfers.send(
-            call, lane, self._headers(call, identifier, sent)
-        )
-        if isinstance(response, outcomes.Refusal):
-            return self._failed(call, attempt, response, sent), False
-        attempt.latency = clock.now() - lane.sent_at(sent)
-        answered = response.header(b"x-request-id")
-        if answered is not None and answered != identifier:
-            return outcomes.Refusal(
-                _CODES.ANSWER_BROKEN, "the answer is for another request"
-            ), False
-        refused = response.header(b"x-refused")
-        if refused is not None:
-            refusal = self._refused(call, attempt, response, refused)
-            is_clean = await transfers.read_small(response) is not None
-            return refusal, is_clean
-        self._note_incarnation(response)
-        own = responses.own_headers(0, responses.RUN, self._row.server)
-        broken = await transfers.pass_on(call, response, own)
-        return broken, broken is None
+                self._discard(call, attempt, pool, lane)
 
-    def _failed(
+    def _discard(
         self,
         call: calls.Call,
-        attempt: _Attempt,
-        refusal: outcomes.Refusal,
-        now: float,
-    ) -> outcomes.Refusal:
-        if refusal.code == _CODES.CONNECT_FAILED:
-            self.admission.ramp.make_cold(now, "no connection")
-        if call.went_silent:
-            # The server may run the request until its deadline, because
-            # the end of a silent connection may not reach it either.
-            attempt.hold_until = call.deadline
-            return refusal._replace(
-                reason="no answer on an established connection"
-            )
-        return refusal
-
-    def _refused(
-        self,
-        call: calls.Call,
-        attempt: _Attempt,
-        response: wire.Answer,
-        why: bytes,
-    ) -> outcomes.Refusal:
-        """Return what a refusal of the server means."""
-        attempt.latency = None
-        if response.status == 503 and why == b"shed":
-            attempt.shed = True
-            call.run = call.run_before
-            return outcomes.Refusal(
-                _CODES.SERVER_SHED, "the server was out of slots"
-            )
-        text = why.decode("latin-1")[:64]
-        is_fence = response.status == 409 and why == b"fence"
-        if is_fence or response.header(b"x-started") == b"0":
-            call.run = call.run_before
-            return outcomes.Refusal(
-                _CODES.SERVER_REFUSED, f"the server refused it: {text}"
-            )
-        return outcomes.Refusal(
-            _CODES.OUTCOME_UNKNOWN,
-            f"the server gave up ({text}) without telling that it did not "
-            "start the request",
-        )
-
-    async def _discard(
-        self,
-        call: calls.Call,
-        attempt: _Attempt,
+        attempt: exchange.Attempt,
         pool: lanes.Lanes,
         lane: lanes.Lane,
     ) -> None:
@@ -343,41 +253,7 @@
         elif now > self._expires:
             self.admission.ramp.make_cold(now, "contact after a lapsed lease")
         self._fence = fence
-        self._fence_text = fence.encode("ascii")
-
-    def _note_incarnation(self, response: wire.Answer) -> None:
-        incarnation = response.header(b"x-incarnation")
-        if incarnation is None or incarnation == self._incarnation:
-            return
-        if self._incarnation:
-            self.admission.ramp.make_cold(clock.now(), "it was started again")
-        self._incarnation = incarnation
-
-    def _identifier_of(self, call: calls.Call) -> bytes:
-        if call.request.identifier:
-            return call.request.identifier.encode("ascii")
-        return b"%s-%d" % (self._fence_text, next(self._numbers))
-
-    def _headers(
-        self, call: calls.Call, identifier: bytes, now: float
-    ) -> asgi.Headers:
-        left = max(int((call.deadline - now) * 1000), 1)
-        return [
-            (b"host", self.lanes.address.encode("ascii")),
-            *call.request.headers,
-            (b"x-fence", self._fence_text),
-            (b"x-deadline-ms", b"%d" % left),
-            (b"x-request-id", identifier),
-        ]
-
-    def _silent_at(
-        self, call: calls.Call, lane: lanes.Lane, now: float
-    ) -> float:
-        if lane.is_fresh or not call.may_repeat:
-            return 0.0
-        usual = self.admission.quantiles.quantile(0.99, now)
-        wait = max(SILENCE_LEAST, SILENCE_FACTOR * usual)
-        return now + min(wait, (call.deadline - now) / 2.0)
+        self._exchange.fence = fence.encode("ascii")
 
 
 def _limits_of(
--- a/src/agatestile/limits/admission.py
+++ b/src/agatestile/limits/admission.py
@@ -10,6 +10,7 @@
 
 from agatestile.limits import latency
 from agatestile.limits import ramp as ramps
+from agatestile.limits import waiting as queues
 from agatestile.results import codes
 from agatestile.results import outcomes
 
@@ -22,6 +23,11 @@
 _CODES = codes.ResultCode
 
 
+_EVICTED = outcomes.Refusal(
+    _CODES.QUEUE_FULL, "a request of higher priority took its place"
+)
+
+
 class Observation(typing.NamedTuple):
     """What is known when a request leaves its slot.
 
@@ -68,28 +74,6 @@
     queue_seconds: float
 
 
-class _Waiter:
-    __slots__ = (
-        "answer",
-        "deadline",
-        "event",
-        "expires",
-        "order",
-    )
-
-    def __init__(
-        self, order: tuple[int, int], expires: float, deadline: float
-    ) -> None:
-        self.order = order
-        self.expires = expires
-        self.deadline = deadline
-        self.event = anyio.Event()
-        self.answer: Slot | outcomes.Refusal | None = None
-
-    def __lt__(self, other: _Waiter) -> bool:
-        return self.order < other.order
-
-
 class Admission:
     """Exact count of requests at one server, kept at its only gate.
 
@@ -126,13 +110,13 @@
         self.quantiles = latency.DecayingQuantiles()
         self._jumps = latency.JumpDetector()
         self._holds: list[float] = []
-        self._waiters: list[_Waiter] = []
+        self._queue = queues.WaitQueue()
         self._sequence = 0
 
     @property
     def waiting(self) -> int:
         """Number of requests in the queue."""
-        return len(self._waiters)
+        return len(self._queue)
 
     def set_limits(self, limits: Limits) -> None:
         """Follow a change of the table."""
@@ -149,7 +133,7 @@
         """Return a slot if one is free and nobody waits, else None."""
         if now >= deadline:
             return _refuse_deadline()
-        if self._waiters or not self._has_capacity(now):
+        if self._queue or not self._has_capacity(now):
             return None
         return self._grant(now)
 
@@ -185,7 +169,7 @@
 
     def join(
         self, now: float, deadline: float, priority: int
-    ) -> _Waiter | outcomes.Refusal:
+    ) -> queues.Waiter | outcomes.Refusal:
         """Take a place in the queue.
 
         When the queue is full, a request of higher priority takes the
@@ -197,8 +181,8 @@
             return refusal
         self._sequence += 1
         expires = min(deadline, now + self._limits.queue_seconds)
-        waiter = _Waiter((-priority, self._sequence), expires, deadline)
-        heapq.heappush(self._waiters, waiter)
+        waiter = queues.Waiter((-priority, self._sequence), expires, deadline)
+        self._queue.push(waiter)
         self.poll(now)
         return waiter
 
@@ -228,7 +212,7 @@
     def poll(self, now: float) -> None:
         """Hand free slots to waiters and drop those that waited too long."""
         self._serve_queue(now)
-        self._nudge()
+        self._queue.nudge()
 
     def next_change(self, now: float) -> float:
         """Return when capacity may come up without a request leaving."""
@@ -236,11 +220,11 @@
             return self._holds[0] if self._holds else math.inf
         return self.ramp.next_send()
 
-    async def _wait(self, waiter: _Waiter) -> Slot | outcomes.Refusal:
+    async def _wait(self, waiter: queues.Waiter) -> Slot | outcomes.Refusal:
         while waiter.answer is None:
             now = anyio.current_time()
             wake = waiter.expires
-            if waiter is self._waiters[0]:
+            if waiter is self._queue.first:
                 # Only the first one looks at the time: with a timer each,
                 # a long queue took most of the process's time.
                 soonest = max(self.next_change(now), now + TICK_SECONDS)
@@ -252,29 +236,25 @@
             waiter.event = anyio.Event()
             now = anyio.current_time()
             if now >= waiter.expires:
-                self._remove(waiter)
+                self._queue.remove(waiter)
                 return _refuse_wait(now, waiter.deadline)
             self._serve_queue(now)
             if waiter.answer is not None:
-                self._nudge()
+                self._queue.nudge()
         return waiter.answer
 
     def _serve_queue(self, now: float) -> None:
-        while self._waiters:
-            waiter = self._waiters[0]
+        while self._queue:
+            waiter = self._queue.first
             if now >= waiter.expires:
-                waiter.answer = _refuse_wait(now, waiter.deadline)
+                answer: Slot | outcomes.Refusal = _refuse_wait(
+                    now, waiter.deadline
+                )
             elif self._has_capacity(now):
-                waiter.answer = self._grant(now)
+                answer = self._grant(now)
             else:
                 return
-            heapq.heappop(self._waiters)
-            waiter.event.set()
-
-    def _nudge(self) -> None:
-        """Let the first waiter look again when capacity may come up."""
-        if self._waiters:
-            self._waiters[0].event.set()
+            self._queue.pop().finish(answer)
 
     def _grant(self, now: float) -> Slot | outcomes.Refusal:
         used = self.in_flight + len(self._holds) + 1
@@ -315,16 +295,16 @@
     def _refuse_early(
         self, now: float, deadline: float, priority: int
     ) -> outcomes.Refusal | None:
-        waiting = len(self._waiters)
-        if waiting >= self._limits.queue:
-            if not self._evict(priority):
+        count = len(self._queue)
+        if count >= self._limits.queue:
+            if not self._queue.evict(priority, _EVICTED):
                 return outcomes.Refusal(
-                    _CODES.QUEUE_FULL, f"{waiting} requests wait already"
+                    _CODES.QUEUE_FULL, f"{count} requests wait already"
                 )
-        elif waiting:
+        elif count:
             typical = self.quantiles.quantile(0.5, now)
             slots = self.ramp.slots(self._limits.slots)
-            expected = waiting * typical / max(slots, 1)
+            expected = count * typical / max(slots, 1)
             longest = min(deadline - now, self._limits.queue_seconds)
             if expected > longest:
                 return outcomes.Refusal(
@@ -333,28 +313,8 @@
                 )
         return None
 
-    def _evict(self, priority: int) -> bool:
-        if not self._waiters:
-            return False
-        last = max(self._waiters)
-        if -last.order[0] >= priority:
-            return False
-        self._remove(last)
-        last.answer = outcomes.Refusal(
-            _CODES.QUEUE_FULL, "a request of higher priority took its place"
-        )
-        last.event.set()
-        return True
-
-    def _remove(self, waiter: _Waiter) -> None:
-        if waiter not in self._waiters:
-            return
-        self._waiters.remove(waiter)
-        heapq.heapify(self._waiters)
-        self._nudge()
-
-    def _abandon(self, waiter: _Waiter) -> None:
-        self._remove(waiter)
+    def _abandon(self, waiter: queues.Waiter) -> None:
+        self._queue.remove(waiter)
         if isinstance(waiter.answer, Slot):
             self.leave(waiter.answer, Observation(anyio.current_time()))
 
--- a/tests/gateway/scenes.py
+++ b/tests/gateway/scenes.py
@@ -165,7 +165,7 @@
         gate = self.gateway.gates._gate_of("p1", None)
         assert gate is not None
         gate._fence = self.permits.fence
-        gate._fence_text = gate._fence.encode()
+        gate._exchange.fence = gate._fence.encode()
 
 
 def state_of(address: str, **columns: typing.Any) -> cluster.ClusterState:
