--- a/bench/soak.py
+++ b/bench/soak.py
@@ -18,7 +18,7 @@
 import trio
 import trio.testing
 
-from agatestile.ownership import handover
+from agatestile.ownership import vacating
 from agatestile.state import records
 from bench import fakes
 
@@ -30,14 +30,17 @@
 
 
 def table() -> tuple[records.TableRow, ...]:
-    """Return a table of two services, one of unfenced servers."""
+    """Return a table of two services, one of unfenced servers.
+
+    Domain d has no server that checks fences, and no host.
+    """
     rows = [
         records.TableRow("service", "price", timeout_ms=1000),
         records.TableRow("service", "photo", timeout_ms=1000),
     ]
-    for domain in "abc":
-        for index in range(5):
-            fenced = index < 3
+    for domain in "abcd":
+        for index in range(5 if domain < "d" else 2):
+            fenced = index < 3 and domain < "d"
             rows.append(
                 records.TableRow(
                     "server",
@@ -64,7 +67,11 @@
     """
 
     def __init__(
-        self, seed: int, tasks: anyio.abc.TaskGroup, kinds: tuple[str, ...]
+        self,
+        seed: int,
+        tasks: anyio.abc.TaskGroup,
+        kinds: tuple[str, ...],
+        at_once: tuple[int, ...],
     ) -> None:
         self.chance = random.Random(seed)
         self.world = fakes.World(table(), HOSTS, self.chance, tasks)
@@ -72,9 +79,10 @@
         self.unavailable: dict[str, float] = collections.defaultdict(float)
         self.recovery: dict[str, float] = collections.defaultdict(float)
         self.kinds = kinds or tuple(EVENTS)
+        self._at_once = at_once
         self._tasks = tasks
         self._down_since: dict[tuple[str, int], float] = {}
-        self._longest = 0.0
+        self._longest: dict[str, float] = {}
 
     async def run(self, seconds: float) -> None:
         """Inject events until the virtual time is over."""
@@ -84,18 +92,20 @@
         await self._recover("start")
         while anyio.current_time() < seconds:
             kinds = self.chance.choices(
-                self.kinds, k=self.chance.choice((1, 2))
+                self.kinds, k=self.chance.choice(self._at_once)
             )
-            self._longest = 0.0
+            self._longest = {}
             async with anyio.create_task_group() as tasks:
                 for kind in kinds:
                     tasks.start_soon(self._event, kind)
                     await anyio.sleep(self.chance.choice((0, 0.1, 0.7, 2)))
             await self._recover("+".join(sorted(kinds)))
             if len(kinds) == 1 and kinds[0] in SINGLE_LOSSES:
-                self.unavailable[kinds[0]] = max(
-                    self.unavailable[kinds[0]], self._longest
-                )
+                for suffix, longest in self._longest.items():
+                    kind = kinds[0] + suffix
+                    self.unavailable[kind] = max(
+                        self.unavailable[kind], longest
+                    )
         self._check_end()
 
     async def _event(self, kind: str) -> None:
@@ -144,7 +154,9 @@
                 self._down_since.pop(key, None)
                 continue
             since = self._down_since.setdefault(key, now)
-            self._longest = max(self._longest, now - since)
+            suffix = self._suffix(*key)
+            longest = max(self._longest.get(suffix, 0.0), now - since)
+            self._longest[suffix] = longest
         known = {
             (service, start)
             for service, starts in positions.items()
@@ -161,6 +173,13 @@
                 world.expect(False, f"{host.name}: {name} {count} times")
             host.checks.violations_by_name.clear()
 
+    def _suffix(self, service: str, position: int) -> str:
+        """Return a mark for ranges whose domain is led through the log."""
+        state = self.world.reference
+        owner = state.ranges_by_service[service].find(position).server
+        domain = state.table.domain_of(owner)
+        return " in a domain without fences" if domain == "d" else ""
+
     def _serves(self, server: str, host: str) -> bool:
         nodes = (self.world.servers[server], self.world.hosts[host])
         return all(node.is_alive and not node.is_frozen for node in nodes)
@@ -185,9 +204,9 @@
         """Return any host."""
         return self.chance.choice(list(self.world.hosts.values()))
 
-    def leader(self) -> fakes.Host:
-        """Return the host that leads some domain, or any."""
-        domain = self.chance.choice(self.world.domains)
+    def leader(self, domain: str = "") -> fakes.Host:
+        """Return the host that leads a domain or some domain, or any."""
+        domain = domain or self.chance.choice(self.world.domains)
         for host in self.world.hosts.values():
             if host.runner.by_domain[domain].leadership is not None:
                 return host
@@ -251,9 +270,10 @@
                 )
             self.world.write(records.encode(change))
         await anyio.sleep(self.span(2, 6))
-        self._restore()
+        self.restore()
 
-    def _restore(self) -> None:
+    def restore(self) -> None:
+        """Bring all servers and domains back into service."""
         state = self.world.reference
         rows = tuple(
             _with_state(row, "active") if row.kind == "server" else row
@@ -311,6 +331,67 @@
         tasks.start_soon(soak.down, soak.server())
 
 
+async def _step_then_lose_leader(soak: Soak) -> None:
+    """Step a range in a log outage, then lose the leader that knows it.
+
+    The successor and its gate are cut off from the next leader.
+    """
+    world = soak.world
+    server = soak.chance.choice([world.servers[f"{d}1"] for d in "abc"])
+    world.is_log_down = True
+    server.freeze()
+    await anyio.sleep(soak.span(1.9, 3))
+    server.thaw()
+    await anyio.sleep(soak.span(0.3, 1.5))
+    leader = soak.leader(server.row.domain)
+    led = leader.runner.by_domain[server.row.domain].leadership
+    cut: list[tuple[str, str]] = []
+    for step in led.steps if led else ():
+        gate = led.posts[step.server].host if led else ""
+        if gate not in ("", leader.name):
+            others = set(HOSTS) - {gate}
+            cut = [(gate, name) for name in others]
+            cut += [(step.server, name) for name in others]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(soak.cut, cut)
+        if leader.is_alive:
+            world.kill_host(leader)
+        await anyio.sleep(soak.span(1, 4))
+        world.is_log_down = False
+        if not leader.is_alive:
+            world.start_host(leader.name, leader.domain)
+
+
+async def _move_then_lose_leader(soak: Soak) -> None:
+    """Lose leader and gate after a move that some hosts did not read."""
+    world = soak.world
+    domain = soak.chance.choice("abc")
+    server = f"{domain}0"
+    leader = soak.leader(domain)
+    led = leader.runner.by_domain[domain].leadership
+    gate = led.posts[server].host if led else leader.name
+    state = world.reference
+    rows = tuple(
+        _with_state(row, "leaving") if row.server == server else row
+        for row in state.table.rows
+    )
+    change = records.TableChange("m", "one", state.table.version, rows)
+    world.write(records.encode(change))
+    for _ in range(200):
+        opened = max(state.intents.by_offset, default=-1)
+        if 0 <= opened < state.domain(domain).lead_offset:
+            break
+        await anyio.sleep(fakes.POLL)
+    await anyio.sleep(soak.span(0, 2 * fakes.POLL))
+    lagging = soak.chance.sample(list(HOSTS), soak.chance.randint(1, 3))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(soak.cut, [(name, "log") for name in lagging])
+        await anyio.sleep(soak.span(0.1, 0.6))
+        for name in {leader.name, gate} & set(world.hosts):
+            tasks.start_soon(soak.replace, world.hosts[name])
+    soak.restore()
+
+
 def _split(soak: Soak) -> list[tuple[str, str]]:
     """Return links that split the servers of a domain between hosts."""
     domain = soak.chance.choice(soak.world.domains)
@@ -360,6 +441,8 @@
     "log-slow": lambda soak: soak.log_fault("log_delay", 2.0),
     "answers-lost": lambda soak: soak.log_fault("loses_answers", True),
     "operators": Soak.operate,
+    "step-then-lose-leader": _step_then_lose_leader,
+    "move-then-lose-leader": _move_then_lose_leader,
     "host-leaves": lambda soak: soak.leave(soak.host()),
 }
 SINGLE_LOSSES = (
@@ -371,24 +454,44 @@
 )
 
 
-async def soak(seed: int, seconds: float, kinds: tuple[str, ...]) -> Soak:
+async def soak(
+    seed: int,
+    seconds: float,
+    kinds: tuple[str, ...],
+    at_once: tuple[int, ...],
+) -> Soak:
     """Run and return what was seen."""
     async with anyio.create_task_group() as tasks:
-        run = Soak(seed, tasks, kinds)
+        run = Soak(seed, tasks, kinds, at_once)
         await run.run(seconds)
         tasks.cancel_scope.cancel()
     return run
 
 
 def run_virtual(
-    seed: int, seconds: float, kinds: tuple[str, ...] = ()
+    seed: int,
+    seconds: float,
+    kinds: tuple[str, ...] = (),
+    at_once: tuple[int, ...] = (1, 2),
 ) -> Soak:
-    """Run in virtual time."""
+    """Run in virtual time.
+
+    Parameters
+    ----------
+    seed : int
+        Determines the run.
+    seconds : float
+        Virtual time after which no further faults begin.
+    kinds : tuple of str
+        Names of `EVENTS`, all if empty.
+    at_once : tuple of int
+        How many faults may begin together.
+    """
     clock = trio.testing.MockClock(autojump_threshold=0)
-    handover.RANGES_PER_SERVER = RANGES_PER_SERVER
+    vacating.RANGES_PER_SERVER = RANGES_PER_SERVER
     # Trio shuffles the order of tasks, which a seed has to reproduce.
     importlib.import_module("trio._core._run").__dict__["_r"].seed(seed)
-    return trio.run(soak, seed, seconds, kinds, clock=clock)
+    return trio.run(soak, seed, seconds, kinds, at_once, clock=clock)
 
 
 def main() -> int:
@@ -397,6 +500,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=600)
     parser.add_argument("--events", default="", help="names, by comma")
+    parser.add_argument("--at-once", default="1,2", help="numbers, by comma")
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
     logging.basicConfig(
@@ -405,7 +509,8 @@
         stream=sys.stdout,
     )
     kinds = tuple(name for name in options.events.split(",") if name)
-    run = run_virtual(options.seed, options.seconds, kinds)
+    at_once = tuple(int(number) for number in options.at_once.split(","))
+    run = run_virtual(options.seed, options.seconds, kinds, at_once)
     print(
         f"seed {options.seed}, {options.seconds:.0f} s, {run.events} events, "
         f"{len(run.world.violations)} violations, "
--- a/src/agatestile/ownership/vacating.py
+++ b/src/agatestile/ownership/vacating.py
@@ -5,6 +5,7 @@
 import collections
 import typing
 
+from agatestile.placement import rendezvous
 from agatestile.state import ranges
 from agatestile.state import records
 
@@ -13,6 +14,10 @@
     from agatestile.state import cluster
 
 SUCCESSORS = 2
+RANGES_PER_SERVER = 8
+LOAD_BOUND = 1.25
+"""Most unowned ranges that a server is given, relative to its share of all
+ranges by weight (section 9 of the design page)."""
 
 
 class Chooser:
@@ -24,6 +29,8 @@
         The present state.
     service : str
         Name of the service.
+    exclude : set of str
+        Servers that get no ranges.
 
     Attributes
     ----------
@@ -31,12 +38,18 @@
         Active servers in domains that are in.
     """
 
-    def __init__(self, state: cluster.ClusterState, service: str) -> None:
+    def __init__(
+        self,
+        state: cluster.ClusterState,
+        service: str,
+        exclude: frozenset[str] = frozenset(),
+    ) -> None:
         self.rows = sorted(
             (
                 row
                 for row in state.table.servers_by_service.get(service, ())
                 if row.state == "active"
+                and row.server not in exclude
                 and state.domain(row.domain).state == "in"
             ),
             key=lambda row: row.server,
@@ -78,6 +91,46 @@
         return tuple(others[:SUCCESSORS])
 
 
+def assign_unowned(
+    state: cluster.ClusterState, service: str
+) -> list[records.RangeChange]:
+    """Return owners for the unowned ranges of a service."""
+    rows = Chooser(state, service).rows
+    if not rows:
+        return []
+    pieces = [
+        piece
+        for current in state.ranges_by_service[service]
+        if not current.server and current.intent == ranges.NO_INTENT
+        for piece in _split(current, RANGES_PER_SERVER * len(rows))
+    ]
+    placed = rendezvous.place(
+        [f"{service}:{piece.start}" for piece in pieces],
+        [
+            rendezvous.Candidate(row.server, row.domain, row.weight)
+            for row in rows
+        ],
+        LOAD_BOUND,
+        state.ranges_by_service[service].counts(),
+    )
+    return [
+        _change(service, piece, placement.server, placement.successors)
+        for piece, placement in zip(pieces, placed, strict=True)
+    ]
+
+
+def _split(current: ranges.Range, count: int) -> list[ranges.Range]:
+    """Return the pieces of a range, several if it has all positions."""
+    if current.end - current.start < ranges.END:
+        return [current]
+    starts = [index * ranges.END // count for index in range(count)]
+    ends = [*starts[1:], ranges.END]
+    return [
+        current._replace(start=start, end=end)
+        for start, end in zip(starts, ends, strict=True)
+    ]
+
+
 def confirm_steps(
     state: cluster.ClusterState, steps: succession.Steps
 ) -> list[records.RangeChange]:
@@ -101,8 +154,32 @@
     return changes
 
 
+def rescue(
+    state: cluster.ClusterState,
+    steps: succession.Steps,
+    lost: frozenset[str],
+) -> list[records.RangeChange]:
+    """Return moves of ranges whose lost owner has no live successor."""
+    changes = []
+    for service, range_map in state.ranges_by_service.items():
+        if lost.isdisjoint(range_map.owners()):
+            continue
+        chooser = Chooser(state, service, lost)
+        for current in range_map:
+            owner = steps.owner_of(state, service, current)
+            if (
+                owner in lost
+                and current.intent == ranges.NO_INTENT
+                and chooser.rows
+            ):
+                near = state.table.domain_of(owner)
+                server, successors = chooser.choose(near)
+                changes.append(_change(service, current, server, successors))
+    return changes
+
+
 def vacate(
-    state: cluster.ClusterState, steps: succession.Steps, domain: str
+    state: cluster.ClusterState, domain: str, lost: frozenset[str]
 ) -> list[records.RangeChange]:
     """Return the moves off servers and domains that go out of service."""
     changes = []
@@ -115,7 +192,7 @@
     if not leaving:
         return []
     for service, range_map in state.ranges_by_service.items():
-        chooser = Chooser(state, service)
+        chooser = Chooser(state, service, lost)
         if not chooser.rows:
             continue
         for current in range_map:
--- a/tests/ownership/test_rebalancing.py
+++ b/tests/ownership/test_rebalancing.py
@@ -126,7 +126,7 @@
         known = self.domain.state
         result = known.apply(known.offset + 1, record)
         assert isinstance(result, cluster.Applied), result
-        self.writer.note_applied(record, result.offset)
+        self.writer.note_applied(record, result.offset, now)
         if isinstance(record, records.Intent):
             self.intents.append((now, record))
 
