--- a/src/agatestile/ownership/rebalancing.py
+++ b/src/agatestile/ownership/rebalancing.py
@@ -183,18 +183,21 @@
         for current in owned:
             loads[current.server] += current.load
         mean = sum(loads.values()) / sum(servers.values())
-        for move in moves:
+        hottest = max(loads, key=lambda name: loads[name] / servers[name])
+        for number, move in enumerate(moves, 1):
             LOG.info(
-                "lead: %s %s [%d, %d) is to move from %s to %s: loads are "
-                "%.2f and %.2f of the mean of %.1f requests/s, result %d",
+                "lead: %s %s [%d, %d) is to move from %s to %s: move %d "
+                "since %s had %.2f times the mean of %.1f requests/s, "
+                "result %d",
                 self._leader.domain,
                 move.service,
                 move.start,
                 move.end,
                 move.source,
                 move.target,
-                loads[move.source] / servers[move.source] / mean,
-                loads[move.target] / servers[move.target] / mean,
+                number,
+                hottest,
+                loads[hottest] / servers[hottest] / mean,
                 mean,
                 codes.ResultCode.ANSWERED,
             )
