--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,6 +25,7 @@
 RANGE_COUNTS = (1_000, 10_000, 100_000, 1_000_000)
 CHECKPOINT_COUNTS = (1_000, 10_000, 50_000, 100_000)
 RECORD_COUNTS = (100, 400, 1_600, 3_200)
+ROW_COUNTS = (250, 1_000, 4_000, 16_000)
 GATE_COUNTS = (5, 20, 60, 120)
 LOOKUPS = 50_000
 REPEATS = 200
@@ -33,7 +34,12 @@
 TERM = records.Term(0, 1, "entry-1#1")
 
 
-def _rows() -> tuple[records.TableRow, ...]:
+def _address(index: int) -> str:
+    block, last = divmod(index, 250)
+    return f"10.{block // 250}.{block % 250}.{last}:80"
+
+
+def _rows(servers: int) -> tuple[records.TableRow, ...]:
     service = records.TableRow(
         kind="service",
         service=SERVICE,
@@ -48,18 +54,20 @@
             service=SERVICE,
             server=f"prices-{index:03d}",
             domain="radom",
-            address=f"127.0.0.1:{20000 + index}",
+            address=_address(index),
             slots=2,
             connections=130,
         )
-        for index in range(SERVERS_A_SERVICE)
+        for index in range(servers)
     ]
     return (service, *servers)
 
 
 def _state() -> cluster.ClusterState:
     state = cluster.ClusterState()
-    state.apply(0, records.TableChange("t", "bench", -1, _rows()))
+    state.apply(
+        0, records.TableChange("t", "bench", -1, _rows(SERVERS_A_SERVICE))
+    )
     state.apply(1, records.Lead("l", "radom", TERM))
     return state
 
@@ -200,6 +208,31 @@
         )
 
 
+def cost_of_table() -> tuple[slopes.Slope, ...]:
+    """Measure a change of the services table against its rows."""
+    sizes, times, held = [], [], []
+    for count in ROW_COUNTS:
+        body = records.encode(
+            records.TableChange("t", "bench", -1, _rows(count))
+        )
+        state = cluster.ClusterState()
+        tracemalloc.start()
+        state.apply(0, records.decode(body))
+        memory, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        state = cluster.ClusterState()
+        started = time.perf_counter()
+        state.apply(0, records.decode(body))
+        times.append((float(count), (time.perf_counter() - started) * 1000.0))
+        sizes.append((float(count), float(len(body))))
+        held.append((float(count), float(memory)))
+    return (
+        slopes.Slope.from_points("table change, bytes", "rows", sizes),
+        slopes.Slope.from_points("table change, ms", "rows", times),
+        slopes.Slope.from_points("table in memory, bytes", "rows", held),
+    )
+
+
 class _Leader:
     def __init__(self, reply: ttypes.HeartbeatReply) -> None:
         self._reply = reply
@@ -265,6 +298,7 @@
         time_of_lookup(seed),
         *cost_of_checkpoint(),
         *cost_of_replay(),
+        *cost_of_table(),
         *cost_of_heartbeats(),
     ]
 
