Run the demo on free ports on request

Two trials beside each other failed on the committed ports, and so would the demo's own test. The option copies the deployment with each port replaced by a free one. Printing moves into its own module.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,8 +12,6 @@
 
 import argparse
 import asyncio
-import json
-import pathlib
 import shlex
 import sys
 import time
@@ -25,13 +23,13 @@
 from bench import deployments
 from bench import load
 from bench import processes
+from bench import report
 from bench import verdict
 
 PROBED_KEYS = 16
 PROBE_INTERVAL = 0.2
 WARM_UP_LIMIT = 20.0
 SETTLE_SECONDS = 6.0
-SHOWN = 5
 
 
 class Options(typing.NamedTuple):
@@ -49,6 +47,8 @@
         Seed of the load and of the choice of the lost daemon.
     keep : bool
         Keep the processes' output and a list of all requests.
+    free_ports : bool
+        Use free ports in place of the committed ones.
     """
 
     command: list[str]
@@ -56,22 +56,14 @@
     seconds: float
     seed: int
     keep: bool = False
-
-
-class Trial(typing.NamedTuple):
-    """What was recorded; `measured` leaves out the warm-up."""
-
-    measured: list[load.Record]
-    warm_up: list[load.Record]
-    warm_up_seconds: float
-    lost: str
+    free_ports: bool = False
 
 
 async def send_load(
     deployment: deployments.Deployment,
     running: processes.Processes,
     options: Options,
-) -> Trial:
+) -> report.Trial:
     """Warm the servers up, then send load and kill a daemon half-way."""
     spread = balancer.Balancer(deployment.entry_hosts())
     services = deployment.services()
@@ -95,7 +87,7 @@
     await loss
     watch.cancel()
     spread.client.close()
-    return Trial(measured, warm_up, took, lost)
+    return report.Trial(measured, warm_up, took, lost, PROBE_INTERVAL)
 
 
 async def _warm_up(
@@ -140,7 +132,9 @@
 def run_deployment(name: str, options: Options) -> bool:
     """Run one deployment; tell whether all invariants held."""
     with processes.Processes() as running:
-        deployment = deployments.Deployment(name, options.command, running)
+        deployment = deployments.Deployment(
+            name, options.command, running, options.free_ports
+        )
         print(f"== {name}")
         start = time.monotonic()
         deployment.start_platform()
@@ -157,18 +151,18 @@
         )
         trial = uvloop.run(send_load(deployment, running, options))
         checks = _check(deployment, running, trial)
-        _print_figures(trial, deployment)
-        held = _print_checks(checks)
+        report.print_figures(trial, deployment)
+        held = report.print_checks(checks)
         running.keep_output = options.keep or not held
         if running.keep_output:
-            _write_records(running.directory / "requests.jsonl", trial)
+            report.write_records(running.directory / "requests.jsonl", trial)
         return held
 
 
 def _check(
     deployment: deployments.Deployment,
     running: processes.Processes,
-    trial: Trial,
+    trial: report.Trial,
 ) -> list[verdict.Check]:
     survivors = [host for host in deployment.hosts if host != trial.lost]
     checks = verdict.check(
@@ -194,67 +188,6 @@
     return checks
 
 
-def _write_records(path: pathlib.Path, trial: Trial) -> None:
-    with path.open("w", encoding="utf-8") as stream:
-        for part in ("warm_up", "measured"):
-            for record in getattr(trial, part):
-                fields = record.request._asdict() | record._asdict()
-                del fields["request"], fields["body"]
-                stream.write(json.dumps({"part": part, **fields}) + "\n")
-
-
-def _print_figures(trial: Trial, deployment: deployments.Deployment) -> None:
-    records = trial.measured
-    print(
-        f"{len(records)} requests after a warm-up of"
-        f" {trial.warm_up_seconds:.1f} s with {len(trial.warm_up)};"
-        f" {trial.lost} killed half-way"
-    )
-    for result, count in verdict.count_results(records).most_common():
-        print(f"  {count:7d}  {result}")
-    print("latency of answered requests from intended start:")
-    print(f"  {_latencies(records)}  all")
-    for service in deployment.repeatable_by_service:
-        chosen = [item for item in records if item.request.service == service]
-        print(f"  {_latencies(chosen)}  {service}")
-    moved, seen = verdict.moved_keys(records)
-    print(f"keys that changed owner: {moved} of {seen} seen")
-    gaps = verdict.unavailable(records)
-    key, longest = max(gaps.items(), key=lambda item: item[1])
-    print(
-        f"longest unavailable time of a key: {longest:.2f} s"
-        f" ({'/'.join(key)}; {len(gaps)} keys probed every"
-        f" {PROBE_INTERVAL} s)"
-    )
-    totals: dict[str, int] = {}
-    for report in deployment.server_reports():
-        for name, count in report.counts.items():
-            totals[name] = totals.get(name, 0) + count
-    listed = ", ".join(f"{name} {totals[name]}" for name in sorted(totals))
-    print(f"backend servers counted: {listed}")
-
-
-def _latencies(records: list[load.Record]) -> str:
-    figures = verdict.latencies(records)
-    return ", ".join(
-        f"p{part:g} {figures.get_value_at_percentile(part) / 1000:7.1f} ms"
-        for part in (50, 99, 99.9)
-    )
-
-
-def _print_checks(checks: list[verdict.Check]) -> bool:
-    for check in checks:
-        word = "BROKEN" if check.broken else "held"
-        print(
-            f"  {word:6}  {check.name}: {len(check.broken)} of"
-            f" {check.checked} cases broken"
-        )
-        for case in check.broken[:SHOWN]:
-            print(f"            {case}")
-    sys.stdout.flush()
-    return not any(check.broken for check in checks)
-
-
 def main() -> None:
     """Run the deployments one after the other."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -270,6 +203,11 @@
         action="store_true",
         help="keep the processes' output and a list of all requests",
     )
+    parser.add_argument(
+        "--free-ports",
+        action="store_true",
+        help="use free ports, to run beside other trials",
+    )
     given = parser.parse_args()
     options = Options(
         shlex.split(given.agatestile),
@@ -277,6 +215,7 @@
         given.seconds,
         given.seed,
         given.keep,
+        given.free_ports,
     )
     try:
         held = [
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -13,6 +13,7 @@
 from bench import balancer
 from bench import load
 from bench import processes
+from bench import relocation
 from bench import verdict
 from standins import backend_settings
 
@@ -32,6 +33,8 @@
         How to call agatestile.
     running : processes.Processes
         Owner of the processes.
+    free_ports : bool
+        Whether to use free ports in place of the committed ones.
 
     Attributes
     ----------
@@ -42,9 +45,16 @@
     """
 
     def __init__(
-        self, name: str, command: list[str], running: processes.Processes
+        self,
+        name: str,
+        command: list[str],
+        running: processes.Processes,
+        free_ports: bool = False,
     ) -> None:
         self.directory = ROOT / name
+        if free_ports:
+            self.directory = running.directory / name
+            relocation.relocate(ROOT / name, self.directory)
         self._command = command
         self._running = running
         self.settings_by_host: dict[str, schema.Settings] = {}
--- a/tests/bench/test_demo.py
+++ b/tests/bench/test_demo.py
@@ -32,6 +32,7 @@
             "accra-metro",
             "--seconds",
             "1",
+            "--free-ports",
             "--rate",
             "50",
         ],
--- a/tests/bench/test_deployments.py
+++ b/tests/bench/test_deployments.py
@@ -12,6 +12,7 @@
 from agatestile.settings import loader
 from agatestile.settings import schema
 from agatestile.state import table
+from bench import relocation
 from standins import backend_settings
 
 ROOT = pathlib.Path(__file__).parents[2] / "deployments"
@@ -81,3 +82,19 @@
         ports += [address.port for host in hosts for address in host.listen]
         ports += [address.port for address in hosts[0].platform]
     assert len(ports) == len(set(ports))
+
+
+def test_copy_on_free_ports_fits_together(tmp_path: pathlib.Path) -> None:
+    """Guards against a copy whose files name different ports."""
+    relocation.relocate(ROOT / "mazowsze", tmp_path / "copy")
+    servers = backend_settings.load(tmp_path / "copy" / "servers.yaml")
+    rows = table.from_csv((tmp_path / "copy" / "table.csv").read_text())
+    assert not isinstance(rows, outcomes.Refusal), rows
+    assert {row.address for row in rows if row.server} == {
+        f"127.0.0.1:{server.port}" for server in servers
+    }
+    assert all(server.port >= 10_000 for server in servers)
+    settings = loader.load(tmp_path / "copy" / "entry-1.yaml")
+    assert not isinstance(settings, outcomes.Refusal), settings
+    hosts = (tmp_path / "copy" / "hosts.yaml").read_text()
+    assert str(settings.listen.peers) in hosts
