Apply the limits of heads that the settings give

The callers' and the forward address used uvicorn's own protocol. A head of 40 KB passed with header_limit at 16 KiB, and a head that was never finished was still waited for after 9 s with head_timeout at 5 s, in a run against a whole daemon.

--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -15,6 +15,7 @@
 from agatestile.daemon import reporter as metrics_reporter
 from agatestile.gateway import application as gateway_application
 from agatestile.gateway import options as gateway_options
+from agatestile.gateway import protocol
 from agatestile.log import appender as log_appender
 from agatestile.log import checkpoints
 from agatestile.log import client as log_client
@@ -107,13 +108,14 @@
         timing,
         checks,
     )
+    options = gateway_options.Options(*settings.requests)
     gateway = gateway_application.Application(
         settings.host,
         state,
         router.Router(state, views),
         ownership.gates,
         checks,
-        gateway_options.Options(*settings.requests),
+        options,
     )
     operations = admin_operations.Operations(
         settings,
@@ -155,11 +157,13 @@
                 "callers",
                 requests.counted(gateway.callers, chosen_metrics, "entry"),
                 str(settings.listen.callers),
+                protocol.with_options(options),
             ),
             "forward": listeners.Listener(
                 "forward",
                 requests.counted(gateway.forward, chosen_metrics, "gate"),
                 str(settings.listen.forward),
+                protocol.with_options(options),
             ),
             "admin": listeners.Listener(
                 "admin",
--- a/src/agatestile/daemon/listeners.py
+++ b/src/agatestile/daemon/listeners.py
@@ -31,10 +31,17 @@
         The ASGI application.
     address : str
         ``ip:port`` to listen on.
+    http : str or type
+        HTTP protocol of uvicorn; callers' requests need the one of the
+        gateway, which bounds their heads.
     """
 
     def __init__(
-        self, name: str, application: typing.Any, address: str
+        self,
+        name: str,
+        application: typing.Any,
+        address: str,
+        http: typing.Any = "httptools",
     ) -> None:
         self.name = name
         host, _, port = address.rpartition(":")
@@ -43,7 +50,7 @@
                 application,
                 host=host,
                 port=int(port),
-                http="httptools",
+                http=http,
                 loop="none",
                 lifespan="off",
                 interface="asgi3",
--- /dev/null
+++ b/tests/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the assembled daemon."""
