--- a/src/agatestile/ownership/election.py
+++ b/src/agatestile/ownership/election.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from agatestile.ownership import grants
+from agatestile.ownership import leases
 from agatestile.ownership import terms
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -48,7 +49,7 @@
 
     Parameters
     ----------
-    votes : grants.Votes
+    votes : leases.Votes
         Leases of the domain's servers, not used before.
     state : cluster.ClusterState
         The host's copy of the state.
@@ -58,7 +59,7 @@
 
     def __init__(
         self,
-        votes: grants.Votes,
+        votes: leases.Votes,
         state: cluster.ClusterState,
         began: float,
     ) -> None:
@@ -69,7 +70,7 @@
 
     def request(
         self, server: str, now: float
-    ) -> tuple[grants.GrantRequest, grants.Exchange]:
+    ) -> tuple[grants.GrantRequest, leases.Exchange]:
         """Return the next grant for a server."""
         lease = self.votes.by_server[server]
         term = self.votes.term
@@ -80,7 +81,7 @@
     def receive(
         self,
         server: str,
-        exchange: grants.Exchange,
+        exchange: leases.Exchange,
         reply: grants.GrantReply,
         now: float,
     ) -> None:
@@ -126,8 +127,14 @@
         ]
         return terms.host_of(max(held).instance) if held else ""
 
-    def stand(self) -> None:
-        """Take a term above all that the servers and the log know."""
+    def stand(self, known: records.Term = terms.NO_TERM) -> None:
+        """Take a term above all that servers, log and hosts know.
+
+        Parameters
+        ----------
+        known : records.Term
+            Highest term that a host is known to have heard of.
+        """
         domain = self._state.domain(self.votes.domain)
         seen = [
             reply.term
@@ -135,7 +142,11 @@
             if reply.term is not None
         ]
         seen.append(records.Term(domain.lead_offset, 0, ""))
+        seen.append(known)
         if domain.term is not None:
             seen.append(domain.term)
         self.votes.term = terms.next_term(seen, self.votes.instance)
+        self.votes.highest_epoch = max(
+            self.votes.highest_epoch, self.votes.term.epoch
+        )
         self._is_voting = True
