--- a/src/agatestile/__init__.py
+++ b/src/agatestile/__init__.py
@@ -20,12 +20,12 @@
     from agatestile.limits.deduplication import Deduplication
     from agatestile.observability.invariants import Invariants
     from agatestile.ownership.gates import GateTable
-    from agatestile.ownership.gates import Permit
     from agatestile.ownership.grants import GrantBook
     from agatestile.ownership.grants import GrantReply
     from agatestile.ownership.grants import GrantRequest
-    from agatestile.ownership.grants import ServerLease
-    from agatestile.ownership.grants import Votes
+    from agatestile.ownership.leases import ServerLease
+    from agatestile.ownership.leases import Votes
+    from agatestile.ownership.permits import Permit
     from agatestile.ownership.terms import Timing
     from agatestile.results.codes import ResultCode
     from agatestile.results.outcomes import Refusal
@@ -104,7 +104,7 @@
     "Lead": "state.records",
     "Limits": "limits.admission",
     "Observation": "limits.admission",
-    "Permit": "ownership.gates",
+    "Permit": "ownership.permits",
     "Range": "state.ranges",
     "RangeChange": "state.records",
     "RangeMap": "state.ranges",
@@ -114,13 +114,13 @@
     "Route": "routing.router",
     "RouteViews": "routing.views",
     "Router": "routing.router",
-    "ServerLease": "ownership.grants",
+    "ServerLease": "ownership.leases",
     "Slot": "limits.admission",
     "TableChange": "state.records",
     "TableRow": "state.records",
     "Term": "state.records",
     "Timing": "ownership.terms",
-    "Votes": "ownership.grants",
+    "Votes": "ownership.leases",
     "position_of": "routing.keys",
 }
 
