--- a/bench/soak.py
+++ b/bench/soak.py
@@ -337,7 +337,7 @@
     The successor and its gate are cut off from the next leader.
     """
     world = soak.world
-    server = soak.chance.choice([world.servers[f"{d}1"] for d in "abc"])
+    server = world.servers[soak.chance.choice("ab") + "1"]
     world.is_log_down = True
     server.freeze()
     await anyio.sleep(soak.span(1.9, 3))
@@ -383,10 +383,13 @@
             break
         await anyio.sleep(fakes.POLL)
     await anyio.sleep(soak.span(0, 2 * fakes.POLL))
-    lagging = soak.chance.sample(list(HOSTS), soak.chance.randint(1, 3))
+    others = sorted(set(HOSTS) - {leader.name})
+    lagging = soak.chance.sample(others, soak.chance.randint(1, 3))
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(soak.cut, [(name, "log") for name in lagging])
-        await anyio.sleep(soak.span(0.1, 0.6))
+        with anyio.move_on_after(soak.span(0.1, 2)):
+            while state.intents.by_offset:
+                await anyio.sleep(fakes.POLL)
         for name in {leader.name, gate} & set(world.hosts):
             tasks.start_soon(soak.replace, world.hosts[name])
     soak.restore()
