Check the majority again before each grant

A leader checked its majority once per round and then sent grants to all servers; a pause between the two went unnoticed until the next round. The check now precedes each grant.

--- /dev/null
+++ b/src/agatestile/ownership/failover.py
@@ -0,0 +1,113 @@
+"""Steps of ranges whose owner is lost."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from agatestile.ownership import succession
+from agatestile.results import codes
+
+if typing.TYPE_CHECKING:
+    from agatestile.ownership import leadership
+    from agatestile.ownership import posts
+
+LOG = logging.getLogger(__name__)
+
+
+class Failover:
+    """Steps ranges to successors and forgets steps that the log shows.
+
+    Parameters
+    ----------
+    leader : leadership.Leadership
+        The leadership that it serves.
+    """
+
+    def __init__(self, leader: leadership.Leadership) -> None:
+        self._leader = leader
+        self._stepped: tuple[typing.Any, ...] = ()
+        self._pruned: tuple[typing.Any, ...] = ()
+
+    def decide(self, now: float) -> None:
+        """Step the ranges of lost servers; forget settled steps."""
+        self._step_lost(now)
+        self._prune_steps()
+
+    def _step_lost(self, now: float) -> None:
+        lost = [post for post in self._leader.posts.values() if post.is_lost]
+        if not lost or self._leader.chart.state != "in":
+            return
+        live = frozenset(
+            name
+            for name, post in self._leader.posts.items()
+            if post.lease.is_fresh(now) and post.row.state == "active"
+        )
+        names = tuple(post.row.server for post in lost)
+        groups = tuple(
+            self._leader.is_group_settled(post.row.service) for post in lost
+        )
+        seen = (
+            self._leader.state.offset,
+            names,
+            live,
+            groups,
+            self._leader.steps.sequence,
+        )
+        if seen == self._stepped or not self._leader.is_caught_up():
+            return
+        for post, settled in zip(lost, groups, strict=True):
+            if settled:
+                self._step_server(post, live, now)
+        self._stepped = (*seen[:-1], self._leader.steps.sequence)
+
+    def _step_server(
+        self, post: posts.Post, live: frozenset[str], now: float
+    ) -> None:
+        name = post.row.server
+        planned = succession.plan_steps(
+            self._leader.state, self._leader.steps, name, live
+        )
+        for step in planned:
+            if not self._leader.checks.check(
+                "owner-after-lapse",
+                post.lease.is_lapsed(now),
+                f"{step} while {name} may still serve",
+            ):
+                return
+            self._leader.steps.merge(step)
+            LOG.info(
+                "lead: %s %s [%d, %d) steps from %s to %s: owner is lost, "
+                "result %d",
+                self._leader.domain,
+                step.service,
+                step.start,
+                step.end,
+                name,
+                step.server,
+                codes.ResultCode.ANSWERED,
+            )
+
+    def _prune_steps(self) -> None:
+        """Forget steps that all gates know from the log."""
+        holders = {post.host for post in self._leader.posts.values()} - {""}
+        reached = min(
+            [
+                self._leader.hosts[name].offset
+                for name in holders
+                if name in self._leader.hosts
+            ]
+            + [self._leader.state.offset]
+        )
+        seen = (reached, self._leader.steps.sequence)
+        if seen == self._pruned:
+            return
+        for step in list(self._leader.steps):
+            range_map = self._leader.state.ranges_by_service.get(step.service)
+            if range_map is None or all(
+                step.version < current.version <= reached
+                and current.version != current.intent
+                for current in range_map.overlapping(step.start, step.end)
+            ):
+                self._leader.steps.remove(step)
+        self._pruned = (reached, self._leader.steps.sequence)
--- a/src/agatestile/ownership/leadership.py
+++ b/src/agatestile/ownership/leadership.py
@@ -7,11 +7,11 @@
 
 from agatestile.charts import interpreter
 from agatestile.ownership import appointments
+from agatestile.ownership import failover
 from agatestile.ownership import handover
 from agatestile.ownership import posts
 from agatestile.ownership import succession
 from agatestile.ownership import terms
-from agatestile.results import codes
 from agatestile.rpc.generated.agatestile_rpc import ttypes
 
 if typing.TYPE_CHECKING:
@@ -80,8 +80,7 @@
         self.is_group_settled = self._appointments.is_group_settled
         self._routes: tuple[typing.Any, ...] = ()
         self._route_sequence = 0
-        self._stepped: tuple[typing.Any, ...] = ()
-        self._pruned: tuple[typing.Any, ...] = ()
+        self._failover = failover.Failover(self)
 
     def may_act(self, now: float) -> bool:
         """Tell whether this leader holds a majority at this moment."""
@@ -257,8 +256,7 @@
         self._appointments.take_table(now)
         self._appointments.decide(now)
         self._follow_domain()
-        self._step_lost(now)
-        self._prune_steps()
+        self._failover.decide(now)
 
     def _follow_domain(self) -> None:
         is_in = self.state.domain(self.domain).state == "in"
@@ -272,72 +270,6 @@
         )
         LOG.info("lead: %s %s", self.domain, event)
 
-    def _step_lost(self, now: float) -> None:
-        lost = [post for post in self.posts.values() if post.is_lost]
-        if not lost or self.chart.state != "in":
-            return
-        live = frozenset(
-            name
-            for name, post in self.posts.items()
-            if post.lease.is_fresh(now) and post.row.state == "active"
-        )
-        names = tuple(post.row.server for post in lost)
-        groups = tuple(
-            self.is_group_settled(post.row.service) for post in lost
-        )
-        seen = (self.state.offset, names, live, groups, self.steps.sequence)
-        if seen == self._stepped or not self.is_caught_up():
-            return
-        for post, settled in zip(lost, groups, strict=True):
-            if settled:
-                self._step_server(post, live, now)
-        self._stepped = (*seen[:-1], self.steps.sequence)
-
-    def _step_server(
-        self, post: posts.Post, live: frozenset[str], now: float
-    ) -> None:
-        name = post.row.server
-        planned = succession.plan_steps(self.state, self.steps, name, live)
-        for step in planned:
-            if not self.checks.check(
-                "owner-after-lapse",
-                post.lease.is_lapsed(now),
-                f"{step} while {name} may still serve",
-            ):
-                return
-            self.steps.merge(step)
-            LOG.info(
-                "lead: %s %s [%d, %d) steps from %s to %s: owner is lost, "
-                "result %d",
-                self.domain,
-                step.service,
-                step.start,
-                step.end,
-                name,
-                step.server,
-                codes.ResultCode.ANSWERED,
-            )
-
-    def _prune_steps(self) -> None:
-        """Forget steps that all gates know from the log."""
-        holders = {post.host for post in self.posts.values()} - {""}
-        reached = min(
-            [self.hosts[name].offset for name in holders if name in self.hosts]
-            + [self.state.offset]
-        )
-        seen = (reached, self.steps.sequence)
-        if seen == self._pruned:
-            return
-        for step in list(self.steps):
-            range_map = self.state.ranges_by_service.get(step.service)
-            if range_map is None or all(
-                step.version < current.version <= reached
-                and current.version != current.intent
-                for current in range_map.overlapping(step.start, step.end)
-            ):
-                self.steps.remove(step)
-        self._pruned = (reached, self.steps.sequence)
-
 
 def refuse_heartbeat(
     heartbeat: ttypes.Heartbeat, leader: str
--- a/src/agatestile/ownership/leading.py
+++ b/src/agatestile/ownership/leading.py
@@ -87,7 +87,7 @@
             is_due = now >= due
             if is_due:
                 due = now + self._timing.heartbeat_interval
-            self._send_grants(tasks, is_due, now)
+            self._send_grants(tasks, is_due)
             current = self.leadership.view().sequence
             if is_due or current != sequence:
                 self._beat()
@@ -95,9 +95,7 @@
                 sequence = current
             await anyio.sleep(TICK)
 
-    def _send_grants(
-        self, tasks: anyio.abc.TaskGroup, is_due: bool, now: float
-    ) -> None:
+    def _send_grants(self, tasks: anyio.abc.TaskGroup, is_due: bool) -> None:
         for server, post in self.leadership.posts.items():
             is_new = self._sent.get(server, "") != post.fence
             if self._calls.is_busy(server) or not (is_due or is_new):
@@ -110,6 +108,10 @@
                         self.leadership.note_probe,
                     )
                 continue
+            # Time has passed since the check before, and maybe a pause.
+            now = anyio.current_time()
+            if not self.leadership.may_act(now):
+                return
             prepared = self.leadership.request(server, now)
             if prepared is None:
                 return
