Report a released range at once

A gate that had released a range told its leader only with its next heartbeat, up to 0.25 s later, while nobody served the range. It now sends a second heartbeat at once, and a leader shows a new term to the servers without waiting for the next round.

The soak's fault that loses a leader after a step now cuts the gate of the successor off from everything but its server.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -334,7 +334,7 @@
 async def _step_then_lose_leader(soak: Soak) -> None:
     """Step a range in a log outage, then lose the leader that knows it.
 
-    The successor and its gate are cut off from the next leader.
+    The successor and its gate are cut off from everything else.
     """
     world = soak.world
     server = world.servers[soak.chance.choice("ab") + "1"]
@@ -352,6 +352,9 @@
             others = set(HOSTS) - {gate}
             cut = [(gate, name) for name in others]
             cut += [(step.server, name) for name in others]
+            cut += [
+                (gate, name) for name in world.servers if name != step.server
+            ]
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(soak.cut, cut)
         if leader.is_alive:
--- a/src/agatestile/ownership/driver.py
+++ b/src/agatestile/ownership/driver.py
@@ -166,7 +166,11 @@
     async def _follow(self, tasks: anyio.abc.TaskGroup) -> None:
         began = anyio.current_time()
         if self.leader and self.leader != self._me.name:
+            reported = set(self._gates.released())
             await self._beat()
+            if not reported.issuperset(self._gates.released()):
+                # The range is not served until the leader knows.
+                await self._beat()
         now = anyio.current_time()
         if now - self._heard_at >= self._timing.silence:
             await self._campaign(tasks)
--- a/src/agatestile/ownership/leading.py
+++ b/src/agatestile/ownership/leading.py
@@ -17,6 +17,7 @@
     from agatestile.ownership import exchanges
     from agatestile.ownership import leadership
     from agatestile.ownership import ports
+    from agatestile.state import records
 
 LOG = logging.getLogger(__name__)
 
@@ -61,7 +62,7 @@
         self._timing = timing
         self._calls = calls
         self._beat = beat
-        self._sent: dict[str, str] = {}
+        self._sent: dict[str, tuple[str, records.Term]] = {}
         self._announcing: set[str] = set()
 
     async def run(self) -> None:
@@ -97,7 +98,8 @@
 
     def _send_grants(self, tasks: anyio.abc.TaskGroup, is_due: bool) -> None:
         for server, post in self.leadership.posts.items():
-            is_new = self._sent.get(server, "") != post.fence
+            news = (post.fence, self.leadership.votes.term)
+            is_new = self._sent.get(server) != news
             if self._calls.is_busy(server) or not (is_due or is_new):
                 continue
             if not post.row.fenced:
@@ -115,7 +117,7 @@
             prepared = self.leadership.request(server, now)
             if prepared is None:
                 return
-            self._sent[server] = post.fence
+            self._sent[server] = news
             tasks.start_soon(
                 self._calls.grant,
                 post.row,
