--- a/src/agatestile/gateway/application.py
+++ b/src/agatestile/gateway/application.py
@@ -236,7 +236,7 @@
             channels[0],
             request.content_length,
             service.body_limit or DEFAULT_BODY_LIMIT,
-            self._options.body_idle_timeout,
+            self._options,
         )
         scope = anyio.CancelScope(deadline=now + timeout)
         return calls.Call(
--- a/src/agatestile/gateway/bodies.py
+++ b/src/agatestile/gateway/bodies.py
@@ -13,10 +13,12 @@
     import collections.abc
 
     from agatestile.gateway import asgi
+    from agatestile.gateway import options as gateway_options
 
-PREFETCH_BYTES = 64 * 1024
-"""Read before a request takes a slot, so that a slow sender of a small
-body holds no slot of a server."""
+PREFETCH_SHARE = 4
+"""Part of the memory for a body that is filled before a request takes a
+slot, so that a slow sender of a small body holds no slot of a server. The
+rest is for what the connections on both sides buffer."""
 
 _CODES = codes.ResultCode
 
@@ -50,8 +52,8 @@
         Declared length, None if it is not declared.
     limit : int
         Largest body, bytes.
-    idle_timeout : float
-        Longest wait for the next part, seconds.
+    options : options.Options
+        Bounds from the settings.
 
     Attributes
     ----------
@@ -64,12 +66,13 @@
         receive: asgi.Receive,
         length: int | None,
         limit: int,
-        idle_timeout: float,
+        options: gateway_options.Options,
     ) -> None:
         self._receive = receive
         self._length = length
         self._limit = limit
-        self._idle_timeout = idle_timeout
+        self._idle_timeout = options.body_idle_timeout
+        self._prefetch = options.body_memory // PREFETCH_SHARE
         self._prefix: list[bytes] = []
         self._received = 0
         self._streamed = False
@@ -94,7 +97,7 @@
         BodyError, CallerLeft
             If the body cannot be read.
         """
-        while not self.is_read and self._received < PREFETCH_BYTES:
+        while not self.is_read and self._received < self._prefetch:
             part = await self._next()
             if part:
                 self._prefix.append(part)
--- a/src/agatestile/gateway/connection.py
+++ b/src/agatestile/gateway/connection.py
@@ -17,8 +17,12 @@
 if typing.TYPE_CHECKING:
     from agatestile.gateway import asgi
 
-RECEIVE_BUFFER = 64 * 1024
-"""Socket buffer, bytes. It bounds how much one read returns."""
+RECEIVE_BUFFER = 32 * 1024
+"""Socket buffer, bytes, which the kernel doubles. It bounds how much one
+read returns."""
+
+PIECE = 16 * 1024
+"""Bytes of an upload that are handed to the transport at a time."""
 
 CONNECT_TIMEOUT = 1.0
 """Seconds; a connection takes 1 ms to open (section 1.5)."""
@@ -120,9 +124,10 @@
 
     def abort(self) -> None:
         """Close at once, which cancels the request at the server."""
-        self._protocol.is_reusable = False
-        if self._transport is not None:
-            self._transport.abort()
+        protocol = self._protocol
+        protocol.is_reusable = False
+        if protocol.transport is not None:
+            protocol.transport.abort()
 
     async def aclose(self) -> None:
         """Close at once."""
@@ -160,19 +165,20 @@
         left = length
         pending = head
         async for part in content:
-            if left is None:
-                framed = b"%x\r\n%b\r\n" % (len(part), part)
-            else:
-                framed, left = part, left - len(part)
-                if left < 0:
-                    raise httpcore.LocalProtocolError("body is too long")
-            self.was_written = True
-            transport.write(pending + framed if pending else framed)
-            pending = b""
-            await protocol.wait_writable()
-            if protocol.status:
-                protocol.is_reusable = False
-                return
+            for piece in _pieces(part):
+                if left is None:
+                    piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+                else:
+                    left -= len(piece)
+                    if left < 0:
+                        raise httpcore.LocalProtocolError("body is too long")
+                self.was_written = True
+                transport.write(pending + piece)
+                pending = b""
+                await protocol.wait_writable()
+                if protocol.status:
+                    protocol.is_reusable = False
+                    return
         if left:
             raise httpcore.LocalProtocolError("body is too short")
         self.was_written = True
@@ -186,6 +192,14 @@
     return b"\r\n".join(lines)
 
 
+def _pieces(part: bytes) -> collections.abc.Iterator[bytes]:
+    if len(part) <= PIECE:
+        return iter((part,))
+    return (
+        part[start : start + PIECE] for start in range(0, len(part), PIECE)
+    )
+
+
 def _content_length(headers: asgi.Headers) -> int | None:
     for name, value in headers:
         if name == b"content-length":
--- a/src/agatestile/gateway/protocol.py
+++ b/src/agatestile/gateway/protocol.py
@@ -18,9 +18,13 @@
     from agatestile.gateway import asgi
     from agatestile.gateway import options as gateway_options
 
-RECEIVE_BUFFER = 64 * 1024
-"""Socket buffer, bytes. It bounds how much one read returns, which uvicorn
-keeps in memory although it pauses reading above 64 KiB."""
+RECEIVE_BUFFER = 32 * 1024
+"""Socket buffer, bytes, which the kernel doubles. It bounds how much one
+read returns, which uvicorn keeps although it pauses reading above 64 KiB:
+192 KiB at most, as the previous part of the body may still be in use."""
+
+WRITE_HIGH_WATER = 32 * 1024
+"""Bytes of an answer above which its sender has to wait."""
 
 LINGER_SECONDS = 1.0
 """How long a refused connection is read from before it is closed."""
@@ -52,6 +56,7 @@
         raw = transport.get_extra_info("socket")
         if raw is not None:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        transport.set_write_buffer_limits(WRITE_HIGH_WATER)
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/agatestile/gateway/wire.py
+++ b/src/agatestile/gateway/wire.py
@@ -15,8 +15,11 @@
 HEAD_LIMIT = 64 * 1024
 """Largest head of an answer, bytes."""
 
-HIGH_WATER = 64 * 1024
-"""Bytes in either direction above which the sender has to wait."""
+HIGH_WATER = 32 * 1024
+"""Bytes of an answer above which reading pauses."""
+
+WRITE_HIGH_WATER = 16 * 1024
+"""Bytes of an upload above which its sender has to wait."""
 
 
 class ResponseProtocol(asyncio.Protocol):
@@ -106,7 +109,7 @@
         """Keep the transport."""
         # uvloop's transports are not derived from asyncio's.
         self.transport = typing.cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(HIGH_WATER)
+        self.transport.set_write_buffer_limits(WRITE_HIGH_WATER)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the present answer."""
