Keep connections that were opened ahead of use

The head timeout of 5 s also closed connections without any input.

Such a connection now stays as long as one between two requests; the head timeout begins with the first byte of a head.

--- a/src/agatestile/gateway/protocol.py
+++ b/src/agatestile/gateway/protocol.py
@@ -44,6 +44,7 @@
         super().__init__(*args, **kwargs)
         self._head_bytes = 0
         self._in_body = False
+        self._is_in_head = False
         self._is_refused = False
         self._refusal: outcomes.Refusal | None = None
         self._head_timer: asyncio.TimerHandle | None = None
@@ -57,7 +58,9 @@
         if raw is not None:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         transport.set_write_buffer_limits(WRITE_HIGH_WATER)
-        self._start_head_timer()
+        # A balancer may open connections ahead of use, so one without any
+        # input may stay as long as one between two requests.
+        self._start_head_timer(self.timeout_keep_alive)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer."""
@@ -75,12 +78,15 @@
             return
         if self._head_bytes > self.options.header_limit:
             self._refuse_head()
-        elif self._head_timer is None:
-            self._start_head_timer()
+        elif not self._is_in_head:
+            self._is_in_head = True
+            self._stop_head_timer()
+            self._start_head_timer(self.options.head_timeout)
 
     def on_headers_complete(self) -> None:
         """Check the exact size of a head before its request starts."""
         self._stop_head_timer()
+        self._is_in_head = False
         self._in_body = True
         if self._head_bytes > self.options.header_limit:
             size = len(self.url) + sum(
@@ -142,10 +148,8 @@
             LINGER_SECONDS, self.transport.close
         )
 
-    def _start_head_timer(self) -> None:
-        self._head_timer = self.loop.call_later(
-            self.options.head_timeout, self._on_head_timeout
-        )
+    def _start_head_timer(self, seconds: float) -> None:
+        self._head_timer = self.loop.call_later(seconds, self._on_head_timeout)
 
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
