--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -17,6 +17,7 @@
 from agatestile.gateway import application as gateway_application
 from agatestile.gateway import loads as gateway_loads
 from agatestile.gateway import options as gateway_options
+from agatestile.gateway import protocol
 from agatestile.log import appender as log_appender
 from agatestile.log import checkpoints
 from agatestile.log import client as log_client
@@ -113,13 +114,14 @@
         timing,
         checks,
     )
+    options = gateway_options.Options(*settings.requests)
     gateway = gateway_application.Application(
         settings.host,
         state,
         router.Router(state, views),
         ownership.gates,
         checks,
-        gateway_options.Options(*settings.requests),
+        options,
     )
     loads.attach(gateway.gates, ownership.gates)
     operations = admin_operations.Operations(
@@ -162,11 +164,13 @@
                 "callers",
                 requests.counted(gateway.callers, chosen_metrics, "entry"),
                 str(settings.listen.callers),
+                protocol.with_options(options),
             ),
             "forward": listeners.Listener(
                 "forward",
                 requests.counted(gateway.forward, chosen_metrics, "gate"),
                 str(settings.listen.forward),
+                protocol.with_options(options),
             ),
             "admin": listeners.Listener(
                 "admin",
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -22,29 +22,30 @@
         return "p1#1"
 
 
+def attached() -> loads.GateLoads:
+    state, checks = scene.state(), invariants.Invariants()
+    held = Held(state, scene.TIMING, checks)
+    measured = loads.GateLoads(state)
+    measured.attach(
+        entry.Gates(state, held, budget.RetryBudget(), checks), held
+    )
+    return measured
+
+
 @pytest.mark.anyio
 async def test_gate_without_requests_keeps_its_server_warm() -> None:
     """Guards against a slow start of a gate that moves twice.
 
     A new gate that has sent nothing must not report the server as cold.
     """
-    state, checks = scene.state(), invariants.Invariants()
-    held = Held(state, scene.TIMING, checks)
-    opened = entry.Gates(state, held, budget.RetryBudget(), checks)
-    measured = loads.GateLoads(state)
-    measured.attach(opened, held)
-    report = measured.gate_report("p1", "f1")
+    report = attached().gate_report("p1", "f1")
     assert (report.fence, report.warm_incarnation) == ("f1", "p1#1")
 
 
 @pytest.mark.anyio
 async def test_reports_by_range_are_sent_at_intervals() -> None:
     """Guards against heartbeats that exceed the control plane's bytes."""
-    state, checks = scene.state(), invariants.Invariants()
-    held = Held(state, scene.TIMING, checks)
-    opened = entry.Gates(state, held, budget.RetryBudget(), checks)
-    measured = loads.GateLoads(state)
-    measured.attach(opened, held)
+    measured = attached()
     note = measured.note_of("p1")
     for _ in range(100):
         note(5)
