--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -48,7 +48,7 @@
         queue_ms=500,
         body_limit=1024,
     )
-    servers = [
+    server_rows = [
         records.TableRow(
             kind="server",
             service=SERVICE,
@@ -60,7 +60,7 @@
         )
         for index in range(servers)
     ]
-    return (service, *servers)
+    return (service, *server_rows)
 
 
 def _state() -> cluster.ClusterState:
