Test the start of a new gate

A new gate of a warm server leaves the slots unused that the earlier gate's requests occupy; a server that it does not know is cold. Without either the server could get more than its slots. Gates.note_running has no caller since permits carry the figure, and is removed.

--- a/src/agatestile/gateway/entry.py
+++ b/src/agatestile/gateway/entry.py
@@ -87,22 +87,6 @@
             )
         return await gate.handle(call, now)
 
-    def note_running(self, server: str, running: int, until: float) -> None:
-        """Count requests of an earlier gate that a server still runs.
-
-        Parameters
-        ----------
-        server : str
-            Name of the server.
-        running : int
-            From the server's reply to the grant.
-        until : float
-            Runtime's clock at which the last of them ends.
-        """
-        gate = self._gate_of(server, None)
-        if gate is not None:
-            gate.admission.hold(running, until)
-
     def sweep(self, now: float) -> None:
         """Notice what leaves and close what is not needed any more."""
         if self._state.offset != self._offset:
--- a/tests/gateway/scenes.py
+++ b/tests/gateway/scenes.py
@@ -46,6 +46,8 @@
         self.fence = "1.1.1.a"
         self.lapsed = False
         self.running = 0
+        self.earlier = 0
+        self.warm_incarnation = ""
 
     def enter(
         self, server: str, position: int, now: float
@@ -62,7 +64,13 @@
             return outcomes.Refusal(codes.ResultCode.NOT_GATE, "not gate")
         if self.lapsed:
             return outcomes.Refusal(codes.ResultCode.LEASE_LAPSED, "lapsed")
-        return Permit(permit.server, self.fence, now + 1.6)
+        return Permit(
+            permit.server,
+            self.fence,
+            now + 1.6,
+            self.earlier,
+            self.warm_incarnation,
+        )
 
     def leave(self, permit: typing.Any) -> None:
         self.running -= 1
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -385,3 +385,29 @@
     assert stalled_at < 10_000_000
     assert reply.is_complete
     assert len(reply.body) == size
+
+
+async def test_new_gate_leaves_the_slots_of_the_earlier_gate_unused() -> None:
+    # Both gates' requests together would exceed the server's slots.
+    async def work(request: scenes.Request) -> None:
+        await asyncio.sleep(0.05)
+        await request.answer()
+
+    async with scenes.scene(work, queue=5) as scene:
+        scene.permits.fence = "2.1.1.b"
+        scene.permits.earlier = 1
+        scene.permits.warm_incarnation = "i-1"
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(scene.ask)
+        ramp = scene.gateway.gates.by_server["p1"].admission.ramp
+        assert not ramp.is_cold
+    assert len(scene.server.requests) == 3
+    assert scene.server.highest == 1
+
+
+async def test_server_unknown_to_its_new_gate_counts_as_cold() -> None:
+    async with scenes.scene(_ok) as scene:
+        scene.permits.fence = "2.1.1.b"
+        await scene.ask()
+        assert scene.gateway.gates.by_server["p1"].admission.ramp.is_cold
