--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
 measure: setup
-	$(BIN)/python -m bench.measure
+	$(BIN)/python -m bench.measure --agatestile "$(AGATESTILE)"
 
 binary: setup
 	rm -rf build/wheel
