Send grants over the gateway's connections

Cause: a grant through httpcore's own HTTP/1.1 took 1.2 ms of processor time on the leader, against 0.41 ms for a whole forwarded request, since h11 parses in Python and each request takes two locks.

Change: the grant client uses the gateway's connection, which parses with httptools.

--- a/src/agatestile/ownership/grant_client.py
+++ b/src/agatestile/ownership/grant_client.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 
+from agatestile.gateway import connection as gateway_connection
 from agatestile.ownership import grants
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -37,7 +38,7 @@
 
     def __init__(self, timeout: float) -> None:
         self._timeout = timeout
-        self._by_address: dict[str, httpcore.AsyncHTTPConnection] = {}
+        self._by_address: dict[str, gateway_connection.Connection] = {}
 
     async def grant(
         self, row: records.TableRow, request: grants.GrantRequest
@@ -69,7 +70,7 @@
 
     async def probe(self, row: records.TableRow) -> bool:
         """Tell whether a server that does not check fences answers."""
-        answer = await self._call(row.address, "GET", "/health", None)
+        answer = await self._call(row.address, "GET", "/health", b"")
         return not isinstance(answer, outcomes.Refusal) and answer[0] < 500
 
     async def close(self) -> None:
@@ -78,7 +79,7 @@
             await self._drop(address)
 
     async def _call(
-        self, address: str, method: str, path: str, body: bytes | None
+        self, address: str, method: str, path: str, body: bytes
     ) -> tuple[int, bytes] | outcomes.Refusal:
         done = False
         try:
@@ -104,7 +105,7 @@
                 await self._drop(address)
 
     async def _exchange(
-        self, address: str, method: str, path: str, body: bytes | None
+        self, address: str, method: str, path: str, body: bytes
     ) -> tuple[int, bytes]:
         connection = self._by_address.get(address)
         if connection is not None and (
@@ -113,26 +114,23 @@
             await self._drop(address)
             connection = None
         if connection is None:
-            host, _, port = address.rpartition(":")
-            connection = self._by_address[address] = (
-                httpcore.AsyncHTTPConnection(
-                    httpcore.Origin(
-                        b"http", host.strip("[]").encode(), int(port)
-                    )
-                )
-            )
-        async with connection.stream(
-            method,
-            f"http://{address}{path}",
-            headers={"content-type": "application/json"},
-            content=body,
-        ) as response:
-            content = b""
-            async for part in response.aiter_stream():
-                content += part
-                if len(content) > MAX_REPLY:
-                    raise ValueError("answer is too long")
-            return response.status, content
+            target = gateway_connection.Target.from_address(address)
+            connection = gateway_connection.Connection(*target)
+            self._by_address[address] = connection
+        headers = [
+            (b"host", address.encode("ascii")),
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        answer = await connection.exchange(
+            method.encode("ascii"), path.encode("ascii"), headers, body
+        )
+        content = b""
+        async for part in answer.body:
+            content += part
+            if len(content) > MAX_REPLY:
+                raise ValueError("answer is too long")
+        return answer.status, content
 
     async def _drop(self, address: str) -> None:
         connection = self._by_address.pop(address, None)
