--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes and signals."""
