--- a/bench/processes.py
+++ b/bench/processes.py
@@ -154,6 +154,10 @@
         """Send a signal to one process."""
         self.by_name[name].handle.send_signal(number)
 
+    def expect_end(self, name: str) -> None:
+        """Do not report a process that ends from now on."""
+        self._told.add(name)
+
     def kill(self, name: str) -> None:
         """End one process at once."""
         self._told.add(name)
