--- a/src/agatestile/daemon/factory.py
+++ b/src/agatestile/daemon/factory.py
@@ -15,7 +15,9 @@
 from agatestile.daemon import listeners
 from agatestile.daemon import reporter as metrics_reporter
 from agatestile.gateway import application as gateway_application
+from agatestile.gateway import loads as gateway_loads
 from agatestile.gateway import options as gateway_options
+from agatestile.gateway import protocol
 from agatestile.log import appender as log_appender
 from agatestile.log import checkpoints
 from agatestile.log import client as log_client
@@ -90,6 +92,7 @@
     follower.subscribe(changes.log_change)
     appender = log_appender.Appender(log, follower)
     views = routing_views.RouteViews()
+    loads = gateway_loads.GateLoads(state)
     ownership = runner.Runner(
         driver.Self(
             settings.host,
@@ -105,19 +108,22 @@
             appender=appender,
             membership=adapters.ListedHosts(members),
             on_view=views.update,
+            loads=loads,
             last_read=lambda: follower.last_read,
         ),
         timing,
         checks,
     )
+    options = gateway_options.Options(*settings.requests)
     gateway = gateway_application.Application(
         settings.host,
         state,
         router.Router(state, views),
         ownership.gates,
         checks,
-        gateway_options.Options(*settings.requests),
+        options,
     )
+    loads.attach(gateway.gates, ownership.gates)
     operations = admin_operations.Operations(
         settings,
         state,
@@ -158,11 +164,13 @@
                 "callers",
                 requests.counted(gateway.callers, chosen_metrics, "entry"),
                 str(settings.listen.callers),
+                protocol.with_options(options),
             ),
             "forward": listeners.Listener(
                 "forward",
                 requests.counted(gateway.forward, chosen_metrics, "gate"),
                 str(settings.listen.forward),
+                protocol.with_options(options),
             ),
             "admin": listeners.Listener(
                 "admin",
--- a/src/agatestile/gateway/servers.py
+++ b/src/agatestile/gateway/servers.py
@@ -16,6 +16,8 @@
 from agatestile.results import outcomes
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from agatestile.gateway import calls
     from agatestile.gateway import ports
     from agatestile.limits import budget
@@ -56,6 +58,8 @@
         Slots and queue.
     identifiers : deduplication.Deduplication
         Requests that may not be repeated.
+    note : callable or None
+        Called with the position of each request that this gate takes.
     """
 
     def __init__(
@@ -81,6 +85,12 @@
         self._expires = 0.0
         self._exchange = exchange.Exchange(row.server, self.admission)
         self.requests = 0
+        self.note: collections.abc.Callable[[int], None] | None = None
+
+    @property
+    def fence(self) -> str:
+        """Fence of the last request, empty before the first one."""
+        return self._fence
 
     @property
     def warm_incarnation(self) -> str:
@@ -111,6 +121,8 @@
         self._note_permit(permit, now)
         call.permit = permit
         self.requests += 1
+        if self.note is not None:
+            self.note(call.position)
         try:
             return await self._run(call, now)
         finally:
--- a/src/agatestile/ownership/driver.py
+++ b/src/agatestile/ownership/driver.py
@@ -134,11 +134,11 @@
     ) -> ttypes.HeartbeatReply:
         """Answer a host's heartbeat."""
         now = anyio.current_time()
-        leader = self.leadership
-        if leader is None or not leader.may_act(now):
+        led = self._leading
+        if led is None or not led.leadership.may_act(now):
             known = "" if self.leader == self._me.name else self.leader
             return leadership.refuse_heartbeat(heartbeat, known)
-        return leader.on_heartbeat(heartbeat, now)
+        return led.on_heartbeat(heartbeat, now)
 
     async def pause(self, seconds: float) -> bool:
         """Wait; True if a leader was heard of meanwhile."""
@@ -166,7 +166,11 @@
     async def _follow(self, tasks: anyio.abc.TaskGroup) -> None:
         began = anyio.current_time()
         if self.leader and self.leader != self._me.name:
+            reported = set(self._gates.released())
             await self._beat()
+            if not reported.issuperset(self._gates.released()):
+                # The range is not served until the leader knows.
+                await self._beat()
         now = anyio.current_time()
         if now - self._heard_at >= self._timing.silence:
             await self._campaign(tasks)
@@ -203,10 +207,10 @@
             self.leader = reply.leader
 
     def _beat_own(self) -> None:
-        leader = self.leadership
-        if leader is not None:
+        if self._leading is not None:
             now = anyio.current_time()
-            self._take(leader.on_heartbeat(self._heartbeat(now), now))
+            beat = self._heartbeat(now)
+            self._take(self._leading.on_heartbeat(beat, now))
 
     def _take(self, reply: ttypes.HeartbeatReply) -> None:
         view = self._gates.apply_reply(self.domain, reply)
--- a/src/agatestile/ownership/handover.py
+++ b/src/agatestile/ownership/handover.py
@@ -121,6 +121,11 @@
         """Ask for moves, as placement does."""
         self._proposed.extend(changes)
 
+    @property
+    def has_proposals(self) -> bool:
+        """Whether proposed moves wait for the log."""
+        return bool(self._proposed)
+
     def is_registered(self) -> bool:
         """Tell whether the log shows this leadership as the last one."""
         term = self._leader.state.domain(self._leader.domain).term
--- a/src/agatestile/ownership/leading.py
+++ b/src/agatestile/ownership/leading.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from agatestile.ownership import handover
+from agatestile.ownership import rebalancing
 from agatestile.ownership import terms
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -17,6 +18,8 @@
     from agatestile.ownership import exchanges
     from agatestile.ownership import leadership
     from agatestile.ownership import ports
+    from agatestile.rpc.generated.agatestile_rpc import ttypes
+    from agatestile.state import records
 
 LOG = logging.getLogger(__name__)
 
@@ -56,14 +59,26 @@
     ) -> None:
         self.leadership = leader
         self.handover = handover.Handover(leader)
+        self.rebalancer = rebalancing.Rebalancer(
+            leader, self.handover, anyio.current_time()
+        )
         self.leaves = False
         self._ports = used
         self._timing = timing
         self._calls = calls
         self._beat = beat
-        self._sent: dict[str, str] = {}
+        self._sent: dict[str, tuple[str, records.Term]] = {}
         self._announcing: set[str] = set()
 
+    def on_heartbeat(
+        self, heartbeat: ttypes.Heartbeat, now: float
+    ) -> ttypes.HeartbeatReply:
+        """Take a host's heartbeat and return the answer."""
+        reply = self.leadership.on_heartbeat(heartbeat, now)
+        if reply.leads:
+            self.rebalancer.note(heartbeat, now)
+        return reply
+
     async def run(self) -> None:
         """Lead until the majority is lost or the host leaves."""
         async with anyio.create_task_group() as tasks:
@@ -87,7 +102,8 @@
             is_due = now >= due
             if is_due:
                 due = now + self._timing.heartbeat_interval
-            self._send_grants(tasks, is_due, now)
+                self.rebalancer.tick(now)
+            self._send_grants(tasks, is_due)
             current = self.leadership.view().sequence
             if is_due or current != sequence:
                 self._beat()
@@ -95,11 +111,10 @@
                 sequence = current
             await anyio.sleep(TICK)
 
-    def _send_grants(
-        self, tasks: anyio.abc.TaskGroup, is_due: bool, now: float
-    ) -> None:
+    def _send_grants(self, tasks: anyio.abc.TaskGroup, is_due: bool) -> None:
         for server, post in self.leadership.posts.items():
-            is_new = self._sent.get(server, "") != post.fence
+            news = (post.fence, self.leadership.votes.term)
+            is_new = self._sent.get(server) != news
             if self._calls.is_busy(server) or not (is_due or is_new):
                 continue
             if not post.row.fenced:
@@ -110,10 +125,14 @@
                         self.leadership.note_probe,
                     )
                 continue
+            # Time has passed since the check before, and maybe a pause.
+            now = anyio.current_time()
+            if not self.leadership.may_act(now):
+                return
             prepared = self.leadership.request(server, now)
             if prepared is None:
                 return
-            self._sent[server] = post.fence
+            self._sent[server] = news
             tasks.start_soon(
                 self._calls.grant,
                 post.row,
