Measure service against a plain forwarder

Tail latency with slowed servers, goodput under overload and availability during losses were only asserted, not measured with real processes and a baseline.

The demo's warm-up and load plan become public for it.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -71,7 +71,7 @@
     watch = asyncio.create_task(spread.watch())
     await spread.look()
     started = time.monotonic()
-    warm_up = await _warm_up(spread, services, options)
+    warmed = await warm_up(spread, services, options)
     took = time.monotonic() - started
 
     async def lose() -> None:
@@ -81,16 +81,16 @@
     loss = asyncio.create_task(lose())
     measured = await load.run(
         spread,
-        _plan(services, options.rate, options.seconds, options.seed),
+        plan_load(services, options.rate, options.seconds, options.seed),
         time.monotonic(),
     )
     await loss
     watch.cancel()
     spread.client.close()
-    return report.Trial(measured, warm_up, took, lost, PROBE_INTERVAL)
+    return report.Trial(measured, warmed, took, lost, PROBE_INTERVAL)
 
 
-async def _warm_up(
+async def warm_up(
     spread: balancer.Balancer,
     services: list[load.ServiceLoad],
     options: Options,
@@ -111,15 +111,16 @@
         seed += 1
         records += await load.run(
             spread,
-            _plan(services, options.rate * part, SETTLE_SECONDS / 3, seed),
+            plan_load(services, options.rate * part, SETTLE_SECONDS / 3, seed),
             time.monotonic(),
         )
     return records
 
 
-def _plan(
+def plan_load(
     services: list[load.ServiceLoad], rate: float, seconds: float, seed: int
 ) -> list[load.Request]:
+    """Plan mixed requests and the probes of some keys of each service."""
     requests = [
         *load.plan_mixed(services, rate, seconds, seed),
         *load.plan_probes(
--- /dev/null
+++ b/bench/service.py
@@ -0,0 +1,170 @@
+"""Measures latency, goodput and availability against a plain forwarder.
+
+Usage: python -m bench.service [--only NAME] [--seeds 1,2,3] [--seconds N]
+
+Runs the processes of the Mazowsze deployment on free ports, one system, case
+and seed after the other, and prints one Markdown table per measure.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import random
+import shlex
+import sys
+import time
+import typing
+
+import uvloop
+
+from bench import balancer
+from bench import demo
+from bench import http_client
+from bench import load
+from bench import processes
+from bench import service_cases
+from bench import spread
+from bench import systems
+from bench import verdict
+
+
+class Options(typing.NamedTuple):
+    """What to run; `seconds` is the length of each measured load."""
+
+    command: list[str]
+    seeds: list[int]
+    seconds: float
+
+
+def main() -> None:
+    """Run the measures one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    names = [measure.name for measure in service_cases.MEASURES]
+    parser.add_argument("--only", choices=names, action="append")
+    parser.add_argument("--seeds", default="1,2,3", metavar="N,N")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument(
+        "--agatestile",
+        metavar="COMMAND",
+        default=str(pathlib.Path(sys.executable).with_name("agatestile")),
+    )
+    given = parser.parse_args()
+    options = Options(
+        shlex.split(given.agatestile),
+        [int(seed) for seed in given.seeds.split(",")],
+        given.seconds,
+    )
+    try:
+        for measure in service_cases.MEASURES:
+            if not given.only or measure.name in given.only:
+                print(f"\n{measure.title}\n\n{run(measure, options)}")
+    except processes.NotReadyError as error:
+        print(f"service: {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+def run(measure: service_cases.Measure, options: Options) -> str:
+    """Return the table of one measure."""
+    figures_by_row: dict[tuple[str, ...], list[list[float]]] = {}
+    for seed in options.seeds:
+        for case in measure.cases:
+            for name in case.for_systems:
+                figures = run_trial(measure, case, name, seed, options)
+                rows = figures_by_row.setdefault((case.name, name), [])
+                rows.append(figures)
+    return spread.table(measure.columns, figures_by_row, ["case", "system"])
+
+
+def run_trial(
+    measure: service_cases.Measure,
+    case: service_cases.Case,
+    name: str,
+    seed: int,
+    options: Options,
+) -> list[float]:
+    """Start a system, send the load with the fault and stop the system."""
+    with processes.Processes() as running:
+        system = systems.start(
+            name, options.command, running, measure.service_ms
+        )
+        records = uvloop.run(
+            _send_load(measure, case, system, seed, options.seconds)
+        )
+        figures = measure.figures(records, system.totals(), options.seconds)
+    results = verdict.count_results(records).most_common(6)
+    print(
+        f"{measure.name}, {case.name}, {name}, seed {seed}:"
+        f" {[round(figure, 2) for figure in figures]}, {len(records)}"
+        f" requests: {dict(results)}",
+        file=sys.stderr,
+        flush=True,
+    )
+    return figures
+
+
+async def _send_load(
+    measure: service_cases.Measure,
+    case: service_cases.Case,
+    system: systems.System,
+    seed: int,
+    seconds: float,
+) -> list[load.Record]:
+    spreading = balancer.Balancer(system.entry_hosts)
+    services = _services(measure, system)
+    watch = asyncio.create_task(spreading.watch())
+    await spreading.look()
+    options = demo.Options([], measure.warm_up_rate, seconds, seed)
+    warm_up = await demo.warm_up(spreading, services, options)
+    draw = random.Random(seed)
+    trial = service_cases.Trial(
+        system,
+        seed,
+        seconds,
+        draw.choice(_probed_owners(warm_up)),
+        http_client.Client(),
+        draw,
+    )
+    for server in system.deployment.servers:
+        await trial.control(server.name, reset=True)
+    if measure.only_lookups:
+        requests = list(load.plan_mixed(services, measure.rate, seconds, seed))
+    else:
+        requests = demo.plan_load(services, measure.rate, seconds, seed)
+    fault = asyncio.create_task(case.fault(trial))
+    records = await load.run(spreading, requests, time.monotonic())
+    await fault
+    watch.cancel()
+    spreading.client.close()
+    trial.client.close()
+    return records
+
+
+def _services(
+    measure: service_cases.Measure, system: systems.System
+) -> list[load.ServiceLoad]:
+    services = system.deployment.services()
+    if measure.only_lookups:
+        services = [
+            item for item in services if item.service == systems.SERVICE
+        ]
+    if measure.even_keys:
+        services = [item._replace(zipf=0.0) for item in services]
+    return services
+
+
+def _probed_owners(records: list[load.Record]) -> list[str]:
+    return sorted(
+        {
+            record.owner
+            for record in records
+            if record.answered
+            and record.request.group == load.PROBE
+            and record.request.service == systems.SERVICE
+        }
+    )
+
+
+if __name__ == "__main__":
+    main()
