Split the service bench into small modules

A trial of the loss measure ended with an error because the counters were read from servers that were down by intent, and the choice of the owner shifted the draws of the other faults between the systems.

Only the overload measure reads counters now and waits for servers that fell over; faults have a generator of their own.

--- a/bench/service.py
+++ b/bench/service.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import os
 import pathlib
 import random
 import shlex
@@ -25,6 +26,7 @@
 from bench import load
 from bench import processes
 from bench import service_cases
+from bench import service_faults
 from bench import spread
 from bench import systems
 from bench import verdict
@@ -36,6 +38,7 @@
     command: list[str]
     seeds: list[int]
     seconds: float
+    case: str
 
 
 def main() -> None:
@@ -43,6 +46,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     names = [measure.name for measure in service_cases.MEASURES]
     parser.add_argument("--only", choices=names, action="append")
+    parser.add_argument(
+        "--case", default="", help="only cases with this in their names"
+    )
     parser.add_argument("--seeds", default="1,2,3", metavar="N,N")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument(
@@ -55,6 +61,7 @@
         shlex.split(given.agatestile),
         [int(seed) for seed in given.seeds.split(",")],
         given.seconds,
+        given.case,
     )
     try:
         for measure in service_cases.MEASURES:
@@ -68,8 +75,9 @@
 def run(measure: service_cases.Measure, options: Options) -> str:
     """Return the table of one measure."""
     figures_by_row: dict[tuple[str, ...], list[list[float]]] = {}
+    cases = [case for case in measure.cases if options.case in case.name]
     for seed in options.seeds:
-        for case in measure.cases:
+        for case in cases:
             for name in case.for_systems:
                 figures = run_trial(measure, case, name, seed, options)
                 rows = figures_by_row.setdefault((case.name, name), [])
@@ -92,12 +100,13 @@
         records = uvloop.run(
             _send_load(measure, case, system, seed, options.seconds)
         )
-        figures = measure.figures(records, system.totals(), options.seconds)
+        figures = measure.figures(records, system, options.seconds)
     results = verdict.count_results(records).most_common(6)
     print(
         f"{measure.name}, {case.name}, {name}, seed {seed}:"
         f" {[round(figure, 2) for figure in figures]}, {len(records)}"
-        f" requests: {dict(results)}",
+        f" requests: {dict(results)}, load average"
+        f" {os.getloadavg()[0]:.1f}",
         file=sys.stderr,
         flush=True,
     )
@@ -117,14 +126,14 @@
     await spreading.look()
     options = demo.Options([], measure.warm_up_rate, seconds, seed)
     warm_up = await demo.warm_up(spreading, services, options)
-    draw = random.Random(seed)
-    trial = service_cases.Trial(
+    trial = service_faults.Trial(
         system,
-        seed,
         seconds,
-        draw.choice(_probed_owners(warm_up)),
+        random.Random(seed).choice(_probed_owners(warm_up)),
         http_client.Client(),
-        draw,
+        # Not shared with the choice of the owner, so that both systems
+        # get the same faults.
+        random.Random(seed),
     )
     for server in system.deployment.servers:
         await trial.control(server.name, reset=True)
--- a/bench/systems.py
+++ b/bench/systems.py
@@ -72,7 +72,21 @@
         )
 
     def totals(self) -> dict[str, int]:
-        """Return the sums of the servers' counters."""
+        """Return the sums of the servers' counters.
+
+        Servers that fell over near the end give no report until they are
+        back, so this waits for them.
+        """
+        addresses = [
+            f"127.0.0.1:{item.port}" for item in self.deployment.servers
+        ]
+        self.running.wait_until(
+            "servers that report",
+            lambda: all(
+                processes.is_ready(address, "/state") for address in addresses
+            ),
+            READY_TIMEOUT,
+        )
         totals: dict[str, int] = {}
         for server in self.deployment.server_reports():
             for name, count in server.counts.items():
