Build the ranges of the capacity bench once

Two measurements built the same range map in copies of the same loop, and the keys of the look-up took a new generator with the same seed for each key. One function now serves both, with one generator.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -96,55 +96,44 @@
     return state
 
 
+def _range_map(count: int) -> ranges.RangeMap:
+    width = ranges.END // count
+    range_map = ranges.RangeMap(0)
+    range_map.replace(
+        [
+            ranges.Range(
+                index * width,
+                (index + 1) * width if index + 1 < count else ranges.END,
+                f"prices-{index % SERVERS_A_SERVICE:03d}",
+                (),
+                3,
+                ranges.NO_INTENT,
+            )
+            for index in range(count)
+        ]
+    )
+    return range_map
+
+
 def memory_of_ranges() -> slopes.Slope:
     """Measure the memory that ranges take once they are assigned."""
     points = []
     for count in RANGE_COUNTS:
-        width = ranges.END // count
         tracemalloc.start()
-        range_map = ranges.RangeMap(0)
-        range_map.replace(
-            [
-                ranges.Range(
-                    index * width,
-                    (index + 1) * width if index + 1 < count else ranges.END,
-                    f"prices-{index % SERVERS_A_SERVICE:03d}",
-                    (),
-                    3,
-                    ranges.NO_INTENT,
-                )
-                for index in range(count)
-            ]
-        )
+        range_map = _range_map(count)
         held, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
-        points.append((float(count), float(held)))
+        points.append((float(len(range_map)), float(held)))
     return slopes.Slope.from_points("memory, bytes", "ranges", points)
 
 
 def time_of_lookup(seed: int) -> slopes.Slope:
     """Measure hashing a key and finding its range."""
-    names = [
-        f"price/{random.Random(seed).random()}/{index}"
-        for index in range(LOOKUPS)
-    ]
+    generator = random.Random(seed)
+    names = [f"price/{generator.random()}/{index}" for index in range(LOOKUPS)]
     points = []
     for count in RANGE_COUNTS:
-        range_map = ranges.RangeMap(0)
-        width = ranges.END // count
-        range_map.replace(
-            [
-                ranges.Range(
-                    index * width,
-                    (index + 1) * width if index + 1 < count else ranges.END,
-                    "prices-000",
-                    (),
-                    3,
-                    ranges.NO_INTENT,
-                )
-                for index in range(count)
-            ]
-        )
+        range_map = _range_map(count)
         started = time.perf_counter()
         for name in names:
             range_map.find(keys.position_of(name))
