--- /dev/null
+++ b/src/agatestile/assignment/coordinator.py
@@ -0,0 +1,562 @@
+"""Grants, renews and moves keys for as long as this host has the seat."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+
+from agatestile.assignment import heat as heat_module
+from agatestile.assignment import leases
+from agatestile.assignment import planner
+from agatestile.assignment import ports
+from agatestile.assignment import ranges
+from agatestile.assignment import records
+from agatestile.observability import events
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    from agatestile.store import port
+
+LOG = logging.getLogger(__name__)
+
+PLAN_SECONDS = 0.4
+"""Interval of plans; a hot stretch of keys lasts a few seconds."""
+
+SETTLE_SECONDS = 0.03
+"""Time that hosts get to stop sending to a source before it is told to
+release; requests that are under way then are rejected."""
+
+ORDER_TIMEOUT = 0.6
+"""Longest wait for the answer to a grant, seconds."""
+
+RELEASE_TIMEOUT = 2.5
+"""Longest wait for the answer to a release, which comes when the work on
+the keys has ended, seconds."""
+
+RETRY_SECONDS = 0.3
+"""Pause before an unanswered order is repeated."""
+
+SILENT_RENEWALS = 2
+"""Unanswered renewals in a row after which a server's keys are moved."""
+
+FIRST_SERVERS_SECONDS = 1.5
+"""How long the first assignment of a service waits for more servers to
+register after the first."""
+
+
+class Placement(typing.NamedTuple):
+    """What the coordinator needs to know of a server.
+
+    Attributes
+    ----------
+    address : tuple of (str, int)
+        Where orders go.
+    holder : planner.Holder
+        What the planner needs.
+    """
+
+    address: tuple[str, int]
+    holder: planner.Holder
+
+
+class Fleet(typing.Protocol):
+    """Servers of the partitioned services, as discovery shows them."""
+
+    def services(self) -> list[str]:
+        """Return the services divided by key."""
+
+    def placements(self, service: str) -> dict[str, Placement]:
+        """Return the servers of a service by identifier."""
+
+
+class ServiceState:
+    """Assignment of one service."""
+
+    def __init__(self, key_map: ranges.RangeMap, now: float) -> None:
+        self.key_map = key_map
+        self.heat = heat_module.KeyHeat(now)
+        self.is_new = True
+        self.first_seen: float | None = None
+        self.has_owners = any(
+            one.owner != ranges.NOBODY for one in key_map.ranges
+        )
+
+
+class Coordinator:
+    """Decides about assignments while it has the seat.
+
+    Parameters
+    ----------
+    store : port.Store
+        Where assignments are kept.
+    orders : ports.Orders
+        Sends grants and releases.
+    fleet : Fleet
+        Known servers.
+    address : str
+        Control address of this host.
+    now : callable
+        Clock that goes on while the machine is suspended, seconds.
+    """
+
+    def __init__(
+        self,
+        store: port.Store,
+        orders: ports.Orders,
+        fleet: Fleet,
+        address: str,
+        now: typing.Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._orders = orders
+        self._fleet = fleet
+        self._address = address
+        self._now = now
+        self._end = 0
+        self._fences = leases.Fences(0)
+        self._holds = leases.Holds()
+        self._append_lock = anyio.Lock()
+        self._locks_by_life: dict[leases.Life, anyio.Lock] = {}
+        self._silent_by_life: dict[leases.Life, int] = {}
+        self._moving: dict[tuple[str, int, int], None] = {}
+        self._changed = anyio.Event()
+        self._plan_wanted = anyio.Event()
+        self.tenure = leases.Tenure()
+        self.epoch = 0
+        self.version = 0
+        self.services: dict[str, ServiceState] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Whether this host has the seat and may decide."""
+        return self.epoch > 0 and self.tenure.holds(self._now())
+
+    async def take_seat(self) -> outcomes.Refusal | None:
+        """Become the holder of the seat; return why not."""
+        sent = self._now()
+        page = await self._store.newest(records.TOPIC)
+        if isinstance(page, outcomes.Refusal):
+            return page
+        stored = records.decode(page)
+        if isinstance(stored, str):
+            return outcomes.Refusal(codes.ResultCode.RECORD_STALE, stored)
+        seat = records.Seat(stored.seat.epoch + 1, self._address)
+        end = await self._store.append(
+            records.TOPIC, [records.encode_seat(seat)], stored.end
+        )
+        if isinstance(end, outcomes.Refusal):
+            return end
+        now = self._now()
+        self._end = end
+        self._fences = leases.Fences(seat.epoch)
+        self._holds.take_over(now, stored.seat.is_resigned)
+        self._silent_by_life.clear()
+        self._moving.clear()
+        self.services = {
+            name: ServiceState(key_map, now)
+            for name, key_map in stored.maps.items()
+        }
+        self.epoch = seat.epoch
+        self.tenure.confirm(sent)
+        self._publish()
+        events.emit(
+            "seat_taken",
+            epoch=seat.epoch,
+            predecessor=stored.seat.host,
+            resigned=stored.seat.is_resigned,
+        )
+        return None
+
+    def lose_seat(self, reason: str) -> None:
+        """Stop to decide."""
+        if self.epoch:
+            events.emit("seat_lost", epoch=self.epoch, reason=reason)
+        self.epoch = 0
+        self.tenure.end()
+        self._publish()
+
+    async def resign(self) -> None:
+        """Leave the seat to another host, which need not wait then."""
+        if not self.is_active:
+            return
+        epoch = self.epoch
+        self.lose_seat("this host stops")
+        async with self._append_lock:
+            seat = records.Seat(epoch, self._address, is_resigned=True)
+            result = await self._store.append(
+                records.TOPIC, [records.encode_seat(seat)], self._end
+            )
+        if isinstance(result, outcomes.Refusal):
+            events.emit("resignation_failed", reason=str(result))
+
+    def add_heat(self, service: str, counts: dict[int, int]) -> None:
+        """Count requests by key."""
+        state = self.services.get(service)
+        if state is not None:
+            state.heat.add(counts)
+
+    def request_plan(self) -> None:
+        """Plan soon, as servers or zones have changed."""
+        self._plan_wanted.set()
+
+    async def wait_changed(self, version: int, timeout: float) -> None:
+        """Wait until the assignment differs from a version."""
+        with anyio.move_on_after(timeout):
+            while self.version == version:
+                await self._changed.wait()
+
+    async def run(self) -> None:
+        """Renew and plan until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._renew_always, tasks)
+            while True:
+                with anyio.move_on_after(PLAN_SECONDS):
+                    await self._plan_wanted.wait()
+                self._plan_wanted = anyio.Event()
+                if self.is_active:
+                    await self._plan_all(tasks)
+
+    def _publish(self) -> None:
+        self.version += 1
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    # Renewals
+
+    async def _renew_always(self, tasks: typing.Any) -> None:
+        next_by_life: dict[leases.Life, float] = {}
+        while True:
+            await anyio.sleep(0.1)
+            if not self.is_active:
+                continue
+            now = self._now()
+            lives: set[leases.Life] = set()
+            for service, state in self.services.items():
+                for one in state.key_map.ranges:
+                    if one.owner == ranges.NOBODY:
+                        continue
+                    life = leases.life_of(one.owner)
+                    if life in lives:
+                        continue
+                    lives.add(life)
+                    if now >= next_by_life.get(life, 0.0):
+                        next_by_life[life] = now + leases.RENEW_SECONDS
+                        tasks.start_soon(self._renew, service, life)
+            for life in list(next_by_life):
+                if life not in lives:
+                    del next_by_life[life]
+
+    async def _renew(self, service: str, life: leases.Life) -> None:
+        epoch = self.epoch
+        async with self._lock_of(life):
+            for one in list(self.services[service].key_map.ranges):
+                if leases.life_of(one.owner) != life:
+                    continue
+                if one.source != ranges.NOBODY:
+                    continue
+                placement = self._placement(service, life)
+                if placement is None or epoch != self.epoch:
+                    return
+                if not self._still_owned(service, one):
+                    continue
+                if not await self._renew_range(placement, life, one):
+                    return
+
+    async def _renew_range(
+        self,
+        placement: Placement,
+        life: leases.Life,
+        key_range: ranges.KeyRange,
+    ) -> bool:
+        result = await self._grant(placement, life, key_range, None)
+        if result is None:
+            return False
+        if result.reply is ports.Reply.DONE:
+            if self._silent_by_life.pop(life, 0) >= SILENT_RENEWALS:
+                events.emit("server_answers_again", server=life[0])
+            return True
+        if result.reply is ports.Reply.FENCED:
+            self.lose_seat(f"a higher fence was used at {life[0]}")
+            return False
+        count = self._silent_by_life.get(life, 0) + 1
+        self._silent_by_life[life] = count
+        if count == SILENT_RENEWALS:
+            events.emit("server_silent", server=life[0], reason=result.reason)
+            self.request_plan()
+        return False
+
+    async def _grant(
+        self,
+        placement: Placement,
+        life: leases.Life,
+        key_range: ranges.KeyRange,
+        handover: str | None,
+    ) -> ports.OrderResult | None:
+        """Send a grant if this host may still decide."""
+        if not self.tenure.holds(self._now()):
+            return None
+        try:
+            return await self._orders.grant(
+                placement.address,
+                key_range,
+                leases.HOLD_SECONDS,
+                handover,
+                ORDER_TIMEOUT,
+            )
+        finally:
+            self._holds.on_grant_end(life, self._now())
+
+    def _still_owned(self, service: str, one: ranges.KeyRange) -> bool:
+        return self.services[service].key_map.find(one.first) == one
+
+    def _placement(self, service: str, life: leases.Life) -> Placement | None:
+        placement = self._fleet.placements(service).get(life[0])
+        if placement is None or placement.holder.incarnation != life[1]:
+            return None
+        return placement
+
+    def _lock_of(self, life: leases.Life) -> anyio.Lock:
+        return self._locks_by_life.setdefault(life, anyio.Lock())
+
+    # Plans
+
+    async def _plan_all(self, tasks: typing.Any) -> None:
+        now = self._now()
+        named: set[leases.Life] = set()
+        for service in self._fleet.services():
+            state = self.services.get(service)
+            if state is None:
+                state = ServiceState(ranges.RangeMap(), now)
+                self.services[service] = state
+            await self._plan(service, state, tasks)
+            for one in state.key_map.ranges:
+                named.add(leases.life_of(one.owner))
+                named.add(leases.life_of(one.source))
+        self._holds.forget(named)
+        for life in list(self._locks_by_life):
+            if life not in named and not self._locks_by_life[life].locked():
+                del self._locks_by_life[life]
+
+    async def _plan(
+        self, service: str, state: ServiceState, tasks: typing.Any
+    ) -> None:
+        now = self._now()
+        placements = self._fleet.placements(service)
+        if not self._is_ready(state, placements, now):
+            return
+        state.heat.advance(now)
+        holders = {
+            name: self._with_silence(one.holder)
+            for name, one in placements.items()
+        }
+
+        def is_frozen(one: ranges.KeyRange) -> bool:
+            return (service, one.first, one.last) in self._moving
+
+        self._resume_moves(service, state, tasks)
+        moves = planner.plan(state.key_map, holders, state.heat, is_frozen)
+        if moves:
+            await self._start_moves(service, state, moves, holders, tasks)
+
+    def _is_ready(
+        self,
+        state: ServiceState,
+        placements: dict[str, Placement],
+        now: float,
+    ) -> bool:
+        if state.has_owners:
+            return True
+        if not placements:
+            return False
+        if state.first_seen is None:
+            state.first_seen = now
+        if now < state.first_seen + FIRST_SERVERS_SECONDS:
+            return False
+        state.has_owners = True
+        return True
+
+    def _with_silence(self, holder: planner.Holder) -> planner.Holder:
+        life = (holder.id, holder.incarnation)
+        if self._silent_by_life.get(life, 0) < SILENT_RENEWALS:
+            return holder
+        return holder._replace(can_take=False, must_leave=True)
+
+    async def _start_moves(
+        self,
+        service: str,
+        state: ServiceState,
+        moves: list[planner.Move],
+        holders: dict[str, planner.Holder],
+        tasks: typing.Any,
+    ) -> None:
+        changes = []
+        for move in moves:
+            target = holders[move.target]
+            owner = ranges.Owner(
+                target.id, target.incarnation, self._fences.next()
+            )
+            old = state.key_map.find(move.first)
+            # A move that is taken up anew keeps the life that may still
+            # hold the keys.
+            source = old.owner
+            changes.append(
+                ranges.KeyRange(move.first, move.last, owner, source)
+            )
+        key_map = state.key_map.replace(changes)
+        if not await self._persist(service, key_map):
+            return
+        state.key_map = key_map
+        self._publish()
+        for change in changes:
+            self._start_move(service, change, tasks)
+
+    def _start_move(
+        self, service: str, change: ranges.KeyRange, tasks: typing.Any
+    ) -> None:
+        self._moving[service, change.first, change.last] = None
+        tasks.start_soon(self._move, service, change)
+
+    def _resume_moves(
+        self, service: str, state: ServiceState, tasks: typing.Any
+    ) -> None:
+        """Go on with moves that a predecessor began."""
+        for one in state.key_map.ranges:
+            if one.source == ranges.NOBODY:
+                continue
+            if (service, one.first, one.last) not in self._moving:
+                self._start_move(service, one, tasks)
+
+    async def _persist(self, service: str, key_map: ranges.RangeMap) -> bool:
+        async with self._append_lock:
+            epoch = self.epoch
+            sent = self._now()
+            result = await self._store.append(
+                records.TOPIC,
+                [records.encode_map(service, key_map)],
+                self._end,
+            )
+            if epoch != self.epoch:
+                return False
+            if not isinstance(result, outcomes.Refusal):
+                self._end = result
+                self.tenure.confirm(sent)
+                return True
+            events.emit(
+                "assignment_not_stored", service=service, reason=str(result)
+            )
+            if result.code == codes.ResultCode.RECORD_STALE:
+                # The condition fails also if an unanswered append of this
+                # host was carried out late; taking the seat anew reads it.
+                self.lose_seat("the assignments were changed meanwhile")
+            elif result.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
+                await self._reread_end(service)
+            return False
+
+    async def _reread_end(self, service: str) -> None:
+        """Give up the seat unless the state is as it was."""
+        page = await self._store.newest(records.TOPIC)
+        if isinstance(page, outcomes.Refusal):
+            return
+        if page.end != self._end:
+            self.lose_seat(f"an append for {service} was carried out late")
+
+    # Moves
+
+    async def _move(self, service: str, change: ranges.KeyRange) -> None:
+        try:
+            await self._carry_out(service, change, self.epoch)
+        finally:
+            self._moving.pop((service, change.first, change.last), None)
+
+    async def _carry_out(
+        self, service: str, change: ranges.KeyRange, epoch: int
+    ) -> None:
+        handover = None
+        if change.source != ranges.NOBODY:
+            await anyio.sleep(SETTLE_SECONDS)
+            handover = await self._take_back(service, change, epoch)
+        target = leases.life_of(change.owner)
+        while epoch == self.epoch and self.is_active:
+            placement = self._placement(service, target)
+            if placement is None:
+                break
+            async with self._lock_of(target):
+                result = await self._grant(placement, target, change, handover)
+            if result is None:
+                return
+            if result.reply is ports.Reply.DONE:
+                break
+            if result.reply is ports.Reply.FENCED:
+                self.lose_seat(f"a higher fence was used at {target[0]}")
+                return
+            count = self._silent_by_life.get(target, 0) + 1
+            self._silent_by_life[target] = count
+            if count >= SILENT_RENEWALS:
+                break
+            await anyio.sleep(RETRY_SECONDS)
+        self._complete(service, change, epoch, handover)
+
+    def _complete(
+        self,
+        service: str,
+        change: ranges.KeyRange,
+        epoch: int,
+        handover: str | None,
+    ) -> None:
+        if epoch != self.epoch:
+            return
+        state = self.services[service]
+        if not self._still_owned(service, change):
+            return
+        state.key_map = state.key_map.replace(
+            [change._replace(source=ranges.NOBODY)]
+        )
+        self._publish()
+        events.emit(
+            "keys_moved",
+            service=service,
+            first=change.first,
+            last=change.last,
+            source=change.source.server_id,
+            target=change.owner.server_id,
+            fence=change.owner.fence,
+            handover=handover is not None,
+            epoch=epoch,
+        )
+
+    async def _take_back(
+        self, service: str, change: ranges.KeyRange, epoch: int
+    ) -> str | None:
+        """Return the handover once the source surely holds nothing."""
+        life = leases.life_of(change.source)
+        order = change._replace(
+            owner=change.source._replace(fence=change.owner.fence)
+        )
+        async with self._lock_of(life):
+            # Later grants don't cover these keys any more.
+            held_until = self._holds.until(life)
+        while epoch == self.epoch:
+            if self._now() >= held_until:
+                return None
+            placement = self._placement(service, life)
+            if placement is None:
+                if self._is_replaced(service, life):
+                    return None
+                await anyio.sleep(RETRY_SECONDS)
+                continue
+            left = held_until - self._now()
+            result = await self._orders.release(
+                placement.address, order, min(RELEASE_TIMEOUT, left)
+            )
+            if result.reply is ports.Reply.DONE:
+                return result.handover
+            await anyio.sleep(min(RETRY_SECONDS, left))
+        return None
+
+    def _is_replaced(self, service: str, life: leases.Life) -> bool:
+        """Tell whether a later life of the same server is known."""
+        known = self._fleet.placements(service).get(life[0])
+        return known is not None and known.holder.incarnation > life[1]
--- /dev/null
+++ b/src/agatestile/assignment/leases.py
@@ -0,0 +1,109 @@
+"""Until when servers may hold keys, and how long this host may decide."""
+
+from __future__ import annotations
+
+import math
+
+from agatestile.assignment import ranges
+
+HOLD_SECONDS = 5.0
+"""Time for which a grant lets a server hold keys. A server that falls
+silent keeps its keys unavailable for this long."""
+
+RENEW_SECONDS = 1.2
+"""Interval of renewals; a new holder of the seat has the rest of a hold to
+take over."""
+
+CLOCK_ERROR = 0.02
+"""Share by which a server's clock may run slow, from its published
+bounds."""
+
+ARRIVAL_SLACK_SECONDS = 0.3
+"""Longest time between the end of a call at the sender and its arrival,
+as an abandoned call is reset and not sent again."""
+
+TENURE_SECONDS = 12.0
+"""How long the holder of the seat may renew without a confirmation from
+the store. A successor waits for it before it reassigns the keys of a server
+that does not answer, so it bounds both."""
+
+Life = tuple[str, int]
+
+
+class Holds:
+    """Latest time at which each life of a server may hold keys.
+
+    Every server in a map taken over from another holder of the seat counts
+    as renewed until that holder's tenure has ended.
+    """
+
+    def __init__(self) -> None:
+        self._until_by_life: dict[Life, float] = {}
+        self._default = -math.inf
+
+    def take_over(self, now: float, is_resigned: bool) -> None:
+        """Assume that the predecessor renewed all grants."""
+        tenure = 0.0 if is_resigned else TENURE_SECONDS
+        self._until_by_life.clear()
+        self._default = now + tenure + _longest_hold()
+
+    def on_grant_end(self, life: Life, now: float) -> None:
+        """Note that a grant may have arrived until now."""
+        until = now + ARRIVAL_SLACK_SECONDS + _longest_hold()
+        self._until_by_life[life] = max(self.until(life), until)
+
+    def until(self, life: Life) -> float:
+        """Return the time from which a life surely holds nothing."""
+        return max(self._until_by_life.get(life, -math.inf), self._default)
+
+    def forget(self, lives: set[Life]) -> None:
+        """Drop lives that no map names."""
+        for life in list(self._until_by_life):
+            if life not in lives:
+                del self._until_by_life[life]
+
+
+class Tenure:
+    """Right of this host to decide, confirmed by the store.
+
+    Times are of a clock that goes on while the machine is suspended.
+    """
+
+    def __init__(self) -> None:
+        self._confirmed = -math.inf
+
+    def confirm(self, sent: float) -> None:
+        """Note a confirmation that was asked for at a time."""
+        self._confirmed = max(self._confirmed, sent)
+
+    def end(self) -> None:
+        """Give up the right."""
+        self._confirmed = -math.inf
+
+    def holds(self, now: float) -> bool:
+        """Tell whether grants may be renewed."""
+        return now < self._confirmed + TENURE_SECONDS
+
+
+class Fences:
+    """Fencing tokens that rise over all epochs."""
+
+    EPOCH_SHIFT = 24
+
+    def __init__(self, epoch: int) -> None:
+        self._next = (epoch << self.EPOCH_SHIFT) + 1
+
+    def next(self) -> int:
+        """Return a token above all earlier ones."""
+        fence = self._next
+        self._next += 1
+        return fence
+
+
+def life_of(owner: ranges.Owner) -> Life:
+    """Return the life of a server that an owner names."""
+    return owner.server_id, owner.incarnation
+
+
+def _longest_hold() -> float:
+    return HOLD_SECONDS * (1.0 + CLOCK_ERROR)
--- /dev/null
+++ b/src/agatestile/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Which server takes a request, and whether any may take it now."""
--- /dev/null
+++ b/src/agatestile/balancing/limits.py
@@ -0,0 +1,114 @@
+"""Bounds that all hosts keep together without talking per request."""
+
+from __future__ import annotations
+
+import collections
+
+RATIO_SHARE = 0.8
+"""Part of the retry ratio that is used; requests of other hosts may be
+counted in another window."""
+
+SLACK_SHARE = 0.7
+"""Part of the retry slack that is divided among the hosts."""
+
+COLD_SHARE = 0.75
+"""Part of a cold server's bound that is divided among the hosts, since
+requests spread unevenly over a second."""
+
+
+class RetryBudget:
+    """This host's share of a service's bound on repeats.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats for each request, of all hosts together.
+    slack : float
+        Repeats beside the ratio, of all hosts together.
+    window : float
+        Sliding time over which both are counted, seconds.
+    """
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio * RATIO_SHARE
+        self._slack = slack * SLACK_SHARE
+        self._window = window
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def on_request(self, now: float) -> None:
+        """Count a request of a caller."""
+        self._requests.append(now)
+        _drop_before(self._requests, now - self._window)
+
+    def allows(self, now: float, hosts: int) -> bool:
+        """Tell whether a repeat may be sent."""
+        start = now - self._window
+        _drop_before(self._requests, start)
+        _drop_before(self._repeats, start)
+        allowed = self._ratio * len(self._requests)
+        allowed += self._slack / max(1, hosts)
+        return len(self._repeats) + 1 <= allowed
+
+    def spend(self, now: float) -> None:
+        """Count a repeat."""
+        self._repeats.append(now)
+
+
+class ColdRate:
+    """This host's share of the requests that a cold server bears.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second of all hosts together.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate * COLD_SHARE
+        self._sent: collections.deque[float] = collections.deque()
+        self._level = 0.0
+        self._updated: float | None = None
+
+    def allows(self, now: float, hosts: int) -> bool:
+        """Tell whether a request may be sent."""
+        self._refill(now, hosts)
+        return self._level >= 1.0
+
+    def spend(self, now: float, hosts: int) -> None:
+        """Count a request, also one that was sent without asking."""
+        self._refill(now, hosts)
+        self._level -= 1.0
+
+    def _refill(self, now: float, hosts: int) -> None:
+        rate = self._rate / max(1, hosts)
+        if self._updated is None:
+            self._level = 1.0
+        else:
+            self._level += (now - self._updated) * rate
+            self._level = min(self._level, max(1.0, rate * 0.4))
+        self._updated = now
+
+
+class WeightedSplit:
+    """Distributes requests by weights as evenly as possible."""
+
+    def __init__(self, weights: list[float]) -> None:
+        self._weights = weights
+        self._total = sum(weights)
+        self._credits = [0.0] * len(weights)
+
+    def next(self) -> int:
+        """Return the place of the next request."""
+        best = 0
+        for place, weight in enumerate(self._weights):
+            self._credits[place] += weight
+            if self._credits[place] > self._credits[best]:
+                best = place
+        self._credits[best] -= self._total
+        return best
+
+
+def _drop_before(times: collections.deque[float], start: float) -> None:
+    while times and times[0] < start:
+        times.popleft()
--- /dev/null
+++ b/src/agatestile/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""What the operator configured and which backend servers there are."""
--- /dev/null
+++ b/src/agatestile/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Takes callers' requests and finds a server for each."""
--- /dev/null
+++ b/src/agatestile/entry/fleet.py
@@ -0,0 +1,335 @@
+"""What one host believes of the backend servers."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from agatestile.assignment import coordinator
+from agatestile.assignment import planner
+from agatestile.assignment import ranges
+from agatestile.balancing import choice
+from agatestile.balancing import load
+from agatestile.catalog import directory as directory_module
+
+if typing.TYPE_CHECKING:
+    from agatestile.catalog import configuration
+    from agatestile.node import settings as node_settings
+
+FIRST_SERVICE_TIME = 0.12
+"""Mean time of a request before any was measured, seconds."""
+
+DISCOVERY_LAG_SECONDS = 1.0
+"""Longest time that this host learns of a leaving server after the store
+acknowledged it: the interval of its reads and their duration."""
+
+COLD_WINDOW_SECONDS = 1.1
+"""Window in which a host keeps its share of a cold server's bound; longer
+than the second of the bound, as requests take uneven times to arrive."""
+
+COLD_SHARE = 0.85
+"""Part of a cold server's bound that is divided among the hosts; the rest
+covers hosts that restart and hosts that are not known yet."""
+
+UNKNOWN_HOSTS = 8
+"""Number of hosts that is assumed before it was learnt."""
+
+FRESH_SECONDS = 0.3
+"""How much newer than an event a heartbeat has to be to describe the time
+after it."""
+
+REMOTE_WEIGHT = 0.05
+"""Weight of one answer that another host measured."""
+
+Life = tuple[str, int]
+
+
+class Fleet:
+    """Servers with their load, and what excludes them.
+
+    Parameters
+    ----------
+    bounds : node_settings.Bounds
+        Agreed bounds.
+    failure_domain : str
+        Where this host is.
+    now : callable
+        The runtime's clock, seconds.
+    """
+
+    def __init__(
+        self,
+        bounds: node_settings.Bounds,
+        failure_domain: str,
+        now: typing.Callable[[], float],
+    ) -> None:
+        self.bounds = bounds
+        self._now = now
+        self._failure_domain = failure_domain
+        self.directory = directory_module.Directory()
+        self.configuration: configuration.Configuration | None = None
+        self.evacuated_since: dict[str, float] = {}
+        self._evacuation_end: dict[str, float] = {}
+        self._loads: dict[Life, load.ServerLoad] = {}
+        self._cold_sends: dict[Life, collections.deque[float]] = {}
+        self._unconfirmed_since: dict[Life, float] = {}
+        self.host_count = UNKNOWN_HOSTS
+        self.host_rank = 0
+
+    # Beliefs
+
+    def evacuate(self, domains: set[str], now: float) -> bool:
+        """Take the set of evacuated failure domains; tell of a change."""
+        before = set(self.evacuated_since)
+        for domain in before - domains:
+            del self.evacuated_since[domain]
+            self._evacuation_end[domain] = now
+        for domain in domains - before:
+            self.evacuated_since[domain] = now
+        return before != domains
+
+    def load_of(self, entry: directory_module.ServerEntry) -> load.ServerLoad:
+        """Return the load of a server's present life."""
+        life = (entry.id, entry.incarnation)
+        known = self._loads.get(life)
+        if known is None:
+            known = load.ServerLoad(
+                entry.slots, self._usual_time(entry.service)
+            )
+            self._loads[life] = known
+        return known
+
+    def loads_by_id(self) -> dict[str, load.ServerLoad]:
+        """Return the loads of the servers that answered something."""
+        return {
+            life[0]: known
+            for life, known in self._loads.items()
+            if known.answered
+        }
+
+    def forget_gone(self, keep_seconds: float, now: float) -> None:
+        """Drop servers that are gone for long."""
+        for name, since in self.directory.missing().items():
+            if now - since > keep_seconds:
+                self.directory.forget(name)
+        known = {
+            (one.entry.id, one.entry.incarnation)
+            for one in self.directory.by_id.values()
+        }
+        for by_life in (
+            self._loads,
+            self._cold_sends,
+            self._unconfirmed_since,
+        ):
+            for life in list(by_life):
+                if life not in known:
+                    del by_life[life]
+
+    def on_unreachable(
+        self, entry: directory_module.ServerEntry, now: float
+    ) -> None:
+        """Note a failed connection: the server may have restarted cold."""
+        self.load_of(entry).on_unreachable(now)
+        self._unconfirmed_since[entry.id, entry.incarnation] = now
+
+    def blend(
+        self, server_id: str, service_time: float, failures: float, count: int
+    ) -> None:
+        """Take what another host measured of a server.
+
+        Parameters
+        ----------
+        server_id : str
+            Identifier of the server.
+        service_time : float
+            Mean time of a request at work there, seconds.
+        failures : float
+            Share of failed requests there.
+        count : int
+            Answers that both are based on.
+        """
+        server = self.directory.by_id.get(server_id)
+        if server is None or count <= 0:
+            return
+        known = self.load_of(server.entry)
+        weight = 1.0 - (1.0 - REMOTE_WEIGHT) ** count
+        known.service_time += weight * (service_time - known.service_time)
+        known.failure_share += weight * (failures - known.failure_share)
+        known.answered = max(known.answered, 1)
+
+    # Exclusion
+
+    def is_leaving(self, server: directory_module.Server) -> bool:
+        """Tell whether a server leaves or its failure domain does."""
+        return (
+            server.leaving_since is not None
+            or server.entry.failure_domain in self.evacuated_since
+        )
+
+    def may_still_send(
+        self, server: directory_module.Server, now: float
+    ) -> bool:
+        """Tell whether an owner that leaves may get its keys' requests."""
+        since = server.leaving_since
+        if since is not None:
+            allowed = self.bounds.drain - DISCOVERY_LAG_SECONDS - 0.1
+            if now > since + allowed:
+                return False
+        domain = server.entry.failure_domain
+        evacuated = self.evacuated_since.get(domain)
+        if evacuated is not None:
+            allowed = self.bounds.evacuate - DISCOVERY_LAG_SECONDS - 0.5
+            if now > evacuated + allowed:
+                return False
+        return True
+
+    def is_cold(self, server: directory_module.Server, now: float) -> bool:
+        """Tell whether a server is cold or may be."""
+        entry = server.entry
+        if entry.warmup_left > 0 and now < server.received + entry.warmup_left:
+            return True
+        life = (entry.id, entry.incarnation)
+        since = self._unconfirmed_since.get(life)
+        if since is not None:
+            if server.received < since + FRESH_SECONDS:
+                return True
+            del self._unconfirmed_since[life]
+        ended = self._evacuation_end.get(entry.failure_domain)
+        return ended is not None and server.received < ended + FRESH_SECONDS
+
+    def allows_cold(self, server: directory_module.Server, now: float) -> bool:
+        """Tell whether this host's share of a cold server is left."""
+        entry = server.entry
+        sends = self._cold_sends.get((entry.id, entry.incarnation))
+        if sends is None:
+            return self._cold_quota(entry) > 0
+        while sends and sends[0] < now - COLD_WINDOW_SECONDS:
+            sends.popleft()
+        return len(sends) < self._cold_quota(entry)
+
+    def on_sent(self, entry: directory_module.ServerEntry, now: float) -> None:
+        """Count a request, as its server may turn out to be cold."""
+        life = (entry.id, entry.incarnation)
+        sends = self._cold_sends.get(life)
+        if sends is None:
+            sends = self._cold_sends[life] = collections.deque(maxlen=32)
+        sends.append(now)
+
+    def candidates(
+        self, service: str, now: float, without: set[str]
+    ) -> list[choice.Candidate]:
+        """Return the servers that may take a request without a key."""
+        found = []
+        for server in self.directory.of_service(service):
+            entry = server.entry
+            if entry.id in without or self.is_leaving(server):
+                continue
+            if self.is_cold(server, now) and not self.allows_cold(server, now):
+                continue
+            is_near = entry.failure_domain == self._failure_domain
+            found.append(
+                choice.Candidate(entry.id, self.load_of(entry), is_near)
+            )
+        return found
+
+    # coordinator.Fleet
+
+    def services(self) -> list[str]:
+        """Return the services divided by key."""
+        if self.configuration is None:
+            return []
+        return [
+            one.name
+            for one in self.configuration.services_by_name.values()
+            if one.is_partitioned
+        ]
+
+    def placements(self, service: str) -> dict[str, coordinator.Placement]:
+        """Return the servers of a service as holders of keys."""
+        now = self._now()
+        return {
+            server.entry.id: coordinator.Placement(
+                server.entry.address, self._holder(server, now)
+            )
+            for server in self.directory.of_service(service)
+        }
+
+    def _holder(
+        self, server: directory_module.Server, now: float
+    ) -> planner.Holder:
+        entry = server.entry
+        known = self.load_of(entry)
+        capacity = known.slots / max(known.service_time, 0.005)
+        capacity *= 1.0 - 0.8 * known.failure_share
+        is_cold = self.is_cold(server, now)
+        if is_cold:
+            capacity = min(capacity, 0.5 * self._cold_bound(entry))
+        leaves = self.is_leaving(server)
+        return planner.Holder(
+            entry.id,
+            entry.incarnation,
+            capacity,
+            can_take=not leaves and not is_cold,
+            must_leave=leaves,
+        )
+
+    def _usual_time(self, service: str) -> float:
+        times = sorted(
+            self._loads[life].service_time
+            for life in self._loads
+            if self._loads[life].answered
+            and self._service_of(life[0]) == service
+        )
+        return times[len(times) // 2] if times else FIRST_SERVICE_TIME
+
+    def _service_of(self, server_id: str) -> str:
+        server = self.directory.by_id.get(server_id)
+        return "" if server is None else server.entry.service
+
+    def _cold_bound(self, entry: directory_module.ServerEntry) -> float:
+        service = None
+        if self.configuration is not None:
+            service = self.configuration.services_by_name.get(entry.service)
+        rate = 1.0 if service is None else service.warmup_rate
+        return rate * self.bounds.cold_ratio + self.bounds.cold_slack
+
+    def _cold_quota(self, entry: directory_module.ServerEntry) -> int:
+        """Return this host's requests to a cold server in a window.
+
+        If there are more hosts than the bound has requests, each server
+        is open to a part of the hosts only.
+        """
+        bound = int(COLD_SHARE * self._cold_bound(entry))
+        if self.host_count <= bound:
+            return bound // self.host_count
+        shift = sum(entry.id.encode())
+        return int((self.host_rank + shift) % self.host_count < bound)
+
+
+class AssignmentView:
+    """Owners of keys as the coordinator last told.
+
+    Attributes
+    ----------
+    epoch, version : int
+        Which coordinator, and the number of its assignment.
+    """
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.version = -1
+        self.maps: dict[str, ranges.RangeMap] = {}
+
+    def find(self, service: str, key: int) -> ranges.KeyRange | None:
+        """Return the range of a key, None before the first assignment."""
+        key_map = self.maps.get(service)
+        return None if key_map is None else key_map.find(key)
+
+    def update(
+        self, epoch: int, version: int, maps: dict[str, ranges.RangeMap]
+    ) -> bool:
+        """Take an assignment unless a newer one is known."""
+        if (epoch, version) <= (self.epoch, self.version):
+            return False
+        self.epoch, self.version, self.maps = epoch, version, maps
+        return True
--- /dev/null
+++ b/src/agatestile/node/__init__.py
@@ -0,0 +1,1 @@
+"""One host of a deployment whose platform has a store."""
--- /dev/null
+++ b/src/agatestile/node/node.py
@@ -0,0 +1,246 @@
+"""Life of a host: start, serve, stop without cutting requests."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import random
+import signal
+import typing
+
+import anyio
+
+from agatestile.assignment import coordinator as coordinator_module
+from agatestile.catalog import configuration
+from agatestile.entry import fleet as fleet_module
+from agatestile.entry import handler as handler_module
+from agatestile.entry import picker as picker_module
+from agatestile.node import clock
+from agatestile.node import peers
+from agatestile.node import seat as seat_module
+from agatestile.node import watchers
+from agatestile.observability import events
+from agatestile.transport import client
+from agatestile.transport import messages
+from agatestile.transport import server
+
+if typing.TYPE_CHECKING:
+    from agatestile.assignment import ports
+    from agatestile.entry import dialect
+    from agatestile.node import settings as settings_module
+    from agatestile.store import port
+
+NOTICE_SECONDS = 2.6
+"""How long a stopping host takes new connections, until the balancer's
+checks have failed twice."""
+
+STOP_MARGIN_SECONDS = 0.5
+"""Time before the kill at which a stopping host ends on its own."""
+
+ASSIGNMENT_WAIT_SECONDS = 4.0
+"""How long a starting host waits for the owners of keys before it counts
+as ready without them."""
+
+HOUSEKEEPING_SECONDS = 0.25
+"""Interval of flushes and of closing idle connections."""
+
+GONE_KEEP_SECONDS = 30.0
+"""How long removed servers are kept, as they may still hold keys."""
+
+DISCOVERY_SECONDS_COORDINATOR = 0.35
+"""Interval of reads of service discovery at the coordinator, which has to
+move the keys of leaving servers."""
+
+
+class Platform(typing.NamedTuple):
+    """What the platform's adapter provides.
+
+    Attributes
+    ----------
+    store : port.Store
+        Keeps what must last.
+    orders : ports.Orders
+        Grants and releases.
+    record_format : watchers.Format
+        Formats of records.
+    speech : dialect.Dialect
+        Headers.
+    """
+
+    store: port.Store
+    orders: ports.Orders
+    record_format: watchers.Format
+    speech: dialect.Dialect
+
+
+class Node:
+    """All parts of a host.
+
+    Parameters
+    ----------
+    settings : settings.NodeSettings
+        Settings of this host.
+    platform : Platform
+        The platform's adapter.
+    """
+
+    def __init__(
+        self, settings: settings_module.NodeSettings, platform: Platform
+    ) -> None:
+        self._settings = settings
+        self._store = platform.store
+        now = asyncio.get_running_loop().time
+        self._now = now
+        self._started = now()
+        member = f"{settings.peers[0]}:{settings.peers[1]}"
+        self.fleet = fleet_module.Fleet(
+            settings.bounds, settings.failure_domain, now
+        )
+        self.view = fleet_module.AssignmentView()
+        self.coordinator = coordinator_module.Coordinator(
+            platform.store,
+            platform.orders,
+            self.fleet,
+            member,
+            clock.boot_time,
+        )
+        self.seat = seat_module.SeatKeeper(
+            platform.store, self.coordinator, member, clock.boot_time
+        )
+        self.reporter = peers.Reporter(
+            client.Pool(now),
+            platform.store,
+            self.fleet,
+            self.view,
+            member,
+            settings.seeds,
+        )
+        self.peer_service = peers.PeerService(
+            self.coordinator, self.fleet, self.reporter, now
+        )
+        self.reporter.set_local(self.peer_service)
+        self.discovery = watchers.DiscoveryWatcher(
+            platform.store,
+            platform.record_format,
+            self.fleet.directory,
+            now,
+            self.coordinator.request_plan,
+            self._discovery_interval,
+        )
+        self.operator = watchers.OperatorWatcher(
+            platform.store,
+            platform.record_format,
+            now,
+            self._on_configuration,
+            self._on_evacuations,
+        )
+        self.server_pool = client.Pool(now, platform.speech.echo_header)
+        handler = handler_module.Handler(
+            self.fleet,
+            picker_module.Picker(self.fleet, self.view, random.Random()),
+            self.reporter,
+            self.server_pool,
+            platform.speech,
+            now,
+        )
+        self.callers = server.Listener(handler.handle, self._limits)
+        self.readiness = server.Listener(self._on_check, self._limits)
+        self.peer_listener = server.Listener(
+            self.peer_service.handle, self._limits
+        )
+        self._is_stopping = False
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        settings = self._settings
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        events.emit(
+            "start",
+            domain=settings.failure_domain,
+            callers=":".join(map(str, settings.callers)),
+            bounds=settings.bounds._asdict(),
+        )
+        async with anyio.create_task_group() as tasks:
+            for listener, address in (
+                (self.readiness, settings.readiness),
+                (self.peer_listener, settings.peers),
+                (self.callers, settings.callers),
+            ):
+                await listener.start(*address)
+            tasks.start_soon(self._keep_house)
+            tasks.start_soon(self.operator.run)
+            tasks.start_soon(self.discovery.run)
+            tasks.start_soon(self.coordinator.run)
+            tasks.start_soon(self.seat.run)
+            tasks.start_soon(
+                functools.partial(
+                    self.reporter.run, lambda: self.coordinator.is_active
+                )
+            )
+            await stop.wait()
+            await self._stop()
+            tasks.cancel_scope.cancel()
+        events.emit("stop", open_requests=self.callers.busy)
+        events.flush()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers."""
+        if self._is_stopping or self.fleet.configuration is None:
+            return False
+        if self.discovery.reading.last_success is None:
+            return False
+        if self.view.maps or not self.fleet.services():
+            return True
+        return self._now() > self._started + ASSIGNMENT_WAIT_SECONDS
+
+    async def _stop(self) -> None:
+        """Leave the balancer and wait for the requests in progress."""
+        started = self._now()
+        self._is_stopping = True
+        events.emit("stopping", open_requests=self.callers.busy)
+        deadline = started + self._settings.bounds.grace - STOP_MARGIN_SECONDS
+        self.callers.begin_close()
+        await self.seat.leave()
+        while self._now() < started + NOTICE_SECONDS:
+            await anyio.sleep(0.05)
+        self.callers.close_idle()
+        while self._now() < deadline and self.callers.connections:
+            await anyio.sleep(0.05)
+            self.callers.close_idle()
+        self.callers.stop()
+
+    def _limits(self) -> configuration.CallerLimits:
+        current = self.fleet.configuration
+        if current is None:
+            return configuration.CallerLimits()
+        return current.limits
+
+    def _discovery_interval(self) -> float:
+        if self.coordinator.is_active:
+            return DISCOVERY_SECONDS_COORDINATOR
+        return watchers.DISCOVERY_SECONDS
+
+    def _on_configuration(self, new: configuration.Configuration) -> None:
+        self.fleet.configuration = new
+        self.coordinator.request_plan()
+
+    def _on_evacuations(self, domains: set[str]) -> None:
+        if self.fleet.evacuate(domains, self._now()):
+            self.coordinator.request_plan()
+
+    async def _on_check(self, request: messages.Request) -> messages.Answer:
+        return messages.Answer(200 if self.is_ready() else 503, [], b"")
+
+    async def _keep_house(self) -> None:
+        was_ready = False
+        while True:
+            await anyio.sleep(HOUSEKEEPING_SECONDS)
+            self.server_pool.close_expired()
+            self.fleet.forget_gone(GONE_KEEP_SECONDS, self._now())
+            if self.is_ready() != was_ready:
+                was_ready = not was_ready
+                events.emit("readiness", ready=was_ready)
+            events.flush()
--- /dev/null
+++ b/src/agatestile/node/peers.py
@@ -0,0 +1,315 @@
+"""Reports of hosts to the coordinator, and its answers."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import anyio
+import msgspec
+
+from agatestile.assignment import ranges
+from agatestile.assignment import records
+from agatestile.node import messages as peer_messages
+from agatestile.node import seat
+from agatestile.observability import events
+from agatestile.results import outcomes
+from agatestile.transport import messages
+
+if typing.TYPE_CHECKING:
+    from agatestile.assignment import coordinator as coordinator_module
+    from agatestile.entry import fleet as fleet_module
+    from agatestile.store import port
+    from agatestile.transport import client
+
+REPORT_SECONDS = 0.25
+"""Longest interval of reports. The coordinator answers at once if the
+assignment changes."""
+
+REPORT_TIMEOUT = 1.0
+"""Longest wait for the coordinator's answer, seconds."""
+
+SEARCH_SECONDS = 0.3
+"""Pause between searches for the coordinator."""
+
+MEMBER_SECONDS = 2.5
+"""Silence after which a host does not count as a member any more."""
+
+REPORT_TARGET = b"/report"
+
+
+class PeerService:
+    """Answers other hosts.
+
+    Parameters
+    ----------
+    coordinator : coordinator.Coordinator
+        Decides if this host has the seat.
+    fleet : fleet.Fleet
+        Takes what other hosts measured.
+    reporter : Reporter
+        Knows the coordinator if it is another host.
+    now : callable
+        The runtime's clock, seconds.
+    """
+
+    def __init__(
+        self,
+        coordinator: coordinator_module.Coordinator,
+        fleet: fleet_module.Fleet,
+        reporter: Reporter,
+        now: typing.Callable[[], float],
+    ) -> None:
+        self._coordinator = coordinator
+        self._fleet = fleet
+        self._reporter = reporter
+        self._now = now
+        self._seen_by_host: dict[str, float] = {}
+
+    async def handle(self, request: messages.Request) -> messages.Answer:
+        """Answer a report."""
+        if request.target != REPORT_TARGET:
+            return messages.Answer(404, [], b"")
+        try:
+            report = msgspec.msgpack.decode(
+                request.body, type=peer_messages.Report
+            )
+        except msgspec.DecodeError as error:
+            events.emit("report_unreadable", reason=str(error))
+            return messages.Answer(400, [], b"")
+        if not self._coordinator.is_active:
+            redirect = peer_messages.Redirect(self._reporter.coordinator)
+            return messages.Answer(503, [], msgspec.msgpack.encode(redirect))
+        instructions = await self.answer(report)
+        return messages.Answer(200, [], msgspec.msgpack.encode(instructions))
+
+    async def answer(
+        self, report: peer_messages.Report
+    ) -> peer_messages.Instructions:
+        """Take a report and return the assignment once it is newer."""
+        now = self._now()
+        self._seen_by_host[report.host] = now
+        for service, counts in report.requests.items():
+            self._coordinator.add_heat(service, counts)
+        for server_id, figures in report.servers.items():
+            self._fleet.blend(
+                server_id,
+                figures.service_time,
+                figures.failure_share,
+                figures.answered,
+            )
+        if report.epoch == self._coordinator.epoch:
+            await self._coordinator.wait_changed(
+                report.version, REPORT_SECONDS
+            )
+        return self._instructions(report)
+
+    def _instructions(
+        self, report: peer_messages.Report
+    ) -> peer_messages.Instructions:
+        coordinator = self._coordinator
+        known = (report.epoch, report.version)
+        services = None
+        if known != (coordinator.epoch, coordinator.version):
+            services = {
+                name: records.ServiceRanges.from_map(state.key_map)
+                for name, state in coordinator.services.items()
+            }
+        members = self._members()
+        return peer_messages.Instructions(
+            coordinator.epoch,
+            coordinator.version,
+            len(members),
+            members.index(report.host) if report.host in members else 0,
+            services,
+        )
+
+    def _members(self) -> list[str]:
+        now = self._now()
+        for host, seen in list(self._seen_by_host.items()):
+            if now - seen > MEMBER_SECONDS:
+                del self._seen_by_host[host]
+        return sorted(self._seen_by_host)
+
+
+class Reporter:
+    """Reports to the coordinator and takes its assignment.
+
+    Parameters
+    ----------
+    pool : client.Pool
+        Connections to other hosts.
+    store : port.Store
+        Tells who has the seat.
+    fleet : fleet.Fleet
+        Gives what this host measured.
+    view : fleet.AssignmentView
+        Takes the assignment.
+    member : str
+        Peer address of this host.
+    seeds : tuple of str
+        Peer addresses to ask first.
+
+    Attributes
+    ----------
+    coordinator : str
+        Peer address of the coordinator, empty while it is unknown.
+    """
+
+    def __init__(
+        self,
+        pool: client.Pool,
+        store: port.Store,
+        fleet: fleet_module.Fleet,
+        view: fleet_module.AssignmentView,
+        member: str,
+        seeds: tuple[str, ...],
+    ) -> None:
+        self._pool = pool
+        self._store = store
+        self._fleet = fleet
+        self._view = view
+        self._member = member
+        self._seeds = [seed for seed in seeds if seed != member]
+        self._local: PeerService | None = None
+        self._requests: dict[str, collections.Counter[int]] = {}
+        self._answered: dict[str, int] = {}
+        self._changed = anyio.Event()
+        self._has_coordinator = False
+        self.coordinator = ""
+
+    def set_local(self, service: PeerService) -> None:
+        """Set the service that answers if this host has the seat."""
+        self._local = service
+
+    def count(self, service: str, key: int) -> None:
+        """Count a request for a key."""
+        counts = self._requests.get(service)
+        if counts is None:
+            counts = self._requests[service] = collections.Counter()
+        counts[key] += 1
+
+    async def wait_changed(self, timeout: float) -> bool:
+        """Wait for a newer assignment; return whether it came."""
+        changed = self._changed
+        with anyio.move_on_after(timeout):
+            await changed.wait()
+            return True
+        return False
+
+    async def run(self, is_coordinator: typing.Callable[[], bool]) -> None:
+        """Report until cancelled."""
+        while True:
+            report = self._report()
+            if is_coordinator() and self._local is not None:
+                self.coordinator = self._member
+                self._take(await self._local.answer(report))
+                continue
+            if not await self._send(report):
+                self._return(report)
+                await self._search()
+                await anyio.sleep(SEARCH_SECONDS)
+
+    async def _send(self, report: peer_messages.Report) -> bool:
+        target = self.coordinator
+        if not target or target == self._member:
+            return False
+        answer = await self._ask(target, report)
+        if isinstance(answer, peer_messages.Instructions):
+            if not self._has_coordinator:
+                self._has_coordinator = True
+                events.emit(
+                    "dependency_regained",
+                    dependency="coordinator",
+                    coordinator=target,
+                )
+            self._take(answer)
+            return True
+        if self._has_coordinator:
+            self._has_coordinator = False
+            events.emit(
+                "dependency_lost", dependency="coordinator", reason=answer
+            )
+        self.coordinator = ""
+        return False
+
+    async def _ask(
+        self, target: str, report: peer_messages.Report
+    ) -> peer_messages.Instructions | str:
+        host, _, port = target.rpartition(":")
+        request = messages.Request(
+            b"POST", REPORT_TARGET, [], msgspec.msgpack.encode(report)
+        )
+        answer = await self._pool.call(
+            (host, int(port)), request, REPORT_TIMEOUT
+        )
+        if isinstance(answer, messages.Failure):
+            return answer.reason
+        try:
+            if answer.status == 200:
+                return msgspec.msgpack.decode(
+                    answer.body, type=peer_messages.Instructions
+                )
+            redirect = msgspec.msgpack.decode(
+                answer.body, type=peer_messages.Redirect
+            )
+        except msgspec.DecodeError as error:
+            return f"unreadable answer: {error}"
+        if redirect.coordinator and redirect.coordinator != target:
+            self._seeds.insert(0, redirect.coordinator)
+            del self._seeds[8:]
+        return f"{target} is not the coordinator"
+
+    async def _search(self) -> None:
+        """Find the coordinator in the store, else among known hosts."""
+        found = await self._store.member_of(seat.GROUP, seat.SEAT_PART)
+        if isinstance(found, str) and found:
+            self.coordinator = found
+            return
+        if isinstance(found, outcomes.Refusal) and self._seeds:
+            seed = self._seeds.pop(0)
+            self._seeds.append(seed)
+            self.coordinator = seed
+
+    def _take(self, instructions: peer_messages.Instructions) -> None:
+        self._fleet.host_count = max(1, instructions.host_count)
+        self._fleet.host_rank = instructions.host_rank
+        if instructions.services is None:
+            return
+        maps: dict[str, ranges.RangeMap] = {}
+        try:
+            for name, stored in instructions.services.items():
+                maps[name] = stored.to_map()
+        except ValueError as error:
+            events.emit("assignment_unreadable", reason=str(error))
+            return
+        if self._view.update(instructions.epoch, instructions.version, maps):
+            self._changed.set()
+            self._changed = anyio.Event()
+
+    def _report(self) -> peer_messages.Report:
+        requests, self._requests = self._requests, {}
+        servers = {}
+        for server_id, load in self._fleet.loads_by_id().items():
+            before = self._answered.get(server_id, 0)
+            if load.answered > before:
+                self._answered[server_id] = load.answered
+                servers[server_id] = peer_messages.ServerFigures(
+                    load.service_time,
+                    load.failure_share,
+                    load.answered - before,
+                )
+        return peer_messages.Report(
+            self._member,
+            self._view.epoch,
+            self._view.version,
+            {name: dict(counts) for name, counts in requests.items()},
+            servers,
+        )
+
+    def _return(self, report: peer_messages.Report) -> None:
+        """Keep the counts of a report that was not delivered."""
+        for name, counts in report.requests.items():
+            kept = self._requests.setdefault(name, collections.Counter())
+            if len(kept) < ranges.KEY_COUNT // 16:
+                kept.update(counts)
--- /dev/null
+++ b/src/agatestile/node/watchers.py
@@ -0,0 +1,299 @@
+"""Follows service discovery and the operator's records in the store."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+
+from agatestile.catalog import configuration
+from agatestile.catalog import directory
+from agatestile.observability import events
+from agatestile.results import codes
+from agatestile.results import outcomes
+
+if typing.TYPE_CHECKING:
+    from agatestile.store import port
+
+LOG = logging.getLogger(__name__)
+
+DISCOVERY_SECONDS = 0.6
+"""Interval of reads of service discovery. Servers report several times a
+second altogether, so that waiting for the next record would never pause."""
+
+OPERATOR_WAIT_SECONDS = 20.0
+"""How long a read of the operator's records waits for a new one."""
+
+RETRY_SECONDS = 0.5
+"""Pause after a failed read."""
+
+OUTAGE_FAILURES = 2
+"""Failed reads in a row that count as an outage."""
+
+
+class Reading:
+    """State of the reads of one topic.
+
+    Attributes
+    ----------
+    end : int or None
+        Offset of the next read, None before the first.
+    last_success : float or None
+        Clock of the last successful read, seconds.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.end: int | None = None
+        self.last_success: float | None = None
+        self._failures = 0
+
+    def on_failure(self, refusal: outcomes.Refusal) -> None:
+        """Count a failed read."""
+        self._failures += 1
+        if self._failures == OUTAGE_FAILURES:
+            events.emit(
+                "dependency_lost", dependency=self.name, reason=str(refusal)
+            )
+
+    def on_success(self, now: float) -> bool:
+        """Note a successful read; tell whether it ended an outage."""
+        was_away = self._failures >= OUTAGE_FAILURES
+        if was_away:
+            events.emit(
+                "dependency_regained",
+                dependency=self.name,
+                failed_reads=self._failures,
+            )
+        self._failures = 0
+        self.last_success = now
+        return was_away
+
+
+class Format(typing.Protocol):
+    """Topics and formats of the records."""
+
+    servers_topic: str
+    operator_topic: str
+
+    def decode_server(
+        self, key: str, value: bytes
+    ) -> directory.ServerEntry | str:
+        """Return the entry of a server, or why it can't be used."""
+
+    def decode_configuration(
+        self, value: bytes
+    ) -> configuration.Configuration | str:
+        """Return a configuration, or why it can't be used."""
+
+    def is_configuration(self, key: str) -> bool:
+        """Tell whether a record holds the configuration."""
+
+    def evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain that a record evacuates."""
+
+
+class DiscoveryWatcher:
+    """Reads service discovery at intervals.
+
+    Parameters
+    ----------
+    store : port.Store
+        Where servers report.
+    record_format : Format
+        Formats of records.
+    servers : directory.Directory
+        Gets the entries.
+    now : callable
+        The runtime's clock, seconds.
+    on_change : callable
+        Called after servers came, changed or left.
+    interval : callable
+        Returns the interval of reads, seconds.
+    """
+
+    def __init__(
+        self,
+        store: port.Store,
+        record_format: Format,
+        servers: directory.Directory,
+        now: typing.Callable[[], float],
+        on_change: typing.Callable[[], None],
+        interval: typing.Callable[[], float] = lambda: DISCOVERY_SECONDS,
+    ) -> None:
+        self._store = store
+        self._format = record_format
+        self._servers = servers
+        self._now = now
+        self._on_change = on_change
+        self._interval = interval
+        self._unreadable: set[str] = set()
+        self.reading = Reading("service discovery")
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            started = self._now()
+            await self.poll()
+            elapsed = self._now() - started
+            await anyio.sleep(max(0.05, self._interval() - elapsed))
+
+    async def poll(self) -> None:
+        """Read once."""
+        version = self._servers.version
+        reading = self.reading
+        is_listing = reading.end is None
+        if reading.end is None:
+            page = await self._store.newest(self._format.servers_topic)
+        else:
+            page = await self._store.read(
+                self._format.servers_topic, reading.end, 0.0
+            )
+        now = self._now()
+        if isinstance(page, outcomes.Refusal):
+            if page.code == codes.ResultCode.LOG_HISTORY_GONE:
+                reading.end = None
+            reading.on_failure(page)
+            return
+        if reading.on_success(now):
+            self._servers.on_outage_end(now)
+        reading.end = page.end
+        self._apply(page, now)
+        if is_listing:
+            self._remove_unlisted(page, now)
+        for server_id in self._servers.expire(now):
+            events.emit("server_gone", server=server_id)
+        if self._servers.version != version:
+            self._on_change()
+
+    def _apply(self, page: port.Page, now: float) -> None:
+        for record in page.records:
+            if not record.value:
+                self._servers.remove(record.key, now)
+                continue
+            entry = self._format.decode_server(record.key, record.value)
+            if isinstance(entry, str):
+                self._note_unreadable(record.key, entry)
+                continue
+            if self._servers.put(entry, now):
+                events.emit(
+                    "server_seen",
+                    server=entry.id,
+                    service=entry.service,
+                    domain=entry.failure_domain,
+                    address=f"{entry.address[0]}:{entry.address[1]}",
+                    incarnation=entry.incarnation,
+                    sequence=entry.sequence,
+                    draining=entry.is_draining,
+                    warmup_left=entry.warmup_left,
+                )
+
+    def _remove_unlisted(self, page: port.Page, now: float) -> None:
+        listed = {record.key for record in page.records}
+        for server_id in list(self._servers.by_id):
+            if server_id not in listed:
+                self._servers.remove(server_id, now)
+
+    def _note_unreadable(self, key: str, reason: str) -> None:
+        if key not in self._unreadable:
+            self._unreadable.add(key)
+            events.emit("server_unreadable", key=key, reason=reason)
+
+
+class OperatorWatcher:
+    """Waits for the operator's records.
+
+    Parameters
+    ----------
+    store : port.Store
+        Where the operator writes.
+    record_format : Format
+        Formats of records.
+    now : callable
+        The runtime's clock, seconds.
+    on_configuration : callable
+        Called with a newer configuration.
+    on_evacuations : callable
+        Called with the evacuated failure domains.
+    """
+
+    def __init__(
+        self,
+        store: port.Store,
+        record_format: Format,
+        now: typing.Callable[[], float],
+        on_configuration: typing.Callable[[configuration.Configuration], None],
+        on_evacuations: typing.Callable[[set[str]], None],
+    ) -> None:
+        self._store = store
+        self._format = record_format
+        self._now = now
+        self._on_configuration = on_configuration
+        self._on_evacuations = on_evacuations
+        self._version = -1
+        self._evacuated: set[str] = set()
+        self.reading = Reading("operator's records")
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            if not await self.poll():
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def poll(self) -> bool:
+        """Read once; return whether the store answered."""
+        reading = self.reading
+        topic = self._format.operator_topic
+        is_listing = reading.end is None
+        if reading.end is None:
+            page = await self._store.newest(topic)
+        else:
+            page = await self._store.read(
+                topic, reading.end, OPERATOR_WAIT_SECONDS
+            )
+        if isinstance(page, outcomes.Refusal):
+            if page.code == codes.ResultCode.LOG_HISTORY_GONE:
+                reading.end = None
+            reading.on_failure(page)
+            return False
+        reading.on_success(self._now())
+        reading.end = page.end
+        evacuated = set() if is_listing else set(self._evacuated)
+        for record in page.records:
+            self._apply(record, evacuated)
+        if evacuated != self._evacuated:
+            self._evacuated = evacuated
+            events.emit("evacuations", domains=sorted(evacuated))
+            self._on_evacuations(evacuated)
+        return True
+
+    def _apply(self, record: port.Record, evacuated: set[str]) -> None:
+        domain = self._format.evacuated_domain(record.key)
+        if domain is not None:
+            if record.value:
+                evacuated.add(domain)
+            else:
+                evacuated.discard(domain)
+            return
+        if not self._format.is_configuration(record.key) or not record.value:
+            return
+        decoded = self._format.decode_configuration(record.value)
+        if isinstance(decoded, str):
+            events.emit("configuration_unreadable", reason=decoded)
+            return
+        if decoded.version <= self._version:
+            events.emit(
+                "configuration_ignored",
+                version=decoded.version,
+                in_force=self._version,
+            )
+            return
+        self._version = decoded.version
+        events.emit(
+            "configuration_in_force",
+            version=decoded.version,
+            routes=sum(len(one) for one in decoded.routes.values()),
+            services=len(decoded.services_by_name),
+        )
+        self._on_configuration(decoded)
--- /dev/null
+++ b/src/agatestile/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform: names, formats and calls, and no decisions."""
--- /dev/null
+++ b/src/agatestile/platform/__main__.py
@@ -0,0 +1,45 @@
+"""Runs a host on the platform: `python -m agatestile.platform`."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import uvloop
+
+from agatestile.node import node
+from agatestile.node import settings as node_settings
+from agatestile.observability import events
+from agatestile.platform import headers
+from agatestile.platform import orders
+from agatestile.platform import records
+from agatestile.platform import settings
+from agatestile.platform import store
+from agatestile.results import outcomes
+from agatestile.transport import client
+
+
+def main() -> int:
+    """Run until SIGTERM; return the exit status."""
+    loaded = settings.load()
+    if isinstance(loaded, outcomes.Refusal):
+        print(loaded, file=sys.stderr)
+        return 2
+    events.configure(events.EventLog(1, loaded.host))
+    uvloop.run(_run(loaded))
+    return 0
+
+
+async def _run(loaded: node_settings.NodeSettings) -> None:
+    now = asyncio.get_running_loop().time
+    platform = node.Platform(
+        store.PlatformStore(client.Pool(now), loaded.store),
+        orders.PlatformOrders(client.Pool(now)),
+        records.PlatformFormat(),
+        headers.PlatformDialect(),
+    )
+    await node.Node(loaded, platform).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/agatestile/platform/headers.py
@@ -0,0 +1,108 @@
+"""Headers of requests and answers."""
+
+from __future__ import annotations
+
+import typing
+
+from agatestile.balancing import load
+from agatestile.entry import dialect
+
+if typing.TYPE_CHECKING:
+    from agatestile.transport import messages
+
+REQUEST_ID = b"x-request-id"
+
+_DEADLINE = b"x-deadline-ms"
+_INSTANCE = b"x-target-instance"
+_KEY = b"x-shard-key"
+_SIGNATURE = b"x-upstream-signature"
+_LOAD = b"x-upstream-load"
+_NOT_RUN = b"x-not-executed"
+_RETRY_AFTER = b"retry-after"
+
+_KEY_LIMIT = 65536
+_MISDIRECTED = 421
+
+
+class PlatformDialect:
+    """Reads and writes the platform's headers."""
+
+    echo_header = REQUEST_ID
+
+    def read_request(self, headers: messages.Headers) -> dialect.CallerFacts:
+        """Return what a caller's headers say."""
+        request_id = b""
+        deadline = None
+        key = None
+        for name, value in headers:
+            if name == REQUEST_ID:
+                request_id = value
+            elif name == _DEADLINE:
+                deadline = _number(value)
+            elif name == _KEY:
+                key = _number(value)
+        return dialect.CallerFacts(
+            request_id,
+            None if deadline is None else deadline / 1000.0,
+            int(key) if key is not None and key < _KEY_LIMIT else None,
+        )
+
+    def server_headers(
+        self, server_id: str, time_left: float
+    ) -> messages.Headers:
+        """Return the headers that go to a server beside the caller's."""
+        return [
+            (_DEADLINE, b"%d" % max(1, int(time_left * 1000))),
+            (_INSTANCE, server_id.encode()),
+        ]
+
+    def is_own(self, name: bytes) -> bool:
+        """Tell whether a caller's header is replaced on the way."""
+        return name in (_DEADLINE, _INSTANCE)
+
+    def read_answer(self, answer: messages.Answer) -> dialect.ServerFacts:
+        """Return what a server's headers say."""
+        report = None
+        has_signature = False
+        is_not_run = answer.status == _MISDIRECTED
+        for name, value in answer.headers:
+            if name == _LOAD:
+                report = _load(value)
+            elif name == _SIGNATURE:
+                has_signature = True
+            elif name == _NOT_RUN:
+                is_not_run = True
+        return dialect.ServerFacts(
+            is_not_run,
+            answer.status == _MISDIRECTED,
+            has_signature,
+            report,
+        )
+
+    def refusal_headers(self, retry_after: float | None) -> messages.Headers:
+        """Return the headers of an answer of this host's own."""
+        if retry_after is None:
+            return []
+        return [(_RETRY_AFTER, b"%.3f" % retry_after)]
+
+
+def _number(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0 <= number < 1e9 else None
+
+
+def _load(value: bytes) -> load.LoadReport | None:
+    """Decode running, waiting, slots and, of some, slowness in percent."""
+    try:
+        figures = [float(part) for part in value.split(b",")]
+    except ValueError:
+        return None
+    if len(figures) < 3:
+        return None
+    slowness = figures[3] / 100.0 if len(figures) > 3 else 1.0
+    return load.LoadReport(
+        int(figures[0]), int(figures[1]), int(figures[2]), slowness
+    )
--- /dev/null
+++ b/src/agatestile/platform/orders.py
@@ -0,0 +1,90 @@
+"""Grants and releases of keys at servers."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from agatestile.assignment import ports
+from agatestile.transport import client
+from agatestile.transport import messages
+
+if typing.TYPE_CHECKING:
+    from agatestile.assignment import ranges
+
+_HANDOVER = b"x-handover"
+_REPLIES_BY_STATUS = {200: ports.Reply.DONE, 409: ports.Reply.FENCED}
+
+
+class PlatformOrders:
+    """Sends orders to servers over connections of its own.
+
+    Parameters
+    ----------
+    pool : client.Pool
+        Connections to servers.
+    """
+
+    def __init__(self, pool: client.Pool) -> None:
+        self._pool = pool
+
+    async def grant(
+        self,
+        address: tuple[str, int],
+        key_range: ranges.KeyRange,
+        hold: float,
+        handover: str | None,
+        timeout: float,
+    ) -> ports.OrderResult:
+        """Let a server work on keys for a time, seconds."""
+        fields = _fields(key_range)
+        fields["holdMs"] = int(hold * 1000)
+        if handover:
+            fields["handover"] = handover
+        return await self._order(b"/grant", address, fields, timeout)
+
+    async def release(
+        self,
+        address: tuple[str, int],
+        key_range: ranges.KeyRange,
+        timeout: float,
+    ) -> ports.OrderResult:
+        """End a server's hold; answered once its work there has ended."""
+        return await self._order(
+            b"/release", address, _fields(key_range), timeout
+        )
+
+    async def _order(
+        self,
+        path: bytes,
+        address: tuple[str, int],
+        fields: dict[str, object],
+        timeout: float,
+    ) -> ports.OrderResult:
+        request = messages.Request(
+            b"POST",
+            path,
+            [(b"content-type", b"application/json")],
+            msgspec.json.encode(fields),
+        )
+        answer = await self._pool.call(address, request, timeout)
+        if isinstance(answer, messages.Failure):
+            return ports.OrderResult(ports.Reply.SILENT, None, answer.reason)
+        reply = _REPLIES_BY_STATUS.get(answer.status, ports.Reply.REJECTED)
+        handover = answer.header(_HANDOVER)
+        return ports.OrderResult(
+            reply,
+            None if handover is None else handover.decode("latin-1"),
+            f"status {answer.status}",
+        )
+
+
+def _fields(key_range: ranges.KeyRange) -> dict[str, object]:
+    return {
+        # Both bounds are inclusive.
+        "from": key_range.first,
+        "to": key_range.last,
+        # The fencing token.
+        "fence": key_range.owner.fence,
+    }
--- /dev/null
+++ b/src/agatestile/platform/records.py
@@ -0,0 +1,202 @@
+"""Records of service discovery and of the operator."""
+
+from __future__ import annotations
+
+import msgspec
+
+from agatestile.catalog import configuration
+from agatestile.catalog import directory
+
+SERVERS_TOPIC = "keyed.servers"
+OPERATOR_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+
+_DRAINING_BY_STATE = {"ready": False, "draining": True}
+
+
+class _Heartbeat(msgspec.Struct):
+    service: str
+    address: str
+    # The failure domain.
+    zone: str
+    slots: int
+    state: str
+    seq: int
+    # How much longer the server stays slow, although named for traffic.
+    warmupLeftMs: float = 0
+    # Unix time of the start, ms: the incarnation.
+    born: int = 0
+
+
+class _Target(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Match(msgspec.Struct):
+    pathPrefix: str
+
+
+class _Action(msgspec.Struct):
+    timeoutMs: float
+    maxAttempts: int = 1
+    service: str = ""
+    trafficSplit: list[_Target] = []
+
+
+class _Rule(msgspec.Struct):
+    name: str
+    routeType: str
+    match: _Match
+    action: _Action
+    targetLatencyMs: float = 0
+    priority: int = 0
+
+
+class _Listener(msgspec.Struct):
+    host: str
+    rules: list[_Rule]
+
+
+class _Cluster(msgspec.Struct):
+    name: str
+    healthPath: str = ""
+    maxConnections: int = 0
+    warmupS: float = 0
+    warmupPerS: float = 0
+    sharded: bool = False
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int
+    maxBodyBytes: int
+    headerTimeoutMs: float
+    idleTimeoutMs: float
+
+
+class _Manifest(msgspec.Struct):
+    version: str
+    listeners: list[_Listener]
+    clusters: list[_Cluster]
+    limits: _Limits | None = None
+
+
+def decode_server(key: str, value: bytes) -> directory.ServerEntry | str:
+    """Return the entry of a server, or why it can't be used."""
+    try:
+        beat = msgspec.json.decode(value, type=_Heartbeat)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return str(error)
+    is_draining = _DRAINING_BY_STATE.get(beat.state)
+    if is_draining is None:
+        return f"unknown state {beat.state!r}"
+    host, _, port = beat.address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return f"address {beat.address!r} has no IP address and port"
+    if not beat.service or not beat.zone or not key or beat.slots < 1:
+        return "a field is empty"
+    return directory.ServerEntry(
+        id=key,
+        incarnation=beat.born,
+        sequence=beat.seq,
+        service=beat.service,
+        address=(host, int(port)),
+        failure_domain=beat.zone,
+        slots=beat.slots,
+        is_draining=is_draining,
+        warmup_left=beat.warmupLeftMs / 1000.0,
+    )
+
+
+def decode_configuration(value: bytes) -> configuration.Configuration | str:
+    """Return a configuration, or why it can't be used."""
+    try:
+        manifest = msgspec.json.decode(value, type=_Manifest)
+        version = int(manifest.version.removeprefix("r"))
+        routes: dict[str, dict[str, configuration.Route]] = {}
+        for listener in manifest.listeners:
+            by_prefix = routes.setdefault(listener.host.lower(), {})
+            for rule in listener.rules:
+                by_prefix[rule.match.pathPrefix] = _route(rule)
+    except (msgspec.DecodeError, ValueError) as error:
+        return str(error)
+    return configuration.Configuration(
+        version=version,
+        routes=routes,
+        services_by_name={
+            one.name: _service(one) for one in manifest.clusters
+        },
+        limits=_limits(manifest.limits),
+    )
+
+
+def _route(rule: _Rule) -> configuration.Route:
+    action = rule.action
+    if action.trafficSplit:
+        targets = tuple(
+            configuration.Target(one.service, one.weight)
+            for one in action.trafficSplit
+        )
+    else:
+        targets = (configuration.Target(action.service, 1.0),)
+    return configuration.Route(
+        name=rule.name,
+        kind=configuration.RouteKind(rule.routeType),
+        targets=targets,
+        timeout=action.timeoutMs / 1000.0,
+        latency_objective=rule.targetLatencyMs / 1000.0,
+        max_attempts=max(1, action.maxAttempts),
+        priority=rule.priority,
+    )
+
+
+def _service(cluster: _Cluster) -> configuration.Service:
+    return configuration.Service(
+        name=cluster.name,
+        health_path=cluster.healthPath,
+        max_connections=cluster.maxConnections,
+        warmup_seconds=cluster.warmupS,
+        warmup_rate=cluster.warmupPerS,
+        is_partitioned=cluster.sharded,
+    )
+
+
+def _limits(limits: _Limits | None) -> configuration.CallerLimits:
+    if limits is None:
+        return configuration.CallerLimits()
+    return configuration.CallerLimits(
+        header_bytes=limits.maxHeaderBytes,
+        body_bytes=limits.maxBodyBytes,
+        header_timeout=limits.headerTimeoutMs / 1000.0,
+        idle_timeout=limits.idleTimeoutMs / 1000.0,
+    )
+
+
+class PlatformFormat:
+    """Topics and formats of the platform's records."""
+
+    servers_topic = SERVERS_TOPIC
+    operator_topic = OPERATOR_TOPIC
+
+    def decode_server(
+        self, key: str, value: bytes
+    ) -> directory.ServerEntry | str:
+        """Return the entry of a server, or why it can't be used."""
+        return decode_server(key, value)
+
+    def decode_configuration(
+        self, value: bytes
+    ) -> configuration.Configuration | str:
+        """Return a configuration, or why it can't be used."""
+        return decode_configuration(value)
+
+    def is_configuration(self, key: str) -> bool:
+        """Tell whether a record holds the configuration."""
+        return key == CONFIGURATION_KEY
+
+    def evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain that a record evacuates."""
+        if not key.startswith(EVACUATION_PREFIX):
+            return None
+        return key.removeprefix(EVACUATION_PREFIX)
--- /dev/null
+++ b/src/agatestile/store/__init__.py
@@ -0,0 +1,1 @@
+"""Port to the store that keeps what must last."""
--- /dev/null
+++ b/src/agatestile/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections, parsed by httptools."""
--- /dev/null
+++ b/src/agatestile/transport/client.py
@@ -0,0 +1,355 @@
+"""Connections to backend servers, the store and other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import typing
+
+import httptools
+
+from agatestile.transport import messages
+
+CONNECT_TIMEOUT = 0.5
+"""Seconds; a connection within a region opens within a few milliseconds."""
+
+USER_TIMEOUT_MS = 2000
+"""How long written bytes may stay without an acknowledgement (TCP)."""
+
+IDLE_SECONDS = 4.0
+"""Longest use of an idle connection whose server names no time."""
+
+IDLE_MARGIN = 1.5
+"""Seconds before a server's idle timeout from which a connection is not
+used any more, since a request could cross the server's close."""
+
+HEAD_LIMIT = 64 * 1024
+"""Largest head of an answer, bytes."""
+
+BODY_LIMIT = 64 * 1024 * 1024
+"""Largest answer that is kept in memory, bytes."""
+
+Address = tuple[str, int]
+
+
+class Connection(asyncio.Protocol):
+    """One connection, which carries one request at a time.
+
+    Answers are matched by the echo of a header where the caller names one,
+    as an answer to an earlier request may arrive late.
+    """
+
+    def __init__(self, echo_header: bytes) -> None:
+        self._echo_header = echo_header
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._expected_echo: bytes | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._result: messages.Answer | messages.Failure | None = None
+        self._headers: messages.Headers = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._has_head = False
+        self._has_input = False
+        self._ends_with_connection = False
+        self._is_head_request = False
+        self.is_usable = True
+        self.idle_since = 0.0
+        self.idle_limit = IDLE_SECONDS
+
+    @property
+    def has_input(self) -> bool:
+        """Whether any byte of the present answer has arrived."""
+        return self._has_input
+
+    async def exchange(
+        self,
+        content: bytes,
+        echo: bytes | None = None,
+        is_head: bool = False,
+    ) -> messages.Answer | messages.Failure:
+        """Send a request and return its answer.
+
+        Cancelling closes the connection, which ends the request at a
+        server that notices.
+        """
+        if not self.is_usable or self._transport is None:
+            return _not_sent("the connection was closed while idle")
+        self._expected_echo = echo
+        self._is_head_request = is_head
+        self._result = None
+        self._has_input = False
+        self._transport.write(content)
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        finally:
+            self._waiter = None
+        result = self._result
+        if result is None:
+            return _unknown("the connection ended without an answer")
+        if isinstance(result, messages.Answer):
+            if self._transport.get_write_buffer_size():
+                # The server answered early and may still read the body.
+                self.is_usable = False
+        return result
+
+    def abort(self) -> None:
+        """Reset the connection; bytes that are held up are lost."""
+        self.is_usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the options of the socket."""
+        # uvloop's transports are not derived from asyncio's.
+        self._transport = typing.cast(asyncio.Transport, transport)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the present answer."""
+        self.is_usable = False
+        if exc is None and self._has_head and self._ends_with_connection:
+            self._complete()
+            return
+        if self._waiter is not None and self._result is None:
+            self._fail(f"connection lost: {exc or 'closed by the server'}")
+
+    def eof_received(self) -> bool:
+        """Let the transport close."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse input."""
+        if self._waiter is None or self._result is not None:
+            # Bytes that follow a complete answer belong to no request.
+            self.abort()
+            return
+        self._has_input = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"not an answer in the protocol: {error!r}")
+        except httptools.HttpParserUpgrade:
+            self._fail("the answer changes the protocol")
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        if self._result is not None:
+            self.is_usable = False
+            return
+        self._headers = []
+        self._body = []
+        self._size = 0
+        self._has_head = False
+        self._ends_with_connection = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; those after the body are dropped."""
+        if self._result is None and not self._has_head:
+            self._headers.append((name.lower(), value.strip()))
+            self._size += len(name) + len(value)
+            if self._size > HEAD_LIMIT:
+                self._fail("the head of the answer is too large")
+
+    def on_headers_complete(self) -> None:
+        """Take the status."""
+        if self._result is not None:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self._has_head = True
+        self._size = 0
+        find = messages.find_header
+        if not self._parser.should_keep_alive():
+            self.is_usable = False
+        has_length = find(self._headers, b"content-length") is not None
+        is_chunked = find(self._headers, b"transfer-encoding") is not None
+        self._ends_with_connection = not has_length and not is_chunked
+        keep_alive = find(self._headers, b"keep-alive")
+        if keep_alive is not None:
+            self._set_idle_limit(keep_alive)
+        if self._is_head_request:
+            self.is_usable = False
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        if self._result is not None:
+            self.is_usable = False
+            return
+        self._body.append(body)
+        self._size += len(body)
+        if self._size > BODY_LIMIT:
+            self._fail("the answer is too large")
+
+    def on_message_complete(self) -> None:
+        """Take the end of the answer."""
+        if self._has_head:
+            self._complete()
+
+    def _complete(self) -> None:
+        if self._result is not None:
+            return
+        expected = self._expected_echo
+        if expected is not None:
+            echo = messages.find_header(self._headers, self._echo_header)
+            if echo != expected:
+                # A late answer to an earlier request; ours may follow.
+                self._has_head = False
+                self.is_usable = False
+                if echo is None:
+                    self._fail("the answer names no request")
+                return
+        self._result = messages.Answer(
+            self._parser.get_status_code(),
+            self._headers,
+            b"".join(self._body),
+        )
+        self._wake()
+
+    def _fail(self, reason: str) -> None:
+        if self._result is None:
+            self._result = _unknown(reason)
+        self.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _set_idle_limit(self, value: bytes) -> None:
+        for part in value.split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.isdigit():
+                self.idle_limit = int(number) - IDLE_MARGIN
+
+
+class Pool:
+    """Idle connections by peer.
+
+    Parameters
+    ----------
+    now : callable
+        The runtime's clock, seconds.
+    echo_header : bytes
+        Header that answers echo, in lower case.
+    """
+
+    def __init__(
+        self, now: typing.Callable[[], float], echo_header: bytes = b""
+    ) -> None:
+        self._now = now
+        self._echo_header = echo_header
+        self._idle: dict[typing.Hashable, list[Connection]] = {}
+        self.opened = 0
+
+    def take_idle(
+        self, peer: typing.Hashable, max_idle: float
+    ) -> Connection | None:
+        """Return the connection that was used last, None without one."""
+        idle = self._idle.get(peer)
+        now = self._now()
+        while idle:
+            connection = idle.pop()
+            age = now - connection.idle_since
+            if connection.is_usable and age < connection.idle_limit:
+                if age < max_idle:
+                    return connection
+                idle.append(connection)
+                return None
+            connection.abort()
+        return None
+
+    async def open(self, address: Address) -> Connection | messages.Failure:
+        """Return a new connection."""
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self._echo_header), *address
+                )
+        except TimeoutError:
+            return _not_sent(f"no connection in {CONNECT_TIMEOUT:g} s")
+        except OSError as error:
+            return _not_sent(f"no connection: {error}")
+        return connection
+
+    def give_back(self, peer: typing.Hashable, connection: Connection) -> None:
+        """Keep a connection for the next request."""
+        if not connection.is_usable:
+            connection.abort()
+            return
+        connection.idle_since = self._now()
+        self._idle.setdefault(peer, []).append(connection)
+
+    def close_peer(self, peer: typing.Hashable) -> None:
+        """Close the idle connections to a peer."""
+        for connection in self._idle.pop(peer, ()):
+            connection.abort()
+
+    def close_expired(self) -> None:
+        """Close idle connections whose time has passed."""
+        now = self._now()
+        for peer, idle in list(self._idle.items()):
+            kept = []
+            for connection in idle:
+                age = now - connection.idle_since
+                if connection.is_usable and age < connection.idle_limit:
+                    kept.append(connection)
+                else:
+                    connection.abort()
+            if kept:
+                self._idle[peer] = kept
+            else:
+                del self._idle[peer]
+
+    async def call(
+        self,
+        address: Address,
+        request: messages.Request,
+        timeout: float,
+    ) -> messages.Answer | messages.Failure:
+        """Send a request of the program itself and return its answer."""
+        content = encode_request(request, address)
+        try:
+            async with asyncio.timeout(timeout):
+                connection = self.take_idle(address, IDLE_SECONDS)
+                if connection is None:
+                    opened = await self.open(address)
+                    if isinstance(opened, messages.Failure):
+                        return opened
+                    connection = opened
+                result = await connection.exchange(content)
+        except TimeoutError:
+            return _unknown(f"no answer in {timeout:g} s")
+        self.give_back(address, connection)
+        return result
+
+
+def encode_request(request: messages.Request, address: Address) -> bytes:
+    """Return the bytes of a request of the program itself."""
+    headers = [
+        (b"host", b"%b:%d" % (address[0].encode(), address[1])),
+        (b"content-length", b"%d" % len(request.body)),
+        *request.headers,
+    ]
+    start = b"%b %b HTTP/1.1" % (request.method, request.target)
+    return messages.encode_head(start, headers) + request.body
+
+
+def _not_sent(reason: str) -> messages.Failure:
+    return messages.Failure(messages.FailureKind.NOT_SENT, reason)
+
+
+def _unknown(reason: str) -> messages.Failure:
+    return messages.Failure(messages.FailureKind.UNKNOWN, reason)
--- /dev/null
+++ b/src/agatestile/transport/messages.py
@@ -0,0 +1,85 @@
+"""Requests and answers as the transport passes them on."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+Headers = list[tuple[bytes, bytes]]
+"""Names in lower case, values without surrounding white space."""
+
+REASONS_BY_STATUS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Request(typing.NamedTuple):
+    """A complete request of a caller."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, None without it."""
+        return find_header(self.headers, name)
+
+
+class Answer(typing.NamedTuple):
+    """A complete answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, None without it."""
+        return find_header(self.headers, name)
+
+
+class FailureKind(enum.Enum):
+    """What is known of a request without an answer."""
+
+    NOT_SENT = "not sent"
+    UNKNOWN = "unknown"
+
+
+class Failure(typing.NamedTuple):
+    """No answer.
+
+    Attributes
+    ----------
+    kind : FailureKind
+        Whether the server may have read the request.
+    reason : str
+        One sentence for a log line.
+    """
+
+    kind: FailureKind
+    reason: str
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, None without it."""
+    for known, value in headers:
+        if known == name:
+            return value
+    return None
+
+
+def encode_head(start_line: bytes, headers: Headers) -> bytes:
+    """Return the bytes of a head."""
+    lines = [start_line]
+    lines += [b"%b: %b" % pair for pair in headers]
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
