Name the server that an order is meant for

Cause: grants went to an address. Ruled out: fences of two epochs, late grants; both grants came from one coordinator. Orders now name their server, and a server whose connection was lost has to report as the same life before its grants are renewed. SIGHUP ended processes; it reloads the settings now.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -42,6 +42,10 @@
 SILENT_RENEWALS = 2
 """Unanswered renewals in a row after which a server's keys are moved."""
 
+DISCOVERY_AWAY_SECONDS = 2.5
+"""Age of a server's newest report from which service discovery counts as
+away; servers report about once a second."""
+
 FIRST_SERVERS_SECONDS = 1.5
 """How long the first assignment of a service waits for more servers to
 register after the first."""
@@ -56,10 +60,20 @@
         Where orders go.
     holder : planner.Holder
         What the planner needs.
+    heard : float
+        Age of its newest report to service discovery, seconds.
     """
 
     address: tuple[str, int]
     holder: planner.Holder
+    heard: float
+
+    @property
+    def recipient(self) -> ports.Recipient:
+        """The life of the server that orders are meant for."""
+        return ports.Recipient(
+            self.holder.id, self.holder.incarnation, self.address
+        )
 
 
 class Fleet(typing.Protocol):
@@ -121,6 +135,7 @@
         self._append_lock = anyio.Lock()
         self._locks_by_life: dict[leases.Life, anyio.Lock] = {}
         self._silent_by_life: dict[leases.Life, int] = {}
+        self._disconnected_by_life: dict[leases.Life, float] = {}
         self._moving: dict[tuple[str, int, int], None] = {}
         self._changed = anyio.Event()
         self._plan_wanted = anyio.Event()
@@ -262,9 +277,28 @@
                     return
                 if not self._still_owned(service, one):
                     continue
+                if not self._is_same_life(placement, life):
+                    return
                 if not await self._renew_range(placement, life, one):
                     return
 
+    def _is_same_life(self, placement: Placement, life: leases.Life) -> bool:
+        """Tell whether a server surely did not start anew unnoticed.
+
+        After its connection was lost, a server has to report to service
+        discovery as the same life before its grants are renewed: a later
+        life holds nothing and must not get the fences of an earlier one.
+        """
+        if self._orders.is_connected(placement.recipient):
+            self._disconnected_by_life.pop(life, None)
+            return True
+        now = self._now()
+        since = self._disconnected_by_life.setdefault(life, now)
+        if placement.heard < now - since:
+            return True
+        # Without news of any server, discovery itself is away.
+        return placement.heard > DISCOVERY_AWAY_SECONDS
+
     async def _renew_range(
         self,
         placement: Placement,
@@ -300,7 +334,7 @@
             return None
         try:
             return await self._orders.grant(
-                placement.address,
+                placement.recipient,
                 key_range,
                 leases.HOLD_SECONDS,
                 handover,
@@ -549,7 +583,7 @@
                 continue
             left = held_until - self._now()
             result = await self._orders.release(
-                placement.address, order, min(RELEASE_TIMEOUT, left)
+                placement.recipient, order, min(RELEASE_TIMEOUT, left)
             )
             if result.reply is ports.Reply.DONE:
                 return result.handover
--- a/src/agatestile/assignment/ports.py
+++ b/src/agatestile/assignment/ports.py
@@ -26,12 +26,33 @@
     reason: str
 
 
+class Recipient(typing.NamedTuple):
+    """The life of a server that an order is meant for.
+
+    Attributes
+    ----------
+    server_id : str
+        Identifier of the server.
+    incarnation : int
+        Its start.
+    address : tuple of (str, int)
+        Where it listens; another server may use the address later.
+    """
+
+    server_id: str
+    incarnation: int
+    address: tuple[str, int]
+
+
 class Orders(typing.Protocol):
     """Gives keys to servers and takes them back."""
 
+    def is_connected(self, recipient: Recipient) -> bool:
+        """Tell whether a connection to this life of the server is open."""
+
     async def grant(
         self,
-        address: tuple[str, int],
+        recipient: Recipient,
         key_range: ranges.KeyRange,
         hold: float,
         handover: str | None,
@@ -41,7 +62,7 @@
 
     async def release(
         self,
-        address: tuple[str, int],
+        recipient: Recipient,
         key_range: ranges.KeyRange,
         timeout: float,
     ) -> OrderResult:
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -249,7 +249,9 @@
         now = self._now()
         return {
             server.entry.id: coordinator.Placement(
-                server.entry.address, self._holder(server, now)
+                server.entry.address,
+                self._holder(server, now),
+                now - server.received,
             )
             for server in self.directory.of_service(service)
         }
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -20,6 +20,7 @@
 from agatestile.node import seat as seat_module
 from agatestile.node import watchers
 from agatestile.observability import events
+from agatestile.results import outcomes
 from agatestile.transport import client
 from agatestile.transport import messages
 from agatestile.transport import server
@@ -65,12 +66,17 @@
         Formats of records.
     speech : dialect.Dialect
         Headers.
+    load_settings : callable
+        Reads the settings again.
     """
 
     store: port.Store
     orders: ports.Orders
     record_format: watchers.Format
     speech: dialect.Dialect
+    load_settings: typing.Callable[
+        [], settings_module.NodeSettings | outcomes.Refusal
+    ]
 
 
 class Node:
@@ -88,6 +94,7 @@
         self, settings: settings_module.NodeSettings, platform: Platform
     ) -> None:
         self._settings = settings
+        self._load_settings = platform.load_settings
         self._store = platform.store
         now = asyncio.get_running_loop().time
         self._now = now
@@ -157,6 +164,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         events.emit(
             "start",
             domain=settings.failure_domain,
@@ -212,6 +220,22 @@
             self.callers.close_idle()
         self.callers.stop()
 
+    def _reload(self) -> None:
+        """Take the bounds of changed settings; addresses need a restart."""
+        loaded = self._load_settings()
+        if isinstance(loaded, outcomes.Refusal):
+            events.emit("reload_refused", reason=str(loaded))
+            return
+        self.fleet.bounds = loaded.bounds
+        kept = loaded._replace(bounds=self._settings.bounds, seeds=())
+        needs_restart = kept != self._settings._replace(seeds=())
+        self._settings = self._settings._replace(bounds=loaded.bounds)
+        events.emit(
+            "reload",
+            bounds=loaded.bounds._asdict(),
+            needs_restart=needs_restart,
+        )
+
     def _limits(self) -> configuration.CallerLimits:
         current = self.fleet.configuration
         if current is None:
--- a/src/agatestile/platform/__main__.py
+++ b/src/agatestile/platform/__main__.py
@@ -37,6 +37,7 @@
         orders.PlatformOrders(client.Pool(now)),
         records.PlatformFormat(),
         headers.PlatformDialect(),
+        settings.load,
     )
     await node.Node(loaded, platform).run()
 
--- a/src/agatestile/platform/orders.py
+++ b/src/agatestile/platform/orders.py
@@ -13,6 +13,7 @@
 if typing.TYPE_CHECKING:
     from agatestile.assignment import ranges
 
+_INSTANCE = b"x-target-instance"
 _HANDOVER = b"x-handover"
 _REPLIES_BY_STATUS = {200: ports.Reply.DONE, 409: ports.Reply.FENCED}
 
@@ -29,9 +30,13 @@
     def __init__(self, pool: client.Pool) -> None:
         self._pool = pool
 
+    def is_connected(self, recipient: ports.Recipient) -> bool:
+        """Tell whether a connection to this life of the server is open."""
+        return self._pool.has_idle(_peer(recipient))
+
     async def grant(
         self,
-        address: tuple[str, int],
+        recipient: ports.Recipient,
         key_range: ranges.KeyRange,
         hold: float,
         handover: str | None,
@@ -42,33 +47,39 @@
         fields["holdMs"] = int(hold * 1000)
         if handover:
             fields["handover"] = handover
-        return await self._order(b"/grant", address, fields, timeout)
+        return await self._order(b"/grant", recipient, fields, timeout)
 
     async def release(
         self,
-        address: tuple[str, int],
+        recipient: ports.Recipient,
         key_range: ranges.KeyRange,
         timeout: float,
     ) -> ports.OrderResult:
         """End a server's hold; answered once its work there has ended."""
         return await self._order(
-            b"/release", address, _fields(key_range), timeout
+            b"/release", recipient, _fields(key_range), timeout
         )
 
     async def _order(
         self,
         path: bytes,
-        address: tuple[str, int],
+        recipient: ports.Recipient,
         fields: dict[str, object],
         timeout: float,
     ) -> ports.OrderResult:
         request = messages.Request(
             b"POST",
             path,
-            [(b"content-type", b"application/json")],
+            [
+                (b"content-type", b"application/json"),
+                # Another server may have the address by now.
+                (_INSTANCE, recipient.server_id.encode()),
+            ],
             msgspec.json.encode(fields),
         )
-        answer = await self._pool.call(address, request, timeout)
+        answer = await self._pool.call(
+            recipient.address, request, timeout, _peer(recipient)
+        )
         if isinstance(answer, messages.Failure):
             return ports.OrderResult(ports.Reply.SILENT, None, answer.reason)
         reply = _REPLIES_BY_STATUS.get(answer.status, ports.Reply.REJECTED)
@@ -80,6 +91,10 @@
         )
 
 
+def _peer(recipient: ports.Recipient) -> tuple[str, int]:
+    return recipient.server_id, recipient.incarnation
+
+
 def _fields(key_range: ranges.KeyRange) -> dict[str, object]:
     return {
         # Both bounds are inclusive.
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -292,6 +292,10 @@
         connection.idle_since = self._now()
         self._idle.setdefault(peer, []).append(connection)
 
+    def has_idle(self, peer: typing.Hashable) -> bool:
+        """Tell whether a usable connection to a peer is idle."""
+        return any(one.is_usable for one in self._idle.get(peer, ()))
+
     def close_peer(self, peer: typing.Hashable) -> None:
         """Close the idle connections to a peer."""
         for connection in self._idle.pop(peer, ()):
@@ -318,12 +322,26 @@
         address: Address,
         request: messages.Request,
         timeout: float,
+        peer: typing.Hashable = None,
     ) -> messages.Answer | messages.Failure:
-        """Send a request of the program itself and return its answer."""
+        """Send a request of the program itself and return its answer.
+
+        Parameters
+        ----------
+        address : tuple of (str, int)
+            Where a connection is opened if none is idle.
+        request : messages.Request
+            The request.
+        timeout : float
+            Longest wait for the answer, seconds.
+        peer : hashable, optional
+            Whose connections are used; the address by default.
+        """
+        peer = address if peer is None else peer
         content = encode_request(request, address)
         try:
             async with asyncio.timeout(timeout):
-                connection = self.take_idle(address, IDLE_SECONDS)
+                connection = self.take_idle(peer, IDLE_SECONDS)
                 if connection is None:
                     opened = await self.open(address)
                     if isinstance(opened, messages.Failure):
@@ -332,7 +350,7 @@
                 result = await connection.exchange(content)
         except TimeoutError:
             return _unknown(f"no answer in {timeout:g} s")
-        self.give_back(address, connection)
+        self.give_back(peer, connection)
         return result
 
 
