Keep the seat with one member, reset abandoned calls

Abandoned connections are now reset with SO_LINGER 0. Ruled out: two coordinators, fences, a wrong hold; the grants came from one epoch.

The seat moved whenever a host joined the group, since the store deals partitions evenly; now only its holder is a member. Holds are 3.5 s and a resigning holder passes on what it knows of them.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -22,20 +22,20 @@
 
 LOG = logging.getLogger(__name__)
 
-PLAN_SECONDS = 0.4
+PLAN_SECONDS = 0.3
 """Interval of plans; a hot stretch of keys lasts a few seconds."""
 
 SETTLE_SECONDS = 0.03
 """Time that hosts get to stop sending to a source before it is told to
 release; requests that are under way then are rejected."""
 
-ORDER_TIMEOUT = 0.6
-"""Longest wait for the answer to a grant, seconds."""
-
 RELEASE_TIMEOUT = 2.5
 """Longest wait for the answer to a release, which comes when the work on
 the keys has ended, seconds."""
 
+STORE_RETRY_SECONDS = 1.0
+"""Pause after an append that the store refused."""
+
 RETRY_SECONDS = 0.3
 """Pause before an unanswered order is repeated."""
 
@@ -85,6 +85,9 @@
     def placements(self, service: str) -> dict[str, Placement]:
         """Return the servers of a service by identifier."""
 
+    def is_replaced(self, life: leases.Life) -> bool:
+        """Tell whether a life has surely ended, as a later one shows."""
+
 
 class ServiceState:
     """Assignment of one service."""
@@ -130,6 +133,8 @@
         self._address = address
         self._now = now
         self._end = 0
+        self._own_epoch = 0
+        self._store_retry_at = 0.0
         self._fences = leases.Fences(0)
         self._holds = leases.Holds()
         self._append_lock = anyio.Lock()
@@ -167,7 +172,12 @@
         now = self._now()
         self._end = end
         self._fences = leases.Fences(seat.epoch)
-        self._holds.take_over(now, stored.seat.is_resigned)
+        if stored.seat.epoch != self._own_epoch or not self._own_epoch:
+            told = stored.seat.holds if stored.seat.is_resigned else None
+            if not stored.seat.epoch:
+                told = []
+            self._holds.take_over(now, told)
+        self._own_epoch = seat.epoch
         self._silent_by_life.clear()
         self._moving.clear()
         self.services = {
@@ -199,8 +209,12 @@
             return
         epoch = self.epoch
         self.lose_seat("this host stops")
+        busy = {
+            life for life, lock in self._locks_by_life.items() if lock.locked()
+        }
+        holds = self._holds.left(self._named_lives(), busy, self._now())
         async with self._append_lock:
-            seat = records.Seat(epoch, self._address, is_resigned=True)
+            seat = records.Seat(epoch, self._address, True, holds)
             result = await self._store.append(
                 records.TOPIC, [records.encode_seat(seat)], self._end
             )
@@ -338,7 +352,7 @@
                 key_range,
                 leases.HOLD_SECONDS,
                 handover,
-                ORDER_TIMEOUT,
+                leases.ORDER_SECONDS,
             )
         finally:
             self._holds.on_grant_end(life, self._now())
@@ -357,18 +371,24 @@
 
     # Plans
 
+    def _named_lives(self) -> set[leases.Life]:
+        named: set[leases.Life] = set()
+        for state in self.services.values():
+            for one in state.key_map.ranges:
+                named.add(leases.life_of(one.owner))
+                named.add(leases.life_of(one.source))
+        named.discard(leases.life_of(ranges.NOBODY))
+        return named
+
     async def _plan_all(self, tasks: typing.Any) -> None:
         now = self._now()
-        named: set[leases.Life] = set()
         for service in self._fleet.services():
             state = self.services.get(service)
             if state is None:
                 state = ServiceState(ranges.RangeMap(), now)
                 self.services[service] = state
             await self._plan(service, state, tasks)
-            for one in state.key_map.ranges:
-                named.add(leases.life_of(one.owner))
-                named.add(leases.life_of(one.source))
+        named = self._named_lives()
         self._holds.forget(named)
         for life in list(self._locks_by_life):
             if life not in named and not self._locks_by_life[life].locked():
@@ -464,6 +484,8 @@
                 self._start_move(service, one, tasks)
 
     async def _persist(self, service: str, key_map: ranges.RangeMap) -> bool:
+        if self._now() < self._store_retry_at:
+            return False
         async with self._append_lock:
             epoch = self.epoch
             sent = self._now()
@@ -478,6 +500,7 @@
                 self._end = result
                 self.tenure.confirm(sent)
                 return True
+            self._store_retry_at = self._now() + STORE_RETRY_SECONDS
             events.emit(
                 "assignment_not_stored", service=service, reason=str(result)
             )
@@ -509,6 +532,7 @@
         self, service: str, change: ranges.KeyRange, epoch: int
     ) -> None:
         handover = None
+        started = self._now()
         if change.source != ranges.NOBODY:
             await anyio.sleep(SETTLE_SECONDS)
             handover = await self._take_back(service, change, epoch)
@@ -531,7 +555,7 @@
             if count >= SILENT_RENEWALS:
                 break
             await anyio.sleep(RETRY_SECONDS)
-        self._complete(service, change, epoch, handover)
+        self._complete(service, change, epoch, handover, started)
 
     def _complete(
         self,
@@ -539,6 +563,7 @@
         change: ranges.KeyRange,
         epoch: int,
         handover: str | None,
+        started: float,
     ) -> None:
         if epoch != self.epoch:
             return
@@ -558,6 +583,8 @@
             target=change.owner.server_id,
             fence=change.owner.fence,
             handover=handover is not None,
+            seconds=round(self._now() - started, 3),
+            rate=round(state.heat.rate(change.first, change.last), 1),
             epoch=epoch,
         )
 
@@ -573,24 +600,17 @@
             # Later grants don't cover these keys any more.
             held_until = self._holds.until(life)
         while epoch == self.epoch:
-            if self._now() >= held_until:
+            if self._now() >= held_until or self._fleet.is_replaced(life):
                 return None
             placement = self._placement(service, life)
             if placement is None:
-                if self._is_replaced(service, life):
-                    return None
                 await anyio.sleep(RETRY_SECONDS)
                 continue
-            left = held_until - self._now()
+            left = max(0.01, held_until - self._now())
             result = await self._orders.release(
                 placement.recipient, order, min(RELEASE_TIMEOUT, left)
             )
             if result.reply is ports.Reply.DONE:
                 return result.handover
-            await anyio.sleep(min(RETRY_SECONDS, left))
+            await anyio.sleep(min(RETRY_SECONDS, max(0.0, left)))
         return None
-
-    def _is_replaced(self, service: str, life: leases.Life) -> bool:
-        """Tell whether a later life of the same server is known."""
-        known = self._fleet.placements(service).get(life[0])
-        return known is not None and known.holder.incarnation > life[1]
--- a/src/agatestile/assignment/heat.py
+++ b/src/agatestile/assignment/heat.py
@@ -8,12 +8,15 @@
 
 from agatestile.assignment import ranges
 
-FAST_SECONDS = 1.2
+FAST_SECONDS = 0.8
 """Decay time of the counts that follow a sudden hot stretch."""
 
 SLOW_SECONDS = 8.0
 """Decay time of the counts that keep the usual distribution."""
 
+FAST_SHARE = 0.65
+"""Weight of the fast counts in the rate of a range."""
+
 PRIOR_REQUESTS = 25.0
 """Requests, spread over all keys, that are assumed before any came."""
 
@@ -46,14 +49,13 @@
         self._now = now
         _fade(self._fast, math.exp(-elapsed / FAST_SECONDS))
         _fade(self._slow, math.exp(-elapsed / SLOW_SECONDS))
-        # Both sums estimate requests a second; the mean of the two reacts
-        # within a second and doesn't forget the usual distribution.
-        rates = {
-            key: 0.5 * count / SLOW_SECONDS
-            for key, count in self._slow.items()
-        }
+        # Both sums estimate requests a second; their mean reacts within a
+        # second and doesn't forget the usual distribution.
+        slow = (1.0 - FAST_SHARE) / SLOW_SECONDS
+        fast = FAST_SHARE / FAST_SECONDS
+        rates = {key: slow * count for key, count in self._slow.items()}
         for key, count in self._fast.items():
-            rates[key] = rates.get(key, 0.0) + 0.5 * count / FAST_SECONDS
+            rates[key] = rates.get(key, 0.0) + fast * count
         self._keys = sorted(rates)
         self._sums = [
             0.0,
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -6,11 +6,11 @@
 
 from agatestile.assignment import ranges
 
-HOLD_SECONDS = 5.0
+HOLD_SECONDS = 3.5
 """Time for which a grant lets a server hold keys. A server that falls
 silent keeps its keys unavailable for this long."""
 
-RENEW_SECONDS = 1.2
+RENEW_SECONDS = 0.9
 """Interval of renewals; a new holder of the seat has the rest of a hold to
 take over."""
 
@@ -22,6 +22,9 @@
 """Longest time between the end of a call at the sender and its arrival,
 as an abandoned call is reset and not sent again."""
 
+ORDER_SECONDS = 0.6
+"""Longest wait for the answer to a grant."""
+
 TENURE_SECONDS = 12.0
 """How long the holder of the seat may renew without a confirmation from
 the store. A successor waits for it before it reassigns the keys of a server
@@ -41,11 +44,50 @@
         self._until_by_life: dict[Life, float] = {}
         self._default = -math.inf
 
-    def take_over(self, now: float, is_resigned: bool) -> None:
-        """Assume that the predecessor renewed all grants."""
-        tenure = 0.0 if is_resigned else TENURE_SECONDS
+    def take_over(
+        self, now: float, told: list[tuple[str, int, float]] | None
+    ) -> None:
+        """Start after another holder of the seat.
+
+        Parameters
+        ----------
+        now : float
+            Clock after the seat was taken, seconds.
+        told : list of (str, int, float) or None
+            Lives and how much longer they may hold keys, from a holder
+            that resigned; None if the holder may still renew all grants.
+        """
         self._until_by_life.clear()
-        self._default = now + tenure + _longest_hold()
+        if told is None:
+            self._default = now + TENURE_SECONDS + _longest_hold()
+            return
+        self._default = -math.inf
+        for server_id, incarnation, left in told:
+            self._until_by_life[server_id, incarnation] = now + left
+
+    def left(
+        self, lives: set[Life], busy: set[Life], now: float
+    ) -> list[tuple[str, int, float]]:
+        """Return how much longer lives may hold keys, for a successor.
+
+        Parameters
+        ----------
+        lives : set of (str, int)
+            Lives that the maps name.
+        busy : set of (str, int)
+            Lives to which an order is under way.
+        now : float
+            Clock, seconds.
+        """
+        result = []
+        for life in lives:
+            until = self.until(life)
+            if life in busy:
+                call = ORDER_SECONDS + ARRIVAL_SLACK_SECONDS
+                until = max(until, now + call + _longest_hold())
+            if until > now:
+                result.append((*life, until - now))
+        return result
 
     def on_grant_end(self, life: Life, now: float) -> None:
         """Note that a grant may have arrived until now."""
--- a/src/agatestile/assignment/planner.py
+++ b/src/agatestile/assignment/planner.py
@@ -16,8 +16,12 @@
 BALANCE_RATIO = 1.25
 """A server is relieved while its utilisation exceeds the mean by this."""
 
-LEAST_EXCESS = 0.08
-"""Smallest utilisation above the mean that is worth a move."""
+LEAST_UTILISATION = 0.55
+"""Utilisation below which a server is not relieved: its requests hardly
+wait, while those of moved keys do."""
+
+NEWCOMER_SHARE = 0.6
+"""Part of the mean utilisation that a server without keys gets at once."""
 
 MOVES_AT_ONCE = 8
 """Bound on the balancing moves of one plan, since the keys of each are
@@ -84,6 +88,7 @@
         return []
     draft = _Draft(key_map, holders, heat, frozen)
     moves = draft.place_orphans()
+    moves += draft.welcome()
     moves += draft.balance()
     return moves
 
@@ -135,6 +140,25 @@
                 first = last + 1
         return moves
 
+    def welcome(self) -> list[Move]:
+        """Give keys to servers that have none."""
+        moves: list[Move] = []
+        for target in self._takers:
+            if self._by_server.get(target.id) or not self._by_server:
+                continue
+            source = max(
+                (self._holders[name] for name in self._by_server),
+                key=self._utilisation,
+            )
+            wanted = NEWCOMER_SHARE * self._mean * target.capacity
+            wanted = min(wanted, 0.5 * self._rates[source.id])
+            move = self._take_from(source, target, wanted)
+            if move is not None:
+                moves.append(move)
+            if len(moves) >= MOVES_AT_ONCE:
+                break
+        return moves
+
     def balance(self) -> list[Move]:
         """Move parts of ranges from the most to the least used server."""
         moves: list[Move] = []
@@ -144,9 +168,8 @@
                 (self._holders[name] for name in sources),
                 key=self._utilisation,
             )
-            excess = self._utilisation(source) - self._mean
-            least = max(LEAST_EXCESS, self._mean * (BALANCE_RATIO - 1.0))
-            if excess < least:
+            limit = max(LEAST_UTILISATION, self._mean * BALANCE_RATIO)
+            if self._utilisation(source) < limit:
                 break
             move = self._relieve(source)
             if move is None:
@@ -163,8 +186,13 @@
         surplus = self._rates[source.id] - self._mean * source.capacity
         room = self._mean * target.capacity - self._rates[target.id]
         wanted = min(surplus, room)
-        if wanted <= 0.02 * self._rates[source.id]:
+        if wanted <= 0.05 * self._rates[source.id]:
             return None
+        return self._take_from(source, target, wanted)
+
+    def _take_from(
+        self, source: Holder, target: Holder, wanted: float
+    ) -> Move | None:
         movable = [
             one
             for one in self._by_server[source.id]
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -29,11 +29,15 @@
         Control address of the holder.
     is_resigned : bool
         Whether the holder has stopped to renew grants.
+    holds : list of (str, int, float)
+        Of a resigned holder: identifier and incarnation of servers, and
+        for how much longer each may hold keys, seconds.
     """
 
     epoch: int
     host: str
     is_resigned: bool = False
+    holds: list[tuple[str, int, float]] = []
 
 
 class ServiceRanges(msgspec.Struct, array_like=True):
--- a/src/agatestile/balancing/choice.py
+++ b/src/agatestile/balancing/choice.py
@@ -71,7 +71,7 @@
     best_cost = float("inf")
     for candidate in candidates:
         known = candidate.load
-        if known.is_suspended(now):
+        if known.is_suspended(now) or known.is_silent(now):
             continue
         if known.occupancy(now) >= known.slots + QUEUE_LIMIT:
             continue
--- a/src/agatestile/balancing/limits.py
+++ b/src/agatestile/balancing/limits.py
@@ -4,7 +4,7 @@
 
 import collections
 
-RATIO_SHARE = 0.8
+RATIO_SHARE = 0.95
 """Part of the retry ratio that is used; requests of other hosts may be
 counted in another window."""
 
--- a/src/agatestile/balancing/load.py
+++ b/src/agatestile/balancing/load.py
@@ -18,7 +18,7 @@
 SUSPEND_SECONDS = 0.5
 """First pause after a server could not be reached."""
 
-SUSPEND_LIMIT_SECONDS = 2.0
+SUSPEND_LIMIT_SECONDS = 1.0
 """Longest pause after a server could not be reached."""
 
 SLOWNESS_LIMIT = 5.0
@@ -28,6 +28,13 @@
 """How long a report of momentary slowness holds."""
 
 
+SILENCE_FACTOR = 4.0
+"""Multiple of the expected time after which a server counts as silent."""
+
+SILENCE_SECONDS = 0.4
+"""Least time without an answer that counts as silence."""
+
+
 class LoadReport(typing.NamedTuple):
     """Load that a server reports with an answer.
 
@@ -76,12 +83,19 @@
         self._slowness = 1.0
         self._suspended_until = -math.inf
         self._suspension = 0.0
-        self._silent_since = math.inf
+        self._waiting_since = math.inf
 
     def is_suspended(self, now: float) -> bool:
         """Tell whether the server is left out after failures to reach it."""
         return now < self._suspended_until
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether requests are unanswered for long."""
+        if now - self._waiting_since < SILENCE_SECONDS:
+            return False
+        limit = SILENCE_FACTOR * self.expected_time(now)
+        return now - self._waiting_since > limit
+
     def slowness(self, now: float) -> float:
         """Return the last reported slowness while it holds."""
         if now - self._reported > SLOWNESS_SECONDS:
@@ -107,13 +121,17 @@
         work = self.service_time * self.slowness(now)
         return self.expected_wait(now) + work
 
-    def on_sent(self) -> None:
+    def on_sent(self, now: float) -> None:
         """Count a request that starts."""
+        if not self.in_flight:
+            self._waiting_since = now
         self.in_flight += 1
 
     def on_done(self) -> None:
         """Count a request that ended in any way."""
         self.in_flight -= 1
+        if not self.in_flight:
+            self._waiting_since = math.inf
 
     def on_answer(
         self,
@@ -148,6 +166,7 @@
 
     def on_report(self, now: float, report: LoadReport | None) -> None:
         """Take the load that a server reports."""
+        self._waiting_since = now if self.in_flight else math.inf
         if report is None:
             return
         self._reported = now
--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -76,6 +76,7 @@
         self._ids_by_service: dict[str, dict[str, None]] = {}
         self._missing_since: dict[str, float] = {}
         self._outage_end = float("-inf")
+        self._newest_by_address: dict[tuple[str, int], ServerEntry] = {}
         self.version = 0
 
     def of_service(self, service: str) -> list[Server]:
@@ -101,6 +102,9 @@
                 leaving = known.leaving_since
             self._unlink(known.entry)
         self._missing_since.pop(entry.id, None)
+        newest = self._newest_by_address.get(entry.address)
+        if newest is None or newest.incarnation <= entry.incarnation:
+            self._newest_by_address[entry.address] = entry
         self.by_id[entry.id] = Server(entry, now, leaving)
         self._ids_by_service.setdefault(entry.service, {})[entry.id] = None
         changed = known is None or _facts(known.entry) != _facts(entry)
@@ -137,6 +141,10 @@
             self._unlink(server.entry)
             self.version += 1
 
+    def newest_at(self, address: tuple[str, int]) -> ServerEntry | None:
+        """Return the server that started last at an address."""
+        return self._newest_by_address.get(address)
+
     def missing(self) -> dict[str, float]:
         """Return since when removed servers are missing, by identifier."""
         return dict(self._missing_since)
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 from agatestile.assignment import coordinator
@@ -256,6 +257,20 @@
             for server in self.directory.of_service(service)
         }
 
+    def is_replaced(self, life: Life) -> bool:
+        """Tell whether a life has surely ended, as a later one shows.
+
+        A later life of the same server, or another server that started
+        later at the same address, proves it.
+        """
+        known = self.directory.by_id.get(life[0])
+        if known is None:
+            return False
+        if known.entry.incarnation > life[1]:
+            return True
+        later = self.directory.newest_at(known.entry.address)
+        return later is not None and later.incarnation > life[1]
+
     def _holder(
         self, server: directory_module.Server, now: float
     ) -> planner.Holder:
@@ -321,6 +336,13 @@
         self.epoch = 0
         self.version = -1
         self.maps: dict[str, ranges.RangeMap] = {}
+        self._moving_since: dict[tuple[str, int], float] = {}
+
+    def moving_since(self, service: str, key_range: ranges.KeyRange) -> float:
+        """Return since when a range is known to change hands."""
+        return self._moving_since.get(
+            (service, key_range.owner.fence), math.inf
+        )
 
     def find(self, service: str, key: int) -> ranges.KeyRange | None:
         """Return the range of a key, None before the first assignment."""
@@ -328,10 +350,20 @@
         return None if key_map is None else key_map.find(key)
 
     def update(
-        self, epoch: int, version: int, maps: dict[str, ranges.RangeMap]
+        self,
+        epoch: int,
+        version: int,
+        maps: dict[str, ranges.RangeMap],
+        now: float,
     ) -> bool:
         """Take an assignment unless a newer one is known."""
         if (epoch, version) <= (self.epoch, self.version):
             return False
         self.epoch, self.version, self.maps = epoch, version, maps
+        before, self._moving_since = self._moving_since, {}
+        for service, key_map in maps.items():
+            for one in key_map.ranges:
+                if one.source != ranges.NOBODY:
+                    move = (service, one.owner.fence)
+                    self._moving_since[move] = before.get(move, now)
         return True
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -30,8 +30,9 @@
 """Longest idle time of a connection that carries a request which must not
 be repeated: a server may have dropped an older one."""
 
-REPEAT_SHARE = 1.0
-"""Part of a server's expected time that must be left for a repeat."""
+PATIENCE = 1.2
+"""Multiple of the latency objective within which an answer must be expected
+when a request is sent."""
 
 _CODES = codes.ResultCode
 _KIND = messages.FailureKind
@@ -299,7 +300,11 @@
                     _CODES.DEADLINE_PASSED, "no time is left"
                 )
             pick = self._handler._picker.pick(
-                course.service, course.key, now, time_left, self._tried
+                course.service,
+                course.key,
+                now,
+                min(time_left, self._patience()),
+                self._tried,
             )
             if not isinstance(pick, picker_module.Moving):
                 return pick
@@ -315,6 +320,15 @@
                     picker_module.OWNER_RETRY_AFTER,
                 )
 
+    def _patience(self) -> float:
+        """Return how long a wait for a server may be, seconds.
+
+        Beyond the objective an answer has lost most of its worth, and a
+        longer queue delays all requests behind it without serving more.
+        """
+        objective = self._course.route.latency_objective
+        return objective * PATIENCE if objective else DEFAULT_TIME_LEFT
+
     # Sending
 
     async def _send(self, pick: picker_module.Pick) -> Attempt:
@@ -322,12 +336,13 @@
         load = pick.load
         sent = self._now()
         wait = load.expected_wait(sent)
+        course_end = self._course.deadline
         self._sent += 1
         if self._sent > 1:
             self._handler._budget(self._course.service).spend(sent)
         self._tried.add(entry.id)
         self._fleet.on_sent(entry, sent)
-        load.on_sent()
+        load.on_sent(sent)
         try:
             result = await self._transfer(entry)
         finally:
@@ -336,6 +351,8 @@
         if isinstance(result, messages.Failure):
             if result.kind is _KIND.NOT_SENT:
                 self._fleet.on_unreachable(entry, now)
+            elif now >= course_end:
+                load.on_unreachable(now)
             else:
                 load.on_failure()
             return Attempt(None, None, result)
--- a/src/agatestile/entry/picker.py
+++ b/src/agatestile/entry/picker.py
@@ -23,6 +23,10 @@
 """Pause for callers of keys without a usable owner, seconds: about the
 time of a move."""
 
+MOVE_SECONDS = 0.7
+"""Age of a move from which its end is not near: the old owner does not
+answer, and its keys are free only once its hold has ended."""
+
 _CODES = codes.ResultCode
 
 
@@ -140,6 +144,13 @@
         if key_range is None or key_range.owner == ranges.NOBODY:
             return Moving(f"key {key} has no owner yet")
         if key_range.source != ranges.NOBODY:
+            age = now - self._view.moving_since(service, key_range)
+            if age > MOVE_SECONDS:
+                return refusals.Verdict(
+                    _CODES.RANGE_MOVING,
+                    f"key {key} is on its way for {age:.1f} s",
+                    OWNER_RETRY_AFTER,
+                )
             return Moving(f"key {key} is on its way")
         owner = key_range.owner
         server = self._fleet.directory.by_id.get(owner.server_id)
@@ -148,7 +159,7 @@
         if not self._fleet.may_still_send(server, now):
             return Moving(f"owner {owner.server_id} of key {key} leaves")
         load = self._fleet.load_of(server.entry)
-        if load.is_suspended(now):
+        if load.is_suspended(now) or load.is_silent(now):
             return refusals.Verdict(
                 _CODES.NO_OWNER,
                 f"owner {owner.server_id} of key {key} does not answer",
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -56,6 +56,8 @@
         The present assignment.
     host_count, host_rank : int
         Number of hosts that report, and the place of this one.
+    is_confirmed : bool
+        Whether the store confirmed the coordinator's seat lately.
     services : dict or None
         Range maps, None if the host knows them.
     """
@@ -64,6 +66,7 @@
     version: int
     host_count: int
     host_rank: int
+    is_confirmed: bool
     services: dict[str, records.ServiceRanges] | None
 
 
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -121,9 +121,11 @@
             self.view,
             member,
             settings.seeds,
+            self.seat,
+            now,
         )
         self.peer_service = peers.PeerService(
-            self.coordinator, self.fleet, self.reporter, now
+            self.coordinator, self.fleet, self.reporter, self.seat, now
         )
         self.reporter.set_local(self.peer_service)
         self.discovery = watchers.DiscoveryWatcher(
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -29,11 +29,15 @@
 REPORT_TIMEOUT = 1.0
 """Longest wait for the coordinator's answer, seconds."""
 
+CHECK_SECONDS = 0.7
+"""Interval of looking for another holder of an unconfirmed seat."""
+
 SEARCH_SECONDS = 0.3
 """Pause between searches for the coordinator."""
 
-MEMBER_SECONDS = 2.5
-"""Silence after which a host does not count as a member any more."""
+MEMBER_SECONDS = 12.0
+"""Silence after which a host does not count as a member any more. A host
+that is only cut off from the coordinator goes on sending to servers."""
 
 REPORT_TARGET = b"/report"
 
@@ -49,6 +53,8 @@
         Takes what other hosts measured.
     reporter : Reporter
         Knows the coordinator if it is another host.
+    seat_keeper : seat.SeatKeeper
+        Knows whether the store confirms this host's seat.
     now : callable
         The runtime's clock, seconds.
     """
@@ -58,11 +64,13 @@
         coordinator: coordinator_module.Coordinator,
         fleet: fleet_module.Fleet,
         reporter: Reporter,
+        seat_keeper: seat.SeatKeeper,
         now: typing.Callable[[], float],
     ) -> None:
         self._coordinator = coordinator
         self._fleet = fleet
         self._reporter = reporter
+        self._seat = seat_keeper
         self._now = now
         self._seen_by_host: dict[str, float] = {}
 
@@ -98,6 +106,8 @@
                 figures.failure_share,
                 figures.answered,
             )
+        if report.epoch > self._coordinator.epoch:
+            self._coordinator.lose_seat(f"{report.host} knows a later one")
         if report.epoch == self._coordinator.epoch:
             await self._coordinator.wait_changed(
                 report.version, REPORT_SECONDS
@@ -121,6 +131,7 @@
             coordinator.version,
             len(members),
             members.index(report.host) if report.host in members else 0,
+            self._seat.is_confirmed(),
             services,
         )
 
@@ -149,6 +160,10 @@
         Peer address of this host.
     seeds : tuple of str
         Peer addresses to ask first.
+    seat_keeper : seat.SeatKeeper
+        Stands for the seat if nobody has it.
+    now : callable
+        The runtime's clock, seconds.
 
     Attributes
     ----------
@@ -164,7 +179,12 @@
         view: fleet_module.AssignmentView,
         member: str,
         seeds: tuple[str, ...],
+        seat_keeper: seat.SeatKeeper,
+        now: typing.Callable[[], float],
     ) -> None:
+        self._seat = seat_keeper
+        self._now = now
+        self._checked = 0.0
         self._pool = pool
         self._store = store
         self._fleet = fleet
@@ -224,6 +244,8 @@
                     coordinator=target,
                 )
             self._take(answer)
+            if not answer.is_confirmed:
+                await self._check()
             return True
         if self._has_coordinator:
             self._has_coordinator = False
@@ -260,12 +282,24 @@
             del self._seeds[8:]
         return f"{target} is not the coordinator"
 
-    async def _search(self) -> None:
-        """Find the coordinator in the store, else among known hosts."""
+    async def _check(self) -> None:
+        """Look for another holder of a seat that the store can't confirm."""
+        if self._now() < self._checked + CHECK_SECONDS:
+            return
+        self._checked = self._now()
+        await self._find_member()
+
+    async def _find_member(self) -> str | None | outcomes.Refusal:
         found = await self._store.member_of(seat.GROUP, seat.SEAT_PART)
-        if isinstance(found, str) and found:
+        if isinstance(found, str):
             self.coordinator = found
-            return
+        elif found is None:
+            self._seat.stand()
+        return found
+
+    async def _search(self) -> None:
+        """Find the coordinator in the store, else among known hosts."""
+        found = await self._find_member()
         if isinstance(found, outcomes.Refusal) and self._seeds:
             seed = self._seeds.pop(0)
             self._seeds.append(seed)
@@ -283,7 +317,9 @@
         except ValueError as error:
             events.emit("assignment_unreadable", reason=str(error))
             return
-        if self._view.update(instructions.epoch, instructions.version, maps):
+        if self._view.update(
+            instructions.epoch, instructions.version, maps, self._now()
+        ):
             self._changed.set()
             self._changed = anyio.Event()
 
--- a/src/agatestile/node/seat.py
+++ b/src/agatestile/node/seat.py
@@ -1,4 +1,10 @@
-"""Keeps this host in the group that holds the coordinator's seat."""
+"""Keeps the coordinator's seat by a membership in the store.
+
+Only the holder of the seat is a member for long, so that the store's dealing
+among members does not move the seat without need. A host that finds the
+group empty joins it, takes the seat if the store deals it the first
+partition, and leaves again otherwise.
+"""
 
 from __future__ import annotations
 
@@ -19,16 +25,20 @@
 
 SEAT_PART = 0
 
-JOIN_SECONDS = 0.6
+JOIN_SECONDS = 0.5
 """Interval of joins."""
 
-TTL_SECONDS = 2.0
+TTL_SECONDS = 1.5
 """Silence after which the store deals the seat to another host; the rest of
 the servers' holds is left to take over."""
 
+UNCONFIRMED_SECONDS = 1.2
+"""Age of the last successful join from which other hosts are told to look
+for another holder."""
+
 
 class SeatKeeper:
-    """Takes and leaves the seat as the store deals it.
+    """Takes and keeps the seat.
 
     Parameters
     ----------
@@ -55,11 +65,27 @@
         self._now = now
         self._generation = 0
         self._confirmed_generation = -1
+        self._joined_at = 0.0
+        self._is_candidate = False
         self._is_leaving = False
+        self._wanted = anyio.Event()
+
+    def is_confirmed(self) -> bool:
+        """Tell whether the store answered this host lately."""
+        return self._now() < self._joined_at + UNCONFIRMED_SECONDS
+
+    def stand(self) -> None:
+        """Try to take the seat, as nobody has it."""
+        if not self._is_leaving:
+            self._is_candidate = True
+            self._wanted.set()
 
     async def run(self) -> None:
-        """Join at intervals until cancelled or left."""
+        """Join at intervals while this host has or wants the seat."""
         while not self._is_leaving:
+            if not self._coordinator.epoch and not self._is_candidate:
+                await self._wanted.wait()
+            self._wanted = anyio.Event()
             await self.step()
             await anyio.sleep(JOIN_SECONDS)
 
@@ -70,20 +96,15 @@
             GROUP, self._member, TTL_SECONDS, self._generation
         )
         if isinstance(joined, outcomes.Refusal) or self._is_leaving:
+            if not self._coordinator.epoch:
+                self._is_candidate = False
             return
         self._generation = joined.generation
-        if SEAT_PART not in joined.parts:
-            if self._coordinator.epoch:
-                await self._coordinator.resign()
-            return
+        self._joined_at = sent
+        has_part = SEAT_PART in joined.parts
         if not self._coordinator.epoch:
-            refusal = await self._coordinator.take_seat()
-            if refusal is not None:
-                events.emit("seat_not_taken", reason=str(refusal))
-            else:
-                self._confirmed_generation = joined.generation
-            return
-        if joined.generation == self._confirmed_generation:
+            await self._take_or_leave(has_part, joined.generation)
+        elif has_part and joined.generation == self._confirmed_generation:
             self._coordinator.tenure.confirm(sent)
         else:
             await self._verify(joined.generation)
@@ -91,7 +112,19 @@
     async def leave(self) -> None:
         """Give up the seat and the membership."""
         self._is_leaving = True
+        was_member = self._is_candidate or self._coordinator.epoch
         await self._coordinator.resign()
+        if was_member:
+            await self._store.leave(GROUP, self._member)
+
+    async def _take_or_leave(self, has_part: bool, generation: int) -> None:
+        self._is_candidate = False
+        if has_part:
+            refusal = await self._coordinator.take_seat()
+            if refusal is None:
+                self._confirmed_generation = generation
+                return
+            events.emit("seat_not_taken", reason=str(refusal))
         await self._store.leave(GROUP, self._member)
 
     async def _verify(self, generation: int) -> None:
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -154,7 +154,9 @@
         if isinstance(page, outcomes.Refusal):
             if page.code == codes.ResultCode.LOG_HISTORY_GONE:
                 reading.end = None
-            reading.on_failure(page)
+                await self.poll()
+            else:
+                reading.on_failure(page)
             return
         if reading.on_success(now):
             self._servers.on_outage_end(now)
@@ -255,6 +257,7 @@
         if isinstance(page, outcomes.Refusal):
             if page.code == codes.ResultCode.LOG_HISTORY_GONE:
                 reading.end = None
+                return await self.poll()
             reading.on_failure(page)
             return False
         reading.on_success(self._now())
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import typing
 
 import httptools
@@ -29,6 +30,9 @@
 BODY_LIMIT = 64 * 1024 * 1024
 """Largest answer that is kept in memory, bytes."""
 
+_RESET = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER that makes a close reset the connection."""
+
 Address = tuple[str, int]
 
 
@@ -100,8 +104,15 @@
     def abort(self) -> None:
         """Reset the connection; bytes that are held up are lost."""
         self.is_usable = False
-        if self._transport is not None:
-            self._transport.abort()
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            # Without this the kernel goes on sending what was written, and
+            # an order that was given up arrives when a partition heals.
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options of the socket."""
