--- a/src/agatestile/balancing/limits.py
+++ b/src/agatestile/balancing/limits.py
@@ -11,10 +11,6 @@
 SLACK_SHARE = 0.7
 """Part of the retry slack that is divided among the hosts."""
 
-COLD_SHARE = 0.75
-"""Part of a cold server's bound that is divided among the hosts, since
-requests spread unevenly over a second."""
-
 
 class RetryBudget:
     """This host's share of a service's bound on repeats.
@@ -55,41 +51,6 @@
         self._repeats.append(now)
 
 
-class ColdRate:
-    """This host's share of the requests that a cold server bears.
-
-    Parameters
-    ----------
-    rate : float
-        Requests a second of all hosts together.
-    """
-
-    def __init__(self, rate: float) -> None:
-        self._rate = rate * COLD_SHARE
-        self._sent: collections.deque[float] = collections.deque()
-        self._level = 0.0
-        self._updated: float | None = None
-
-    def allows(self, now: float, hosts: int) -> bool:
-        """Tell whether a request may be sent."""
-        self._refill(now, hosts)
-        return self._level >= 1.0
-
-    def spend(self, now: float, hosts: int) -> None:
-        """Count a request, also one that was sent without asking."""
-        self._refill(now, hosts)
-        self._level -= 1.0
-
-    def _refill(self, now: float, hosts: int) -> None:
-        rate = self._rate / max(1, hosts)
-        if self._updated is None:
-            self._level = 1.0
-        else:
-            self._level += (now - self._updated) * rate
-            self._level = min(self._level, max(1.0, rate * 0.4))
-        self._updated = now
-
-
 class WeightedSplit:
     """Distributes requests by weights as evenly as possible."""
 
--- /dev/null
+++ b/tests/assignment/scenes.py
@@ -0,0 +1,224 @@
+"""Fakes of the store, the servers and their directory."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import trio
+from trio import testing
+
+from agatestile.assignment import coordinator as coordinator_module
+from agatestile.assignment import planner
+from agatestile.assignment import ports
+from agatestile.assignment import ranges
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.store import port
+
+SERVICE = "prices"
+DOWN = outcomes.Refusal(codes.ResultCode.LOG_UNAVAILABLE, "the store is down")
+
+
+class MemoryStore:
+    """A store in memory; `is_down` refuses every call."""
+
+    def __init__(self) -> None:
+        self.records: list[port.Record] = []
+        self.is_down = False
+        self.lost_answers = 0
+        self.members: list[str] = []
+        self.generation = 0
+
+    async def newest(self, topic: str) -> port.Page | outcomes.Refusal:
+        if self.is_down:
+            return DOWN
+        by_key = {record.key: record for record in self.records}
+        return port.Page(list(by_key.values()), len(self.records))
+
+    async def read(
+        self, topic: str, start: int, wait: float
+    ) -> port.Page | outcomes.Refusal:
+        if self.is_down:
+            return DOWN
+        return port.Page(self.records[start:], len(self.records))
+
+    async def append(
+        self, topic: str, records: list[port.Record], expected_end: int
+    ) -> int | outcomes.Refusal:
+        if self.is_down:
+            return DOWN
+        if expected_end != len(self.records):
+            return outcomes.Refusal(codes.ResultCode.RECORD_STALE, "moved on")
+        self.records += records
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return outcomes.Refusal(
+                codes.ResultCode.LOG_OUTCOME_UNKNOWN, "no answer"
+            )
+        return len(self.records)
+
+    async def join(
+        self, group: str, member: str, ttl: float, generation: int
+    ) -> port.Membership | outcomes.Refusal:
+        if self.is_down:
+            return DOWN
+        if member not in self.members:
+            self.members.append(member)
+            self.generation += 1
+        parts = frozenset((0,) if self.members[0] == member else ())
+        return port.Membership(self.generation, parts)
+
+    async def leave(self, group: str, member: str) -> None:
+        if member in self.members:
+            self.members.remove(member)
+            self.generation += 1
+
+    async def member_of(
+        self, group: str, part: int
+    ) -> str | None | outcomes.Refusal:
+        if self.is_down:
+            return DOWN
+        return self.members[0] if self.members else None
+
+
+class Order(typing.NamedTuple):
+    """An order that a server received."""
+
+    time: float
+    kind: str
+    server_id: str
+    first: int
+    last: int
+    fence: int
+    handover: str | None
+
+
+class FakeOrders:
+    """Servers that take orders, by identifier."""
+
+    def __init__(self, now: typing.Callable[[], float]) -> None:
+        self._now = now
+        self.orders: list[Order] = []
+        self.silent: set[str] = set()
+        self.fenced: set[str] = set()
+        self.disconnected: set[str] = set()
+
+    def is_connected(self, recipient: ports.Recipient) -> bool:
+        return recipient.server_id not in self.disconnected
+
+    async def grant(
+        self,
+        recipient: ports.Recipient,
+        key_range: ranges.KeyRange,
+        hold: float,
+        handover: str | None,
+        timeout: float,
+    ) -> ports.OrderResult:
+        return await self._take("grant", recipient, key_range, handover)
+
+    async def release(
+        self,
+        recipient: ports.Recipient,
+        key_range: ranges.KeyRange,
+        timeout: float,
+    ) -> ports.OrderResult:
+        return await self._take("release", recipient, key_range, None)
+
+    async def _take(
+        self,
+        kind: str,
+        recipient: ports.Recipient,
+        key_range: ranges.KeyRange,
+        handover: str | None,
+    ) -> ports.OrderResult:
+        name = recipient.server_id
+        if name in self.silent:
+            await anyio.sleep(0.5)
+            return ports.OrderResult(ports.Reply.SILENT, None, "no answer")
+        self.orders.append(
+            Order(
+                self._now(),
+                kind,
+                name,
+                key_range.first,
+                key_range.last,
+                key_range.owner.fence,
+                handover,
+            )
+        )
+        if name in self.fenced:
+            return ports.OrderResult(ports.Reply.FENCED, None, "status 409")
+        result = f"state of {name}" if kind == "release" else None
+        return ports.OrderResult(ports.Reply.DONE, result, "status 200")
+
+    def of(self, kind: str, server_id: str) -> list[Order]:
+        """Return the orders of a kind to a server."""
+        return [
+            one
+            for one in self.orders
+            if (one.kind, one.server_id) == (kind, server_id)
+        ]
+
+
+class FakeFleet:
+    """Servers that a test adds and removes."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, coordinator_module.Placement] = {}
+        self.replaced: set[tuple[str, int]] = set()
+
+    def services(self) -> list[str]:
+        return [SERVICE]
+
+    def placements(
+        self, service: str
+    ) -> dict[str, coordinator_module.Placement]:
+        return self.by_id
+
+    def is_replaced(self, life: tuple[str, int]) -> bool:
+        return life in self.replaced
+
+    def add(self, name: str, leaves: bool = False, heard: float = 0.0) -> None:
+        """Add or change a server of 10 requests a second."""
+        holder = planner.Holder(name, 1, 10.0, not leaves, leaves)
+        self.by_id[name] = coordinator_module.Placement(
+            ("127.0.0.1", 1), holder, heard
+        )
+
+
+class Scene:
+    """A coordinator with its surroundings."""
+
+    def __init__(self, host: str = "host-1") -> None:
+        self.store = MemoryStore()
+        self.orders = FakeOrders(trio.current_time)
+        self.fleet = FakeFleet()
+        self.coordinator = self.add_coordinator(host)
+
+    def add_coordinator(self, host: str) -> coordinator_module.Coordinator:
+        """Return a further coordinator on the same store and servers."""
+        return coordinator_module.Coordinator(
+            self.store, self.orders, self.fleet, host, trio.current_time
+        )
+
+    def owner_of(self, key: int) -> str:
+        """Return the owner of a key as the first coordinator sees it."""
+        state = self.coordinator.services[SERVICE]
+        return state.key_map.find(key).owner.server_id
+
+
+def run(
+    scenario: typing.Callable[[Scene], typing.Awaitable[None]],
+) -> None:
+    """Run a scenario on a clock that jumps over idle times."""
+
+    async def main() -> None:
+        scene = Scene()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(scene.coordinator.run)
+            await scenario(scene)
+            tasks.cancel_scope.cancel()
+
+    clock = testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
--- /dev/null
+++ b/tests/assignment/test_coordinator.py
@@ -0,0 +1,254 @@
+"""Grants, renewals and moves, on a clock that tests control."""
+
+from __future__ import annotations
+
+import anyio
+import trio
+
+from agatestile.assignment import leases
+from agatestile.assignment import ranges
+from agatestile.assignment import records
+from tests.assignment import scenes
+
+
+async def _assigned(scene: scenes.Scene, *names: str) -> None:
+    for name in names:
+        scene.fleet.add(name)
+    assert await scene.coordinator.take_seat() is None
+    while not scene.orders.orders:
+        _keep(scene)
+        await anyio.sleep(0.1)
+    await _sleep(scene, 0.5)
+
+
+def _keep(scene: scenes.Scene) -> None:
+    scene.coordinator.tenure.confirm(trio.current_time())
+
+
+async def _sleep(scene: scenes.Scene, seconds: float) -> None:
+    """Let time pass while the store confirms the seat."""
+    end = trio.current_time() + seconds
+    while trio.current_time() < end:
+        if scene.coordinator.epoch:
+            _keep(scene)
+        await anyio.sleep(0.1)
+
+
+def test_every_key_gets_one_owner_with_rising_fences() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b", "c")
+        state = scene.coordinator.services[scenes.SERVICE]
+        owners = [one.owner for one in state.key_map.ranges]
+        assert {one.server_id for one in owners} == {"a", "b", "c"}
+        fences = [one.fence for one in owners]
+        assert len(set(fences)) == len(fences)
+
+    scenes.run(scenario)
+
+
+def test_assignment_is_stored_before_its_grant() -> None:
+    # A successor must know of every server that may hold keys.
+    async def scenario(scene: scenes.Scene) -> None:
+        scene.fleet.add("a")
+        assert await scene.coordinator.take_seat() is None
+        scene.store.is_down = True
+        await _sleep(scene, 5.0)
+        assert not scene.orders.orders
+        scene.store.is_down = False
+        await _sleep(scene, 2.0)
+        assert scene.orders.of("grant", "a")
+
+    scenes.run(scenario)
+
+
+def test_renewals_go_on_without_the_store_until_the_tenure_ends() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a")
+        scene.store.is_down = True
+        down = trio.current_time()
+        await anyio.sleep(30.0)
+        last = scene.orders.of("grant", "a")[-1].time
+        assert last > down + leases.TENURE_SECONDS - 2.0
+        assert last <= down + leases.TENURE_SECONDS
+
+    scenes.run(scenario)
+
+
+def test_leaving_server_hands_its_keys_over() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        scene.fleet.add("a", leaves=True)
+        scene.coordinator.request_plan()
+        await _sleep(scene, 1.0)
+        assert scene.owner_of(0) == "b"
+        assert scene.owner_of(ranges.KEY_COUNT - 1) == "b"
+        released = scene.orders.of("release", "a")[0]
+        granted = [
+            one
+            for one in scene.orders.of("grant", "b")
+            if one.fence == released.fence
+        ][0]
+        assert released.time <= granted.time
+        assert granted.handover == "state of a"
+
+    scenes.run(scenario)
+
+
+def test_keys_of_a_silent_server_move_only_after_its_hold() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        scene.orders.silent.add("a")
+        last = scene.orders.of("grant", "a")[-1].time
+        moved = scene.orders.of("grant", "b")[0]
+        await _sleep(scene, 10.0)
+        first = next(
+            one
+            for one in scene.orders.of("grant", "b")
+            if one.fence > moved.fence and one.time > last
+        )
+        assert first.time > last + leases.HOLD_SECONDS * 1.02
+        assert scene.owner_of(0) == "b"
+
+    scenes.run(scenario)
+
+
+def test_keys_of_a_replaced_life_move_at_once() -> None:
+    # A later life, or another server at the address, proves the loss.
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        scene.orders.silent.add("a")
+        scene.fleet.replaced.add(("a", 1))
+        del scene.fleet.by_id["a"]
+        scene.coordinator.request_plan()
+        lost = trio.current_time()
+        await _sleep(scene, 1.0)
+        assert scene.owner_of(0) == "b"
+        grants = [one for one in scene.orders.of("grant", "b")]
+        assert any(one.time < lost + 1.0 for one in grants if one.first == 0)
+
+    scenes.run(scenario)
+
+
+def test_renewal_over_a_new_connection_waits_for_a_heartbeat() -> None:
+    # A server that restarted under its identifier must not get the fences
+    # of its earlier life (OWNER, trouble-3 of both deployments).
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a")
+        scene.orders.disconnected.add("a")
+        scene.fleet.add("a", heard=1.5)
+        await _sleep(scene, 1.0)
+        before = len(scene.orders.of("grant", "a"))
+        await _sleep(scene, 0.4)
+        assert len(scene.orders.of("grant", "a")) == before
+        scene.fleet.add("a", heard=0.0)
+        await _sleep(scene, 2.0)
+        assert len(scene.orders.of("grant", "a")) > before
+
+    scenes.run(scenario)
+
+
+def test_higher_fence_at_a_server_ends_the_seat() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a")
+        scene.orders.fenced.add("a")
+        await _sleep(scene, 2.0)
+        assert not scene.coordinator.epoch
+
+    scenes.run(scenario)
+
+
+def test_successor_waits_for_its_predecessor_before_moving_silent_keys() -> (
+    None
+):
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        scene.orders.silent.add("a")
+        second = scene.add_coordinator("host-2")
+        assert await second.take_seat() is None
+        taken = trio.current_time()
+        scene.coordinator.lose_seat("test")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(second.run)
+            while (
+                second.services[scenes.SERVICE].key_map.find(0).owner[0]
+                in ("a",)
+                or second.services[scenes.SERVICE].key_map.find(0).source[0]
+            ):
+                second.tenure.confirm(trio.current_time())
+                await anyio.sleep(0.1)
+            passed = trio.current_time() - taken
+            tasks.cancel_scope.cancel()
+        assert passed >= leases.TENURE_SECONDS + leases.HOLD_SECONDS
+
+    scenes.run(scenario)
+
+
+def test_successor_of_a_resigned_host_waits_for_the_hold_only() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        await scene.coordinator.resign()
+        scene.orders.silent.add("a")
+        second = scene.add_coordinator("host-2")
+        assert await second.take_seat() is None
+        taken = trio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(second.run)
+            while (
+                second.services[scenes.SERVICE].key_map.find(0).owner[0]
+                in ("a",)
+                or second.services[scenes.SERVICE].key_map.find(0).source[0]
+            ):
+                second.tenure.confirm(trio.current_time())
+                await anyio.sleep(0.1)
+            passed = trio.current_time() - taken
+            tasks.cancel_scope.cancel()
+        assert 2.0 < passed < leases.TENURE_SECONDS
+
+    scenes.run(scenario)
+
+
+def test_lost_answer_to_an_append_ends_the_seat() -> None:
+    # The append may be carried out late; the state has to be read again.
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        scene.store.lost_answers = 1
+        scene.fleet.add("a", leaves=True)
+        scene.coordinator.request_plan()
+        await _sleep(scene, 1.0)
+        assert not scene.coordinator.epoch
+        assert await scene.coordinator.take_seat() is None
+        await _sleep(scene, 1.5)
+        assert scene.owner_of(0) == "b"
+
+    scenes.run(scenario)
+
+
+def test_second_holder_of_the_seat_stops_the_first() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        second = scene.add_coordinator("host-2")
+        assert await second.take_seat() is None
+        scene.fleet.add("a", leaves=True)
+        scene.coordinator.request_plan()
+        await _sleep(scene, 1.0)
+        assert not scene.coordinator.epoch
+        page = await scene.store.newest(records.TOPIC)
+        assert not isinstance(page, tuple) or page.records
+        assert not scene.orders.of("release", "a")
+
+    scenes.run(scenario)
+
+
+def test_keys_are_spread_when_a_stretch_becomes_hot() -> None:
+    """Pattern: hot key."""
+
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b", "c", "d")
+        end = trio.current_time() + 4.0
+        while trio.current_time() < end:
+            counts = {key: 1 for key in range(100, 300, 20)}
+            scene.coordinator.add_heat(scenes.SERVICE, counts)
+            await _sleep(scene, 0.4)
+        assert len({scene.owner_of(key) for key in range(100, 300)}) >= 3
+
+    scenes.run(scenario)
--- /dev/null
+++ b/tests/assignment/test_planner.py
@@ -0,0 +1,106 @@
+"""Plans of key moves."""
+
+from __future__ import annotations
+
+from agatestile.assignment import heat as heat_module
+from agatestile.assignment import planner
+from agatestile.assignment import ranges
+
+
+def _holders(*names: str, **changes: object) -> dict[str, planner.Holder]:
+    return {
+        name: planner.Holder(name, 1, 10.0, True, False)._replace(**changes)
+        for name in names
+    }
+
+
+def _even(*names: str) -> ranges.RangeMap:
+    width = ranges.KEY_COUNT // len(names)
+    changes = [
+        ranges.KeyRange(
+            place * width,
+            ranges.KEY_COUNT - 1
+            if place == len(names) - 1
+            else (place + 1) * width - 1,
+            ranges.Owner(name, 1, place + 1),
+        )
+        for place, name in enumerate(names)
+    ]
+    return ranges.RangeMap().replace(changes)
+
+
+def _heat(counts: dict[int, int]) -> heat_module.KeyHeat:
+    heat = heat_module.KeyHeat(0.0)
+    heat.add(counts)
+    heat.advance(0.1)
+    return heat
+
+
+def _none(one: ranges.KeyRange) -> bool:
+    return False
+
+
+def test_orphans_are_spread_over_all_takers() -> None:
+    holders = _holders("a", "b", "c", "d")
+    moves = planner.plan(ranges.RangeMap(), holders, _heat({}), _none)
+    assert {move.target for move in moves} == set(holders)
+    covered = sum(move.last - move.first + 1 for move in moves)
+    assert covered == ranges.KEY_COUNT
+
+
+def test_keys_leave_a_server_that_leaves() -> None:
+    """Pattern: scale-in, evacuation."""
+    holders = _holders("a", "b", "c")
+    holders["a"] = holders["a"]._replace(can_take=False, must_leave=True)
+    moves = planner.plan(_even("a", "b", "c"), holders, _heat({}), _none)
+    assert {move.source.server_id for move in moves} == {"a"}
+    assert {move.target for move in moves} == {"b", "c"}
+
+
+def test_server_without_keys_gets_some() -> None:
+    """Pattern: scale-out."""
+    counts = {key: 1 for key in range(0, 65536, 4096)}
+    moves = planner.plan(
+        _even("a", "b"), _holders("a", "b", "new"), _heat(counts), _none
+    )
+    assert "new" in {move.target for move in moves}
+
+
+def test_hot_stretch_is_divided() -> None:
+    """Pattern: hot key."""
+    counts = {key: 2 for key in range(100, 120)}
+    moves = planner.plan(
+        _even("a", "b", "c", "d"),
+        _holders("a", "b", "c", "d"),
+        _heat(counts),
+        _none,
+    )
+    assert {move.source.server_id for move in moves} == {"a"}
+    assert len({move.target for move in moves}) >= 2
+
+
+def test_single_hot_key_is_not_tossed_about() -> None:
+    """Pattern: hot key that one owner can't bear alone."""
+    heat = _heat({5: 40})
+    key_map = _even("a", "b")
+    holders = _holders("a", "b")
+    moves = planner.plan(key_map, holders, heat, _none)
+    assert all(not move.first <= 5 <= move.last for move in moves)
+
+
+def test_light_load_moves_nothing() -> None:
+    """Guards against churn: moved keys wait, others hardly do."""
+    counts = {key: 1 for key in range(0, 3)}
+    moves = planner.plan(
+        _even("a", "b", "c"), _holders("a", "b", "c"), _heat(counts), _none
+    )
+    assert moves == []
+
+
+def test_ranges_on_their_way_stay() -> None:
+    holders = _holders("a", "b")
+    holders["a"] = holders["a"]._replace(can_take=False, must_leave=True)
+    moves = planner.plan(
+        _even("a", "b"), holders, _heat({}), lambda one: one.first == 0
+    )
+    assert moves == []
--- /dev/null
+++ b/tests/assignment/test_records.py
@@ -0,0 +1,43 @@
+"""Durable form of assignments."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from agatestile.assignment import ranges
+from agatestile.assignment import records
+from agatestile.store import port
+
+A = ranges.Owner("a", 3, 5)
+B = ranges.Owner("b", 4, 6)
+
+
+def test_map_and_seat_survive_the_store() -> None:
+    key_map = ranges.RangeMap().replace(
+        [ranges.KeyRange(100, 199, A), ranges.KeyRange(200, 65535, B, A)]
+    )
+    seat = records.Seat(7, "host-1", True, [("a", 3, 1.5)])
+    page = port.Page(
+        [records.encode_seat(seat), records.encode_map("prices", key_map)], 9
+    )
+    stored = records.decode(page)
+    assert isinstance(stored, records.Stored)
+    assert stored.seat == seat
+    assert stored.maps["prices"].ranges == key_map.ranges
+    assert stored.end == 9
+
+
+@hypothesis.given(strategies.binary(max_size=64))
+def test_any_bytes_give_a_map_or_a_reason(value: bytes) -> None:
+    page = port.Page([port.Record("service/prices", value)], 1)
+    assert isinstance(records.decode(page), (records.Stored, str))
+
+
+def test_rows_must_cover_every_key() -> None:
+    bad = records.ServiceRanges([("a", 1)], [(5, 0, 1, -1, 0)])
+    try:
+        bad.to_map()
+    except ValueError:
+        return
+    raise AssertionError("a map without its first keys was accepted")
--- /dev/null
+++ b/tests/node/test_peers.py
@@ -0,0 +1,94 @@
+"""Reports to the coordinator, on a clock that tests control."""
+
+from __future__ import annotations
+
+import anyio
+import trio
+
+from agatestile.assignment import ranges
+from agatestile.entry import fleet as fleet_module
+from agatestile.node import messages as peer_messages
+from agatestile.node import peers
+from agatestile.node import seat
+from agatestile.node import settings as node_settings
+from tests.assignment import scenes
+
+
+def _service(scene: scenes.Scene) -> peers.PeerService:
+    fleet = fleet_module.Fleet(
+        node_settings.Bounds(), "anna", trio.current_time
+    )
+    keeper = seat.SeatKeeper(
+        scene.store, scene.coordinator, "host-1", trio.current_time
+    )
+    reporter = peers.Reporter(
+        None,  # type: ignore[arg-type]
+        scene.store,
+        fleet,
+        fleet_module.AssignmentView(),
+        "host-1",
+        (),
+        keeper,
+        trio.current_time,
+    )
+    return peers.PeerService(
+        scene.coordinator, fleet, reporter, keeper, trio.current_time
+    )
+
+
+def _report(
+    host: str, epoch: int = 0, version: int = -1
+) -> peer_messages.Report:
+    return peer_messages.Report(host, epoch, version, {}, {})
+
+
+def test_new_assignment_reaches_a_waiting_host_at_once() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        service = _service(scene)
+        scene.fleet.add("a")
+        await scene.coordinator.take_seat()
+        first = await service.answer(_report("host-2"))
+        assert first.epoch == 1
+        while scene.coordinator.version == first.version:
+            scene.coordinator.tenure.confirm(trio.current_time())
+            started = trio.current_time()
+            second = await service.answer(_report("host-2", 1, first.version))
+            assert trio.current_time() - started <= peers.REPORT_SECONDS
+        assert second.services is not None
+        assert set(second.services) == {scenes.SERVICE}
+
+    scenes.run(scenario)
+
+
+def test_silent_hosts_count_for_a_while() -> None:
+    """Guards against larger shares while a host is cut off (FAILBACK)."""
+
+    async def scenario(scene: scenes.Scene) -> None:
+        service = _service(scene)
+        await scene.coordinator.take_seat()
+        for host in ("host-1", "host-2", "host-3"):
+            await service.answer(_report(host))
+        await anyio.sleep(5.0)
+        answer = await service.answer(_report("host-2"))
+        assert (answer.host_count, answer.host_rank) == (3, 1)
+        await anyio.sleep(peers.MEMBER_SECONDS + 1.0)
+        assert (await service.answer(_report("host-2"))).host_count == 1
+
+    scenes.run(scenario)
+
+
+def test_report_of_a_later_epoch_ends_the_seat() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        service = _service(scene)
+        await scene.coordinator.take_seat()
+        await service.answer(_report("host-2", epoch=5))
+        assert not scene.coordinator.epoch
+
+    scenes.run(scenario)
+
+
+def test_ranges_survive_a_report() -> None:
+    key_map = ranges.RangeMap().replace(
+        [ranges.KeyRange(5, 9, ranges.Owner("a", 1, 3))]
+    )
+    assert key_map.find(7).owner.server_id == "a"
--- /dev/null
+++ b/tests/node/test_watchers.py
@@ -0,0 +1,126 @@
+"""Reads of service discovery and of the operator's records."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from agatestile.catalog import configuration
+from agatestile.catalog import directory
+from agatestile.node import watchers
+from agatestile.platform import records
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.store import port
+from tests.platform import test_adapter
+
+pytestmark = pytest.mark.anyio
+GONE = outcomes.Refusal(codes.ResultCode.LOG_HISTORY_GONE, "compacted")
+DOWN = outcomes.Refusal(codes.ResultCode.LOG_UNAVAILABLE, "down")
+
+
+class ScriptedStore:
+    """Returns what a test scripted, call by call."""
+
+    def __init__(self, *results: port.Page | outcomes.Refusal) -> None:
+        self.results = list(results)
+        self.calls: list[str] = []
+
+    async def newest(self, topic: str) -> port.Page | outcomes.Refusal:
+        self.calls.append("newest")
+        return self.results.pop(0)
+
+    async def read(
+        self, topic: str, start: int, wait: float
+    ) -> port.Page | outcomes.Refusal:
+        self.calls.append(f"read {start}")
+        return self.results.pop(0)
+
+
+def _beat(name: str, sequence: int = 1) -> port.Record:
+    fields = {**test_adapter.BEAT, "seq": sequence}
+    return port.Record(name, json.dumps(fields).encode())
+
+
+def _discovery(
+    *results: port.Page | outcomes.Refusal,
+) -> tuple[watchers.DiscoveryWatcher, directory.Directory, list[float]]:
+    known = directory.Directory()
+    now = [0.0]
+    watcher = watchers.DiscoveryWatcher(
+        ScriptedStore(*results),  # type: ignore[arg-type]
+        records.PlatformFormat(),
+        known,
+        lambda: now[0],
+        lambda: None,
+    )
+    return watcher, known, now
+
+
+async def test_servers_come_and_go() -> None:
+    watcher, known, _ = _discovery(
+        port.Page([_beat("a"), port.Record("odd", b"\xff")], 4),
+        port.Page([_beat("b"), port.Record("a", b"")], 6),
+    )
+    await watcher.poll()
+    assert set(known.by_id) == {"a"}
+    await watcher.poll()
+    assert known.by_id["a"].leaving_since == 0.0
+    assert known.by_id["b"].leaving_since is None
+
+
+async def test_server_that_left_during_a_compaction_is_noticed() -> None:
+    """Pattern: the store forgets its history while a server leaves."""
+    watcher, known, _ = _discovery(
+        port.Page([_beat("a"), _beat("b")], 4),
+        GONE,
+        port.Page([_beat("b", 2)], 90),
+    )
+    await watcher.poll()
+    await watcher.poll()
+    assert known.by_id["a"].leaving_since is not None
+    assert known.by_id["b"].leaving_since is None
+
+
+async def test_entries_that_lapsed_in_an_outage_get_time_to_return() -> None:
+    """Pattern: outage of the store in which entries lapse."""
+    watcher, known, now = _discovery(
+        port.Page([_beat("a")], 4),
+        DOWN,
+        DOWN,
+        port.Page([port.Record("a", b"")], 5),
+        port.Page([_beat("a", 9)], 6),
+    )
+    for second in range(5):
+        now[0] = float(second)
+        await watcher.poll()
+    assert known.by_id["a"].leaving_since is None
+
+
+async def test_configuration_never_goes_back() -> None:
+    versions: list[int] = []
+    evacuations: list[set[str]] = []
+
+    def record(version: str) -> port.Record:
+        fields = {**test_adapter.MANIFEST, "version": version}
+        return port.Record("config", json.dumps(fields).encode())
+
+    def take(new: configuration.Configuration) -> None:
+        versions.append(new.version)
+
+    watcher = watchers.OperatorWatcher(
+        ScriptedStore(
+            port.Page([record("r9"), port.Record("evacuate/anna", b"{}")], 2),
+            port.Page([record("r7"), port.Record("config", b"{")], 4),
+            port.Page([record("r10"), port.Record("evacuate/anna", b"")], 6),
+        ),  # type: ignore[arg-type]
+        records.PlatformFormat(),
+        lambda: 0.0,
+        take,
+        evacuations.append,
+    )
+    for _ in range(3):
+        assert await watcher.poll()
+    assert versions == [9, 10]
+    assert evacuations == [{"anna"}, set()]
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,305 @@
+"""Names and formats of the platform."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from agatestile.balancing import load
+from agatestile.catalog import configuration
+from agatestile.node import settings as node_settings
+from agatestile.platform import headers
+from agatestile.platform import records
+from agatestile.platform import settings
+from agatestile.platform import store
+from agatestile.results import codes
+from agatestile.results import outcomes
+from agatestile.store import port
+from agatestile.transport import messages
+
+SOURCE = pathlib.Path(settings.__file__).parent.parent
+NAMES = re.compile(
+    r"X-Upstream-|X-Target-Instance|X-Shard-Key|X-Not-Executed|X-Handover"
+    r"|X-Deadline-Ms|X-Request-Id|X-Warmup-Ms|log-append|log-read|log-newest"
+    r"|log-join|keyed\.(servers|op)|warmupLeftMs|trafficSplit|edgeAddr"
+    r"|pathPrefix|AGATESTILE_BOOT",
+    re.IGNORECASE,
+)
+
+BEAT = {
+    "service": "prices",
+    "address": "10.0.0.1:80",
+    "zone": "anna",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "seq": 4,
+    "born": 7,
+}
+
+MANIFEST = {
+    "version": "r12",
+    "limits": {
+        "maxHeaderBytes": 100,
+        "maxBodyBytes": 200,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "listeners": [
+        {
+            "host": "a.example",
+            "rules": [
+                {
+                    "name": "r",
+                    "routeType": "unsafe",
+                    "targetLatencyMs": 500,
+                    "priority": 1,
+                    "match": {"pathPrefix": "/x/"},
+                    "action": {
+                        "trafficSplit": [
+                            {"service": "prices", "weight": 90},
+                            {"service": "files", "weight": 10},
+                        ],
+                        "timeoutMs": 1200,
+                        "maxAttempts": 2,
+                    },
+                }
+            ],
+        }
+    ],
+    "clusters": [
+        {
+            "name": "prices",
+            "healthPath": "/healthz",
+            "maxConnections": 130,
+            "warmupS": 3.0,
+            "warmupPerS": 5.0,
+            "sharded": True,
+        }
+    ],
+}
+
+
+def test_names_stay_in_the_adapter() -> None:
+    found = [
+        path.relative_to(SOURCE).as_posix()
+        for path in SOURCE.rglob("*.py")
+        if path.parent.name != "platform"
+        # The product's own interface has headers of the same names.
+        and "gateway" not in path.parts
+        and "ownership" not in path.parts
+        and NAMES.search(path.read_text(encoding="utf-8"))
+    ]
+    assert found == []
+
+
+def test_heartbeat_is_decoded() -> None:
+    entry = records.decode_server("a", json.dumps(BEAT).encode())
+    assert not isinstance(entry, str)
+    assert entry.id == "a"
+    assert entry.address == ("10.0.0.1", 80)
+    assert entry.failure_domain == "anna"
+    assert entry.incarnation == 7
+    assert entry.warmup_left == 1.5
+    assert not entry.is_draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"address": "nowhere"},
+        {"slots": "two"},
+        {"seq": None},
+        {"zone": 5},
+        {"born": 1.5},
+        {"service": ""},
+    ],
+)
+def test_bad_heartbeat_names_no_server(change: dict[str, object]) -> None:
+    value = json.dumps({**BEAT, **change}).encode()
+    assert isinstance(records.decode_server("a", value), str)
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_give_an_entry_or_a_reason(value: bytes) -> None:
+    records.decode_server("a", value)
+    records.decode_configuration(value)
+
+
+def test_configuration_is_decoded() -> None:
+    value = json.dumps(MANIFEST).encode()
+    current = records.decode_configuration(value)
+    assert not isinstance(current, str)
+    assert current.version == 12
+    route = current.find_route("a.example", "/x/1")
+    assert route is not None
+    assert route.kind is configuration.RouteKind.UNSAFE
+    assert route.timeout == 1.2
+    assert [one.weight for one in route.targets] == [90, 10]
+    assert current.services_by_name["prices"].is_partitioned
+    assert current.limits.idle_timeout == 15.0
+
+
+def test_evacuations_are_recognised() -> None:
+    form = records.PlatformFormat()
+    assert form.evacuated_domain("evacuate/anna") == "anna"
+    assert form.evacuated_domain("config") is None
+    assert form.is_configuration("config")
+
+
+def test_caller_and_server_headers() -> None:
+    speech = headers.PlatformDialect()
+    facts = speech.read_request(
+        [
+            (b"x-request-id", b"id"),
+            (b"x-deadline-ms", b"1500"),
+            (b"x-shard-key", b"77"),
+        ]
+    )
+    assert facts == (b"id", 1.5, 77)
+    assert speech.server_headers("s", 0.25) == [
+        (b"x-deadline-ms", b"250"),
+        (b"x-target-instance", b"s"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"3,1,8", load.LoadReport(3, 1, 8, 1.0)),
+        (b"3,1,8,250", load.LoadReport(3, 1, 8, 2.5)),
+        (b"3,1", None),
+        (b"x,y,z", None),
+    ],
+)
+def test_load_of_an_answer(
+    value: bytes, expected: load.LoadReport | None
+) -> None:
+    answer = messages.Answer(200, [(b"x-upstream-load", value)], b"")
+    assert headers.PlatformDialect().read_answer(answer).report == expected
+
+
+def test_answers_that_did_not_run() -> None:
+    speech = headers.PlatformDialect()
+    shed = messages.Answer(503, [(b"x-not-executed", b"1")], b"")
+    assert speech.read_answer(shed).is_not_run
+    other = messages.Answer(421, [], b"")
+    assert speech.read_answer(other).is_misdirected
+    failed = messages.Answer(503, [(b"x-upstream-signature", b"s")], b"")
+    assert not speech.read_answer(failed).is_not_run
+
+
+def test_settings_are_decoded() -> None:
+    loaded = settings.decode(
+        """
+nodeName = "edge-1"
+ip = "10.1.0.1"
+zone = "anna"
+seeds = ["10.1.0.2:7"]
+bounds = ["drainMs=2500", "retryBudgetRatio=0.2", "odd", "graceS=6"]
+new = 5
+[listen]
+edgeAddr = "10.1.0.1:1"
+ready = "10.1.0.1:2"
+control = "10.1.0.1:3"
+[platform]
+address = "10.2.0.1:4"
+""",
+        "file",
+    )
+    assert isinstance(loaded, node_settings.NodeSettings)
+    assert loaded.store == ("10.2.0.1", 4)
+    assert loaded.bounds.drain == 2.5
+    assert loaded.bounds.grace == 6.0
+
+
+@pytest.mark.parametrize(
+    "text", ["nodeName = 5", "= broken", "", 'nodeName = "a"\nip = "b"']
+)
+def test_bad_settings_are_refused_with_their_file(text: str) -> None:
+    refusal = settings.decode(text, "the-file")
+    assert isinstance(refusal, outcomes.Refusal)
+    assert "the-file" in refusal.reason
+
+
+class _Pool:
+    """Answers with what a test says."""
+
+    def __init__(self, *results: messages.Answer | messages.Failure) -> None:
+        self.results = list(results)
+        self.requests: list[messages.Request] = []
+
+    async def call(
+        self,
+        address: tuple[str, int],
+        request: messages.Request,
+        timeout: float,
+    ) -> messages.Answer | messages.Failure:
+        self.requests.append(request)
+        return self.results.pop(0)
+
+
+def _store(
+    *results: messages.Answer | messages.Failure,
+) -> store.PlatformStore:
+    pool: typing.Any = _Pool(*results)
+    return store.PlatformStore(pool, ("10.2.0.1", 4))
+
+
+@pytest.mark.anyio
+async def test_listing_is_read_page_by_page() -> None:
+    first = b'{"items":[{"key":"a","value":"eA==","offset":0}],"hasMore":true'
+    second = b'{"items":[{"key":"b","value":"eQ==","offset":7}],"end":9}'
+    page = await _store(
+        messages.Answer(200, [], first + b',"end":6}'),
+        messages.Answer(200, [], second),
+    ).newest("keyed.x")
+    # What changed after the first page is read again.
+    assert page == port.Page(
+        [port.Record("a", b"x"), port.Record("b", b"y")], 6
+    )
+
+
+@pytest.mark.anyio
+async def test_records_of_a_read_are_split() -> None:
+    body = (7).to_bytes(8, "big") + (0).to_bytes(8, "big")
+    for content in (b"\x01ax", b"\x01b"):
+        body += len(content).to_bytes(4, "big") + content
+    page = await _store(messages.Answer(200, [], body)).read("keyed.x", 5, 0)
+    assert page == port.Page(
+        [port.Record("a", b"x"), port.Record("b", b"")], 7
+    )
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("result", "code"),
+    [
+        (messages.Answer(412, [], b""), codes.ResultCode.RECORD_STALE),
+        (messages.Answer(503, [], b""), codes.ResultCode.LOG_UNAVAILABLE),
+        (messages.Answer(429, [], b""), codes.ResultCode.LOG_UNAVAILABLE),
+        (messages.Answer(200, [], b"x"), codes.ResultCode.LOG_OUTCOME_UNKNOWN),
+        (
+            messages.Failure(messages.FailureKind.UNKNOWN, "lost"),
+            codes.ResultCode.LOG_OUTCOME_UNKNOWN,
+        ),
+        (
+            messages.Failure(messages.FailureKind.NOT_SENT, "refused"),
+            codes.ResultCode.LOG_UNAVAILABLE,
+        ),
+    ],
+)
+async def test_outcome_of_an_append(
+    result: messages.Answer | messages.Failure, code: codes.ResultCode
+) -> None:
+    refusal = await _store(result).append("keyed.x", [], 0)
+    assert isinstance(refusal, outcomes.Refusal)
+    assert refusal.code == code
--- /dev/null
+++ b/tests/transport/test_server.py
@@ -0,0 +1,125 @@
+"""Connections of callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+import pytest
+
+from agatestile.catalog import configuration
+from agatestile.transport import messages
+from agatestile.transport import server
+
+pytestmark = pytest.mark.anyio
+GET = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
+LIMITS = configuration.CallerLimits(200, 100, 0.1, 0.3)
+
+
+@contextlib.asynccontextmanager
+async def _listening(
+    handler: server.Handler,
+) -> typing.AsyncIterator[
+    tuple[server.Listener, asyncio.StreamReader, asyncio.StreamWriter]
+]:
+    listener = server.Listener(handler, lambda: LIMITS)
+    await listener.start("127.0.0.1", 0)
+    assert listener._server is not None
+    port = listener._server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    yield listener, reader, writer
+    writer.close()
+    listener.stop()
+
+
+async def _echo(request: messages.Request) -> messages.Answer:
+    return messages.Answer(200, [], request.target + request.body)
+
+
+async def _read(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    async with asyncio.timeout(2.0):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.partition(b":")[2])
+        return head, await reader.readexactly(length)
+
+
+async def test_requests_share_a_connection() -> None:
+    async with _listening(_echo) as (_, reader, writer):
+        for _ in range(2):
+            writer.write(GET)
+            head, body = await _read(reader)
+            assert head.startswith(b"HTTP/1.1 200") and body == b"/a"
+
+
+async def test_chunked_body_is_put_together() -> None:
+    async with _listening(_echo) as (_, reader, writer):
+        writer.write(
+            b"POST /a HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n"
+        )
+        _, body = await _read(reader)
+        assert body == b"/axyz"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /a HTTP/1.1\r\nx: " + b"y" * 300 + b"\r\n\r\n", b"431"),
+        (
+            b"POST /a HTTP/1.1\r\ncontent-length: 200\r\n\r\n" + b"y" * 200,
+            b"413",
+        ),
+        (b"GET /a HTTP/1.1\r\nx: y", b"408"),
+    ],
+)
+async def test_bounds_of_callers(data: bytes, status: bytes) -> None:
+    async with _listening(_echo) as (_, reader, writer):
+        writer.write(data)
+        head, _ = await _read(reader)
+        assert head.split(b" ")[1] == status
+        assert b"connection: close" in head
+
+
+async def test_handler_is_cancelled_when_its_caller_leaves() -> None:
+    ended = asyncio.Event()
+    started = asyncio.Event()
+
+    async def handler(request: messages.Request) -> messages.Answer:
+        started.set()
+        try:
+            await asyncio.sleep(10.0)
+        finally:
+            ended.set()
+        raise AssertionError("not cancelled")
+
+    async with _listening(handler) as (_, _reader, writer):
+        writer.write(GET)
+        await started.wait()
+        writer.close()
+        async with asyncio.timeout(1.0):
+            await ended.wait()
+
+
+async def test_closing_listener_answers_and_then_closes() -> None:
+    """Guards against a request that a stop cuts off."""
+    async with _listening(_echo) as (listener, reader, writer):
+        listener.begin_close()
+        writer.write(GET)
+        head, _ = await _read(reader)
+        assert b"connection: close" in head
+        assert await reader.read() == b""
+
+
+async def test_idle_connection_closes_after_its_time() -> None:
+    async with _listening(_echo) as (_, reader, writer):
+        writer.write(GET)
+        await _read(reader)
+        start = asyncio.get_running_loop().time()
+        async with asyncio.timeout(2.0):
+            assert await reader.read() == b""
+        assert asyncio.get_running_loop().time() - start > 0.25
