Relay service discovery through the coordinator

The coordinator reads it now and tells what changed with its answers to reports; a host reads for itself when the coordinator or its store is away for a second. Ruled out: longer intervals, which use up the time within which a leaving server has to be left alone.

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -77,6 +77,7 @@
         self._missing_since: dict[str, float] = {}
         self._outage_end = float("-inf")
         self._newest_by_address: dict[tuple[str, int], ServerEntry] = {}
+        self._version_by_id: dict[str, int] = {}
         self.version = 0
 
     def of_service(self, service: str) -> list[Server]:
@@ -109,10 +110,43 @@
         self._ids_by_service.setdefault(entry.service, {})[entry.id] = None
         changed = known is None or _facts(known.entry) != _facts(entry)
         if changed or known is None or known.leaving_since != leaving:
-            self.version += 1
+            self._note_change(entry.id)
             return True
         return False
 
+    def leave(self, server_id: str, since: float, is_missing: bool) -> None:
+        """Apply what another host knows of a server that leaves.
+
+        Parameters
+        ----------
+        server_id : str
+            Identifier of the server.
+        since : float
+            Clock when it was first seen to leave, seconds.
+        is_missing : bool
+            Whether its entry was removed.
+        """
+        server = self.by_id.get(server_id)
+        if server is None:
+            return
+        if is_missing:
+            self._missing_since.setdefault(server_id, since)
+        if server.leaving_since is None or server.leaving_since > since:
+            self.by_id[server_id] = server._replace(leaving_since=since)
+            self._note_change(server_id)
+
+    def changed_after(self, version: int) -> list[Server]:
+        """Return the servers that changed after a version."""
+        return [
+            self.by_id[server_id]
+            for server_id, changed in self._version_by_id.items()
+            if changed > version
+        ]
+
+    def is_missing(self, server_id: str) -> bool:
+        """Tell whether the entry of a known server was removed."""
+        return server_id in self._missing_since
+
     def remove(self, server_id: str, now: float) -> None:
         """Apply the removal of an entry, later if it may come back."""
         if server_id in self.by_id:
@@ -129,7 +163,7 @@
             server = self.by_id[server_id]
             if server.leaving_since is None:
                 self.by_id[server_id] = server._replace(leaving_since=now)
-                self.version += 1
+                self._note_change(server_id)
                 gone.append(server_id)
         return gone
 
@@ -139,6 +173,7 @@
         self._missing_since.pop(server_id, None)
         if server is not None:
             self._unlink(server.entry)
+            self._version_by_id.pop(server_id, None)
             self.version += 1
 
     def newest_at(self, address: tuple[str, int]) -> ServerEntry | None:
@@ -149,9 +184,14 @@
         """Return since when removed servers are missing, by identifier."""
         return dict(self._missing_since)
 
+    def _note_change(self, server_id: str) -> None:
+        self.version += 1
+        self._version_by_id[server_id] = self.version
+
     def _unlink(self, entry: ServerEntry) -> None:
         self._ids_by_service.get(entry.service, {}).pop(entry.id, None)
 
 
 def _facts(entry: ServerEntry) -> ServerEntry:
-    return entry._replace(sequence=0, warmup_left=0.0)
+    is_cold = entry.warmup_left > 0
+    return entry._replace(sequence=0, warmup_left=float(is_cold))
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -35,9 +35,9 @@
 UNKNOWN_HOSTS = 8
 """Number of hosts that is assumed before it was learnt."""
 
-FRESH_SECONDS = 0.3
-"""How much newer than an event a heartbeat has to be to describe the time
-after it."""
+CONFIRM_SECONDS = 2.0
+"""Time after which a server's report of a cold start would have arrived: the
+interval of reports, of reads and of messages between hosts."""
 
 REMOTE_WEIGHT = 0.05
 """Weight of one answer that another host measured."""
@@ -192,11 +192,11 @@
         life = (entry.id, entry.incarnation)
         since = self._unconfirmed_since.get(life)
         if since is not None:
-            if server.received < since + FRESH_SECONDS:
+            if now < since + CONFIRM_SECONDS:
                 return True
             del self._unconfirmed_since[life]
         ended = self._evacuation_end.get(entry.failure_domain)
-        return ended is not None and server.received < ended + FRESH_SECONDS
+        return ended is not None and now < ended + CONFIRM_SECONDS
 
     def allows_cold(self, server: directory_module.Server, now: float) -> bool:
         """Tell whether this host's share of a cold server is left."""
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from agatestile.assignment import records
+from agatestile.catalog import directory
 
 
 class ServerFigures(msgspec.Struct, array_like=True):
@@ -34,6 +35,8 @@
         Peer address of the host.
     epoch, version : int
         Assignment that it knows.
+    directory : int
+        Version of the coordinator's directory that it knows.
     requests : dict
         Requests by key since the last report, by service.
     servers : dict
@@ -43,10 +46,66 @@
     host: str
     epoch: int
     version: int
+    directory: int
     requests: dict[str, dict[int, int]]
     servers: dict[str, ServerFigures]
 
 
+class RelayedServer(msgspec.Struct, array_like=True):
+    """A server as the coordinator knows it.
+
+    Attributes
+    ----------
+    id, incarnation, sequence, service, address, failure_domain, slots
+        As in the server's entry.
+    is_draining : bool
+        Whether it says that it leaves.
+    warmup_left : float
+        How much longer it stays cold, seconds.
+    leaving_age : float or None
+        Since when it is known to leave, seconds.
+    is_missing : bool
+        Whether its entry was removed.
+    """
+
+    id: str
+    incarnation: int
+    sequence: int
+    service: str
+    address: tuple[str, int]
+    failure_domain: str
+    slots: int
+    is_draining: bool
+    warmup_left: float
+    leaving_age: float | None
+    is_missing: bool
+
+    @classmethod
+    def from_server(
+        cls, server: directory.Server, is_missing: bool, now: float
+    ) -> RelayedServer:
+        """Return the message for a known server."""
+        entry = server.entry
+        cold = max(0.0, entry.warmup_left - (now - server.received))
+        since = server.leaving_since
+        age = None if since is None else now - since
+        return cls(*entry._replace(warmup_left=cold), age, is_missing)
+
+    def entry(self) -> directory.ServerEntry:
+        """Return the entry of the server."""
+        return directory.ServerEntry(
+            self.id,
+            self.incarnation,
+            self.sequence,
+            self.service,
+            self.address,
+            self.failure_domain,
+            self.slots,
+            self.is_draining,
+            self.warmup_left,
+        )
+
+
 class Instructions(msgspec.Struct, array_like=True):
     """What the coordinator answers.
 
@@ -57,7 +116,11 @@
     host_count, host_rank : int
         Number of hosts that report, and the place of this one.
     is_confirmed : bool
-        Whether the store confirmed the coordinator's seat lately.
+        Whether the store answered the coordinator lately.
+    directory : int
+        Version of the coordinator's directory.
+    servers : list of RelayedServer
+        Servers that changed since the version that the host knows.
     services : dict or None
         Range maps, None if the host knows them.
     """
@@ -67,6 +130,8 @@
     host_count: int
     host_rank: int
     is_confirmed: bool
+    directory: int
+    servers: list[RelayedServer]
     services: dict[str, records.ServiceRanges] | None
 
 
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -48,6 +48,10 @@
 GONE_KEEP_SECONDS = 30.0
 """How long removed servers are kept, as they may still hold keys."""
 
+FRESH_SECONDS = 1.2
+"""Age of the coordinator's last read of service discovery from which other
+hosts are told to read it themselves."""
+
 DISCOVERY_SECONDS_COORDINATOR = 0.35
 """Interval of reads of service discovery at the coordinator, which has to
 move the keys of leaving servers."""
@@ -125,7 +129,11 @@
             now,
         )
         self.peer_service = peers.PeerService(
-            self.coordinator, self.fleet, self.reporter, self.seat, now
+            self.coordinator,
+            self.fleet,
+            self.reporter,
+            self._is_confirmed,
+            now,
         )
         self.reporter.set_local(self.peer_service)
         self.discovery = watchers.DiscoveryWatcher(
@@ -135,6 +143,7 @@
             now,
             self.coordinator.request_plan,
             self._discovery_interval,
+            self.reporter.is_relayed,
         )
         self.operator = watchers.OperatorWatcher(
             platform.store,
@@ -201,7 +210,8 @@
         if self._is_stopping or self.fleet.configuration is None:
             return False
         if self.discovery.reading.last_success is None:
-            return False
+            if not self.reporter.is_relayed():
+                return False
         if self.view.maps or not self.fleet.services():
             return True
         return self._now() > self._started + ASSIGNMENT_WAIT_SECONDS
@@ -244,6 +254,11 @@
             return configuration.CallerLimits()
         return current.limits
 
+    def _is_confirmed(self) -> bool:
+        last = self.discovery.reading.last_success
+        is_fresh = last is not None and self._now() < last + FRESH_SECONDS
+        return is_fresh and self.seat.is_confirmed()
+
     def _discovery_interval(self) -> float:
         if self.coordinator.is_active:
             return DISCOVERY_SECONDS_COORDINATOR
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 import anyio
@@ -35,6 +36,10 @@
 SEARCH_SECONDS = 0.3
 """Pause between searches for the coordinator."""
 
+RELAY_SECONDS = 1.0
+"""Age of the last confirmed instructions from which a host reads service
+discovery itself."""
+
 MEMBER_SECONDS = 12.0
 """Silence after which a host does not count as a member any more. A host
 that is only cut off from the coordinator goes on sending to servers."""
@@ -53,8 +58,8 @@
         Takes what other hosts measured.
     reporter : Reporter
         Knows the coordinator if it is another host.
-    seat_keeper : seat.SeatKeeper
-        Knows whether the store confirms this host's seat.
+    is_confirmed : callable
+        Tells whether the store answered this host lately.
     now : callable
         The runtime's clock, seconds.
     """
@@ -64,13 +69,13 @@
         coordinator: coordinator_module.Coordinator,
         fleet: fleet_module.Fleet,
         reporter: Reporter,
-        seat_keeper: seat.SeatKeeper,
+        is_confirmed: typing.Callable[[], bool],
         now: typing.Callable[[], float],
     ) -> None:
+        self._is_confirmed = is_confirmed
         self._coordinator = coordinator
         self._fleet = fleet
         self._reporter = reporter
-        self._seat = seat_keeper
         self._now = now
         self._seen_by_host: dict[str, float] = {}
 
@@ -126,12 +131,24 @@
                 for name, state in coordinator.services.items()
             }
         members = self._members()
+        servers = self._fleet.directory
+        now = self._now()
+        known_directory = report.directory
+        if report.epoch != coordinator.epoch:
+            known_directory = 0
         return peer_messages.Instructions(
             coordinator.epoch,
             coordinator.version,
             len(members),
             members.index(report.host) if report.host in members else 0,
-            self._seat.is_confirmed(),
+            self._is_confirmed(),
+            servers.version,
+            [
+                peer_messages.RelayedServer.from_server(
+                    server, servers.is_missing(server.entry.id), now
+                )
+                for server in servers.changed_after(known_directory)
+            ],
             services,
         )
 
@@ -196,6 +213,9 @@
         self._answered: dict[str, int] = {}
         self._changed = anyio.Event()
         self._has_coordinator = False
+        self._directory_version = 0
+        self._directory_epoch = 0
+        self._relayed_at = -math.inf
         self.coordinator = ""
 
     def set_local(self, service: PeerService) -> None:
@@ -244,6 +264,7 @@
                     coordinator=target,
                 )
             self._take(answer)
+            self._take_servers(answer)
             if not answer.is_confirmed:
                 await self._check()
             return True
@@ -323,6 +344,24 @@
             self._changed.set()
             self._changed = anyio.Event()
 
+    def is_relayed(self) -> bool:
+        """Tell whether the coordinator tells of all servers."""
+        return self._now() < self._relayed_at + RELAY_SECONDS
+
+    def _take_servers(self, instructions: peer_messages.Instructions) -> None:
+        now = self._now()
+        servers = self._fleet.directory
+        for relayed in instructions.servers:
+            servers.put(relayed.entry(), now)
+            if relayed.leaving_age is not None:
+                servers.leave(
+                    relayed.id, now - relayed.leaving_age, relayed.is_missing
+                )
+        self._directory_version = instructions.directory
+        self._directory_epoch = instructions.epoch
+        if instructions.is_confirmed:
+            self._relayed_at = now
+
     def _report(self) -> peer_messages.Report:
         requests, self._requests = self._requests, {}
         servers = {}
@@ -339,10 +378,16 @@
             self._member,
             self._view.epoch,
             self._view.version,
+            self._known_directory(),
             {name: dict(counts) for name, counts in requests.items()},
             servers,
         )
 
+    def _known_directory(self) -> int:
+        if self._directory_epoch != self._view.epoch:
+            return 0
+        return self._directory_version
+
     def _return(self, report: peer_messages.Report) -> None:
         """Keep the counts of a report that was not delivered."""
         for name, counts in report.requests.items():
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -22,7 +22,7 @@
 """Interval of reads of service discovery. Servers report several times a
 second altogether, so that waiting for the next record would never pause."""
 
-OPERATOR_WAIT_SECONDS = 20.0
+OPERATOR_WAIT_SECONDS = 28.0
 """How long a read of the operator's records waits for a new one."""
 
 RETRY_SECONDS = 0.5
@@ -111,6 +111,8 @@
         Called after servers came, changed or left.
     interval : callable
         Returns the interval of reads, seconds.
+    is_relayed : callable
+        Tells whether another host reads for this one.
     """
 
     def __init__(
@@ -121,6 +123,7 @@
         now: typing.Callable[[], float],
         on_change: typing.Callable[[], None],
         interval: typing.Callable[[], float] = lambda: DISCOVERY_SECONDS,
+        is_relayed: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._format = record_format
@@ -128,6 +131,7 @@
         self._now = now
         self._on_change = on_change
         self._interval = interval
+        self._is_relayed = is_relayed
         self._unreadable: set[str] = set()
         self.reading = Reading("service discovery")
 
@@ -135,7 +139,11 @@
         """Read until cancelled."""
         while True:
             started = self._now()
-            await self.poll()
+            if self._is_relayed():
+                # What was read last is too old to go on from.
+                self.reading.end = None
+            else:
+                await self.poll()
             elapsed = self._now() - started
             await anyio.sleep(max(0.05, self._interval() - elapsed))
 
