--- a/src/agatestile/console/commands/root.py
+++ b/src/agatestile/console/commands/root.py
@@ -10,6 +10,7 @@
 from agatestile.console.commands import serve
 from agatestile.console.commands import status
 from agatestile.console.commands import table
+from agatestile.console.commands import trace
 from agatestile.console.commands import version
 from agatestile.console import exits
 
@@ -25,4 +26,5 @@
 root.add_command(serve.serve)
 root.add_command(status.status)
 root.add_command(table.table)
+root.add_command(trace.trace)
 root.add_command(version.version)
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -19,6 +19,7 @@
     from agatestile.catalog import directory
     from agatestile.entry import dialect
     from agatestile.entry import fleet as fleet_module
+    from agatestile.observability import counters
 
 DEFAULT_TIME_LEFT = 30.0
 """Time for a request without a deadline, seconds."""
@@ -113,6 +114,8 @@
         Names and formats of headers.
     now : callable
         The runtime's clock, seconds.
+    registry : counters.Registry
+        Counts requests and attempts.
     """
 
     def __init__(
@@ -123,7 +126,9 @@
         pool: client.Pool,
         speech: dialect.Dialect,
         now: typing.Callable[[], float],
+        registry: counters.Registry,
     ) -> None:
+        self._registry = registry
         self._fleet = fleet
         self._picker = picker
         self._assignments = assignments
@@ -247,12 +252,18 @@
             fields["route"] = course.route.name
             if course.key is not None:
                 fields["key"] = course.key
+        elapsed = self._now() - started
+        service = "" if course is None else course.service
+        self._registry.count(
+            "requests_total", service=service, result=code.name
+        )
+        self._registry.time("request_seconds", elapsed, service=service)
         events.emit(
             kind,
             request=facts.request_id.decode("latin-1"),
             code=int(code),
             result=code.name,
-            ms=round((self._now() - started) * 1000, 1),
+            ms=round(elapsed * 1000, 1),
             reason=reason,
             **fields,
         )
@@ -338,6 +349,11 @@
         wait = load.expected_wait(sent)
         course_end = self._course.deadline
         self._sent += 1
+        self._handler._registry.count(
+            "attempts_total",
+            service=self._course.service,
+            repeat=str(self._sent > 1).lower(),
+        )
         if self._sent > 1:
             self._handler._budget(self._course.service).spend(sent)
         self._tried.add(entry.id)
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -19,6 +19,7 @@
 from agatestile.node import peers
 from agatestile.node import seat as seat_module
 from agatestile.node import watchers
+from agatestile.observability import counters
 from agatestile.observability import events
 from agatestile.results import outcomes
 from agatestile.transport import client
@@ -104,6 +105,7 @@
         self._now = now
         self._started = now()
         member = f"{settings.peers[0]}:{settings.peers[1]}"
+        self.registry = counters.Registry()
         self.fleet = fleet_module.Fleet(
             settings.bounds, settings.failure_domain, now
         )
@@ -160,13 +162,16 @@
             self.server_pool,
             platform.speech,
             now,
+            self.registry,
         )
         self.callers = server.Listener(handler.handle, self._limits)
         self.readiness = server.Listener(self._on_check, self._limits)
         self.peer_listener = server.Listener(
             self.peer_service.handle, self._limits
         )
+        self.metrics = server.Listener(self._on_metrics, self._limits)
         self._is_stopping = False
+        self._add_gauges()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -183,11 +188,14 @@
             bounds=settings.bounds._asdict(),
         )
         async with anyio.create_task_group() as tasks:
-            for listener, address in (
+            addresses = [
                 (self.readiness, settings.readiness),
                 (self.peer_listener, settings.peers),
                 (self.callers, settings.callers),
-            ):
+            ]
+            if settings.metrics is not None:
+                addresses.append((self.metrics, settings.metrics))
+            for listener, address in addresses:
                 await listener.start(*address)
             tasks.start_soon(self._keep_house)
             tasks.start_soon(self.operator.run)
@@ -272,6 +280,28 @@
         if self.fleet.evacuate(domains, self._now()):
             self.coordinator.request_plan()
 
+    def _add_gauges(self) -> None:
+        gauge = self.registry.gauge
+        fleet = self.fleet
+
+        def configuration_version() -> float:
+            current = fleet.configuration
+            return -1.0 if current is None else float(current.version)
+
+        gauge("ready", lambda: float(self.is_ready()))
+        gauge("open_connections", lambda: len(self.callers.connections))
+        gauge("requests_in_progress", lambda: self.callers.busy)
+        gauge("configuration_version", configuration_version)
+        gauge("servers_known", lambda: len(fleet.directory.by_id))
+        gauge("hosts_known", lambda: fleet.host_count)
+        gauge("assignment_epoch", lambda: self.view.epoch)
+        gauge("seat_held", lambda: float(self.coordinator.is_active))
+        gauge("server_connections_opened", lambda: self.server_pool.opened)
+
+    async def _on_metrics(self, request: messages.Request) -> messages.Answer:
+        kind = [(b"content-type", b"text/plain; version=0.0.4")]
+        return messages.Answer(200, kind, self.registry.render())
+
     async def _on_check(self, request: messages.Request) -> messages.Answer:
         return messages.Answer(200 if self.is_ready() else 503, [], b"")
 
--- a/src/agatestile/node/settings.py
+++ b/src/agatestile/node/settings.py
@@ -51,6 +51,8 @@
         Address of the store.
     bounds : Bounds
         Agreed bounds.
+    metrics : tuple of (str, int) or None
+        Address for counters and histograms, None without them.
     """
 
     host: str
@@ -61,3 +63,4 @@
     seeds: tuple[str, ...]
     store: Address
     bounds: Bounds
+    metrics: Address | None = None
--- a/src/agatestile/platform/settings.py
+++ b/src/agatestile/platform/settings.py
@@ -13,6 +13,7 @@
 from agatestile.results import outcomes
 
 PATH_VARIABLE = "AGATESTILE_BOOT"
+METRICS_VARIABLE = "AGATESTILE_METRICS_PORT"
 DEFAULT_PATH = "/etc/agatestile/local.toml"
 
 
@@ -82,6 +83,7 @@
             seeds=tuple(boot.seeds),
             store=parse_address(boot.platform.address),
             bounds=_bounds(boot.bounds),
+            metrics=_metrics(boot.ip),
         )
     except tomllib.TOMLDecodeError as error:
         return outcomes.Refusal(
@@ -107,6 +109,11 @@
     return host, int(port)
 
 
+def _metrics(ip: str) -> tuple[str, int] | None:
+    port = os.environ.get(METRICS_VARIABLE, "")
+    return (ip, int(port)) if port else None
+
+
 def _bounds(texts: list[str] | str) -> node_settings.Bounds:
     if isinstance(texts, str):
         texts = texts.split(",")
--- a/tests/entry/scenes.py
+++ b/tests/entry/scenes.py
@@ -14,6 +14,7 @@
 from agatestile.entry import handler as handler_module
 from agatestile.entry import picker as picker_module
 from agatestile.node import settings as node_settings
+from agatestile.observability import counters
 from agatestile.platform import headers
 from agatestile.transport import client
 from agatestile.transport import messages
@@ -99,6 +100,7 @@
             client.Pool(now, headers.REQUEST_ID),
             headers.PlatformDialect(),
             now,
+            counters.Registry(),
         )
 
     def configure(
