Divide servers among the hosts of a domain

Cause: with 25 hosts a host asks each of 48 servers every four seconds, so what it knows of their load is old, and all hosts took the same fast servers for idle.

--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -66,7 +66,7 @@
     ) -> None:
         self.bounds = bounds
         self._now = now
-        self._failure_domain = failure_domain
+        self.failure_domain = failure_domain
         self.directory = directory_module.Directory()
         self.configuration: configuration.Configuration | None = None
         self.evacuated_since: dict[str, float] = {}
@@ -76,6 +76,10 @@
         self._unconfirmed_since: dict[Life, float] = {}
         self.host_count = UNKNOWN_HOSTS
         self.host_rank = 0
+        self.domain_host_count = 1
+        self.domain_host_rank = 0
+        self._homes_by_service: dict[str, frozenset[str]] = {}
+        self._homes_key = (-1, 0, 0)
 
     # Beliefs
 
@@ -221,18 +225,51 @@
     ) -> list[choice.Candidate]:
         """Return the servers that may take a request without a key."""
         found = []
+        homes = self._homes(service)
         for server in self.directory.of_service(service):
             entry = server.entry
             if entry.id in without or self.is_leaving(server):
                 continue
             if self.is_cold(server, now) and not self.allows_cold(server, now):
                 continue
-            is_near = entry.failure_domain == self._failure_domain
+            is_near = entry.failure_domain == self.failure_domain
             found.append(
-                choice.Candidate(entry.id, self.load_of(entry), is_near)
+                choice.Candidate(
+                    entry.id,
+                    self.load_of(entry),
+                    is_near,
+                    entry.id in homes,
+                )
             )
         return found
 
+    def _homes(self, service: str) -> frozenset[str]:
+        """Return the servers that this host uses first.
+
+        The servers of a failure domain are divided among its hosts.
+        """
+        count, rank = self.domain_host_count, self.domain_host_rank
+        key = (self.directory.version, count, rank)
+        if key != self._homes_key:
+            self._homes_key = key
+            self._homes_by_service.clear()
+        homes = self._homes_by_service.get(service)
+        if homes is None:
+            near = sorted(
+                server.entry.id
+                for server in self.directory.of_service(service)
+                if server.entry.failure_domain == self.failure_domain
+                and not self.is_leaving(server)
+            )
+            shared = rank % len(near) if near else 0
+            homes = frozenset(
+                server_id
+                for place, server_id in enumerate(near)
+                if place % count == rank or place == shared
+            )
+            self._homes_by_service[service] = homes
+        return homes
+
     # coordinator.Fleet
 
     def services(self) -> list[str]:
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -135,6 +135,7 @@
             self.fleet,
             self.reporter,
             self._is_confirmed,
+            lambda: self.operator.reading.end or 0,
             now,
         )
         self.reporter.set_local(self.peer_service)
@@ -153,6 +154,7 @@
             now,
             self._on_configuration,
             self._on_evacuations,
+            self.reporter.is_relayed,
         )
         self.server_pool = client.Pool(now, platform.speech.echo_header)
         handler = handler_module.Handler(
@@ -310,6 +312,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_SECONDS)
             self.server_pool.close_expired()
+            self.operator.check(self.reporter.operator_end())
             self.fleet.forget_gone(GONE_KEEP_SECONDS, self._now())
             if self.is_ready() != was_ready:
                 was_ready = not was_ready
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -60,6 +60,8 @@
         Knows the coordinator if it is another host.
     is_confirmed : callable
         Tells whether the store answered this host lately.
+    operator_end : callable
+        Returns where the reads of the operator's records ended.
     now : callable
         The runtime's clock, seconds.
     """
@@ -70,14 +72,17 @@
         fleet: fleet_module.Fleet,
         reporter: Reporter,
         is_confirmed: typing.Callable[[], bool],
+        operator_end: typing.Callable[[], int],
         now: typing.Callable[[], float],
     ) -> None:
+        self._operator_end = operator_end
         self._is_confirmed = is_confirmed
         self._coordinator = coordinator
         self._fleet = fleet
         self._reporter = reporter
         self._now = now
         self._seen_by_host: dict[str, float] = {}
+        self._domains_by_host: dict[str, str] = {}
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Answer a report."""
@@ -102,6 +107,7 @@
         """Take a report and return the assignment once it is newer."""
         now = self._now()
         self._seen_by_host[report.host] = now
+        self._domains_by_host[report.host] = report.failure_domain
         for service, counts in report.requests.items():
             self._coordinator.add_heat(service, counts)
         for server_id, figures in report.servers.items():
@@ -131,6 +137,11 @@
                 for name, state in coordinator.services.items()
             }
         members = self._members()
+        neighbours = [
+            host
+            for host in members
+            if self._domains_by_host[host] == report.failure_domain
+        ]
         servers = self._fleet.directory
         now = self._now()
         known_directory = report.directory
@@ -140,8 +151,11 @@
             coordinator.epoch,
             coordinator.version,
             len(members),
-            members.index(report.host) if report.host in members else 0,
+            members.index(report.host),
+            len(neighbours),
+            neighbours.index(report.host),
             self._is_confirmed(),
+            self._operator_end(),
             servers.version,
             [
                 peer_messages.RelayedServer.from_server(
@@ -157,6 +171,7 @@
         for host, seen in list(self._seen_by_host.items()):
             if now - seen > MEMBER_SECONDS:
                 del self._seen_by_host[host]
+                del self._domains_by_host[host]
         return sorted(self._seen_by_host)
 
 
@@ -216,6 +231,7 @@
         self._directory_version = 0
         self._directory_epoch = 0
         self._relayed_at = -math.inf
+        self._operator_end = 0
         self.coordinator = ""
 
     def set_local(self, service: PeerService) -> None:
@@ -329,6 +345,8 @@
     def _take(self, instructions: peer_messages.Instructions) -> None:
         self._fleet.host_count = max(1, instructions.host_count)
         self._fleet.host_rank = instructions.host_rank
+        self._fleet.domain_host_count = max(1, instructions.domain_host_count)
+        self._fleet.domain_host_rank = instructions.domain_host_rank
         if instructions.services is None:
             return
         maps: dict[str, ranges.RangeMap] = {}
@@ -348,6 +366,16 @@
         """Tell whether the coordinator tells of all servers."""
         return self._now() < self._relayed_at + RELAY_SECONDS
 
+    def operator_end(self) -> int | None:
+        """Return the end of the coordinator's reads of operators' records.
+
+        Returns
+        -------
+        int or None
+            None without news of the coordinator.
+        """
+        return self._operator_end if self.is_relayed() else None
+
     def _take_servers(self, instructions: peer_messages.Instructions) -> None:
         now = self._now()
         servers = self._fleet.directory
@@ -359,6 +387,7 @@
                 )
         self._directory_version = instructions.directory
         self._directory_epoch = instructions.epoch
+        self._operator_end = instructions.operator_end
         if instructions.is_confirmed:
             self._relayed_at = now
 
@@ -376,6 +405,7 @@
                 )
         return peer_messages.Report(
             self._member,
+            self._fleet.failure_domain,
             self._view.epoch,
             self._view.version,
             self._known_directory(),
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -23,7 +23,15 @@
 second altogether, so that waiting for the next record would never pause."""
 
 OPERATOR_WAIT_SECONDS = 28.0
-"""How long a read of the operator's records waits for a new one."""
+"""How long a read of the operator's records waits for a new one while the
+coordinator would tell of one that the read misses."""
+
+OPERATOR_ALONE_SECONDS = 1.0
+"""The same without the coordinator: a connection may have gone silent, which
+only the end of the wait shows."""
+
+SILENCE_SECONDS = 0.5
+"""Time beyond a wait from which a read counts as unanswered."""
 
 RETRY_SECONDS = 0.5
 """Pause after a failed read."""
@@ -226,6 +234,8 @@
         Called with a newer configuration.
     on_evacuations : callable
         Called with the evacuated failure domains.
+    is_relayed : callable
+        Tells whether the coordinator would tell of new records.
     """
 
     def __init__(
@@ -235,22 +245,52 @@
         now: typing.Callable[[], float],
         on_configuration: typing.Callable[[configuration.Configuration], None],
         on_evacuations: typing.Callable[[set[str]], None],
+        is_relayed: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._format = record_format
         self._now = now
         self._on_configuration = on_configuration
         self._on_evacuations = on_evacuations
+        self._is_relayed = is_relayed
         self._version = -1
         self._evacuated: set[str] = set()
+        self._scope: anyio.CancelScope | None = None
+        self._started = 0.0
+        self._is_behind = False
         self.reading = Reading("operator's records")
 
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            if not await self.poll():
+            is_done = True
+            self._started = self._now()
+            with anyio.CancelScope() as scope:
+                self._scope = scope
+                is_done = await self.poll()
+            if not is_done:
                 await anyio.sleep(RETRY_SECONDS)
 
+    def check(self, told_end: int | None) -> None:
+        """Give up a wait that misses records.
+
+        Parameters
+        ----------
+        told_end : int or None
+            Where the coordinator's reads ended, None without its news.
+        """
+        waited = self._now() - self._started
+        if told_end is None:
+            is_late = waited > OPERATOR_ALONE_SECONDS + SILENCE_SECONDS
+        else:
+            end = self.reading.end
+            was_behind = self._is_behind
+            self._is_behind = end is not None and told_end > end
+            # The record may be on its way over the connection.
+            is_late = was_behind and self._is_behind
+        if is_late and self._scope is not None:
+            self._scope.cancel()
+
     async def poll(self) -> bool:
         """Read once; return whether the store answered."""
         reading = self.reading
@@ -259,9 +299,7 @@
         if reading.end is None:
             page = await self._store.newest(topic)
         else:
-            page = await self._store.read(
-                topic, reading.end, OPERATOR_WAIT_SECONDS
-            )
+            page = await self._store.read(topic, reading.end, self._wait())
         if isinstance(page, outcomes.Refusal):
             if page.code == codes.ResultCode.LOG_HISTORY_GONE:
                 reading.end = None
@@ -279,6 +317,11 @@
             self._on_evacuations(evacuated)
         return True
 
+    def _wait(self) -> float:
+        if self._is_relayed():
+            return OPERATOR_WAIT_SECONDS
+        return OPERATOR_ALONE_SECONDS
+
     def _apply(self, record: port.Record, evacuated: set[str]) -> None:
         domain = self._format.evacuated_domain(record.key)
         if domain is not None:
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -4,7 +4,10 @@
 
 import json
 
+import anyio
 import pytest
+import trio
+from trio import testing
 
 from agatestile.catalog import configuration
 from agatestile.catalog import directory
@@ -15,7 +18,6 @@
 from agatestile.store import port
 from tests.platform import test_adapter
 
-pytestmark = pytest.mark.anyio
 GONE = outcomes.Refusal(codes.ResultCode.LOG_HISTORY_GONE, "compacted")
 DOWN = outcomes.Refusal(codes.ResultCode.LOG_UNAVAILABLE, "down")
 
@@ -58,6 +60,7 @@
     return watcher, known, now
 
 
+@pytest.mark.anyio
 async def test_servers_come_and_go() -> None:
     watcher, known, _ = _discovery(
         port.Page([_beat("a"), port.Record("odd", b"\xff")], 4),
@@ -70,6 +73,7 @@
     assert known.by_id["b"].leaving_since is None
 
 
+@pytest.mark.anyio
 async def test_server_that_left_during_a_compaction_is_noticed() -> None:
     """Pattern: the store forgets its history while a server leaves."""
     watcher, known, _ = _discovery(
@@ -83,6 +87,7 @@
     assert known.by_id["b"].leaving_since is None
 
 
+@pytest.mark.anyio
 async def test_entries_that_lapsed_in_an_outage_get_time_to_return() -> None:
     """Pattern: outage of the store in which entries lapse."""
     watcher, known, now = _discovery(
@@ -98,6 +103,7 @@
     assert known.by_id["a"].leaving_since is None
 
 
+@pytest.mark.anyio
 async def test_configuration_never_goes_back() -> None:
     versions: list[int] = []
     evacuations: list[set[str]] = []
@@ -124,3 +130,41 @@
         assert await watcher.poll()
     assert versions == [9, 10]
     assert evacuations == [{"anna"}, set()]
+
+
+class _SilentStore(ScriptedStore):
+    """Answers the first read and leaves further ones without an answer."""
+
+    async def read(
+        self, topic: str, start: int, wait: float
+    ) -> port.Page | outcomes.Refusal:
+        self.calls.append(f"read {start} for {wait:g}")
+        if self.results:
+            return self.results.pop(0)
+        await anyio.sleep(100.0)
+        return DOWN
+
+
+@pytest.mark.parametrize("told_end", [5, None])
+def test_wait_on_a_silent_connection_is_given_up(told_end: int | None) -> None:
+    """Pattern: connections that go silent, a configuration meanwhile."""
+    store = _SilentStore(port.Page([], 2))
+
+    async def main() -> None:
+        watcher = watchers.OperatorWatcher(
+            store,  # type: ignore[arg-type]
+            records.PlatformFormat(),
+            trio.current_time,
+            lambda new: None,
+            lambda domains: None,
+            lambda: told_end is not None,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watcher.run)
+            for _ in range(10):
+                await anyio.sleep(0.25)
+                watcher.check(told_end)
+            tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+    assert len(store.calls) > 2
