Probe load before a choice, add a fault soak

Cause: a machine is slow for 400 ms at a time and a host seldom asks the same server, so its last report is too old to tell. The two likeliest servers are asked on their health path, which answers at once, if their reports are older than 150 ms.

--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,12 @@
 AGATESTILE ?= $(BIN)/agatestile
 SEED ?= 1
 SECONDS ?= 600
+RUNS ?= 1
 WHY ?= a single day
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup demo test check platform-day soak measure binary lock generate clean
+.PHONY: setup demo test check platform-day platform-soak soak measure binary lock generate clean
 
 setup: $(VENV)/.ready
 
@@ -35,6 +36,10 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
+platform-soak: setup
+	$(BIN)/python -m bench.platform_soak --seed $(SEED) --runs $(RUNS) \
+		--seconds $(SECONDS)
+
 measure: setup
 	$(BIN)/python -m bench.measure --agatestile "$(AGATESTILE)"
 
--- /dev/null
+++ b/bench/platform_soak.py
@@ -0,0 +1,453 @@
+"""Fault soak of the program on the platform.
+
+Real processes of the program run against the stand-ins of the store and of
+backend servers on loopback; a proxy in front of the store and signals inject
+faults from outside. What callers and servers see is checked while it runs:
+
+    python -m bench.platform_soak --seed 1 --seconds 20
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import tempfile
+import typing
+
+import click
+import msgspec
+
+from agatestile.transport import client
+from agatestile.transport import messages
+from standins import platform_log
+from standins import platform_server
+
+HOSTS = 3
+KEYED_SERVERS = 4
+PLAIN_SERVERS = 3
+REQUESTS_PER_SECOND = 40
+DEADLINE_MS = 1500
+START_SECONDS = 15.0
+FAULT_PAUSE_SECONDS = (0.5, 2.0)
+SERVED_SHARE = 0.25
+"""Least share of requests that has to be served in spite of the faults."""
+
+
+class Outcome(typing.NamedTuple):
+    """What a run showed."""
+
+    asked: int
+    served: int
+    faults: list[str]
+    violations: list[str]
+
+
+class Proxy:
+    """A loopback proxy that can silence or reset its connections."""
+
+    def __init__(self, port: int) -> None:
+        self._target = port
+        self.mode = "open"
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> int:
+        """Listen and return the port."""
+        listening = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port: int = listening.sockets[0].getsockname()[1]
+        return port
+
+    def reset(self) -> None:
+        """Close all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            ours, theirs = await asyncio.open_connection(
+                "127.0.0.1", self._target
+            )
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._copy(reader, theirs))
+                tasks.create_task(self._copy(ours, writer))
+        except* (OSError, asyncio.CancelledError):
+            # The end of either side ends both.
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65536):
+            while self.mode == "silent":
+                await asyncio.sleep(0.05)
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
+class Host:
+    """One process of the program."""
+
+    def __init__(self, name: str, store_port: int, folder: pathlib.Path):
+        self.name = name
+        self.ports = [free_port() for _ in range(3)]
+        self._store_port = store_port
+        self._path = folder / f"{name}.toml"
+        self._output = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+
+    def configure(self, seeds: list[str]) -> None:
+        """Write the settings file."""
+        callers, ready, peers = self.ports
+        self._path.write_text(
+            f'nodeName = "{self.name}"\nip = "127.0.0.1"\nzone = "anna"\n'
+            f"seeds = {seeds}\n"
+            'bounds = ["drainMs=2000", "graceS=3", "retryBudgetRatio=0.2",'
+            ' "retryBudgetSlack=60", "warmupOvershoot=1.5",'
+            ' "warmupSlack=5"]\n'
+            f'[listen]\nedgeAddr = "127.0.0.1:{callers}"\n'
+            f'ready = "127.0.0.1:{ready}"\ncontrol = "127.0.0.1:{peers}"\n'
+            f'[platform]\naddress = "127.0.0.1:{self._store_port}"\n'
+        )
+
+    async def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, "AGATESTILE_BOOT": str(self._path)}
+        with self._output.open("ab") as output:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "agatestile.platform",
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def ended(self) -> int:
+        """Wait for the end of the process and return its status."""
+        if self._process is None:
+            return 0
+        return await self._process.wait()
+
+
+class Soak:
+    """One run.
+
+    Parameters
+    ----------
+    seed : int
+        Of the faults and the load.
+    folder : pathlib.Path
+        Where settings and logs go.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self._random = random.Random(seed)
+        self._folder = folder
+        self._log = platform_log.PlatformLog()
+        self._ledger = platform_server.Ledger()
+        self._proxies: list[Proxy] = []
+        self._hosts: list[Host] = []
+        self._servers: dict[
+            str, tuple[platform_server.PlatformServer, asyncio.Task[None]]
+        ] = {}
+        self._names = 0
+        self._asked = 0
+        self._served = 0
+        self._faults: list[str] = []
+        self._refused: set[str] = set()
+        self._unsafe: set[str] = set()
+        self._violations: list[str] = []
+        self._start = 0.0
+
+    async def run(self, seconds: float) -> Outcome:
+        """Play faults for a time and return what was seen."""
+        loop = asyncio.get_running_loop()
+        self._start = loop.time()
+        await self._set_up()
+        end = loop.time() + seconds
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._load(end))
+                tasks.create_task(self._inject(end))
+        finally:
+            await self._tear_down()
+        self._check()
+        return Outcome(
+            self._asked, self._served, self._faults, self._violations
+        )
+
+    async def _set_up(self) -> None:
+        store_port = free_port()
+        await self._log.start(store_port)
+        self._log.put("keyed.op", "config", _configuration())
+        for number in range(KEYED_SERVERS + PLAIN_SERVERS):
+            self._add_server(number < KEYED_SERVERS)
+        for number in range(HOSTS):
+            proxy = Proxy(store_port)
+            self._proxies.append(proxy)
+            host = Host(f"host-{number}", await proxy.start(), self._folder)
+            self._hosts.append(host)
+        for host in self._hosts:
+            host.configure(
+                [f"127.0.0.1:{one.ports[2]}" for one in self._hosts]
+            )
+            await host.start()
+        await self._wait_served()
+
+    async def _wait_served(self) -> None:
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + START_SECONDS
+        pool = client.Pool(loop.time)
+        while not await self._ask(pool, 0, "GET", f"start-{loop.time()}"):
+            if loop.time() > limit:
+                raise RuntimeError("no request was served after the start")
+            await asyncio.sleep(0.2)
+
+    def _add_server(self, is_keyed: bool) -> None:
+        self._names += 1
+        name = f"s{self._names}"
+        made = platform_server.PlatformServer(
+            name, "keyed" if is_keyed else "plain", is_keyed, self._ledger
+        )
+        task = asyncio.create_task(made.run(self._log, free_port()))
+        self._servers[name] = (made, task)
+
+    async def _load(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        pool = client.Pool(loop.time)
+        async with asyncio.TaskGroup() as tasks:
+            number = 0
+            while loop.time() < end:
+                number += 1
+                tasks.create_task(self._one(pool, number))
+                await asyncio.sleep(
+                    self._random.expovariate(REQUESTS_PER_SECOND)
+                )
+
+    async def _one(self, pool: client.Pool, number: int) -> None:
+        method = self._random.choice(("GET", "GET", "POST"))
+        host = self._random.randrange(HOSTS)
+        self._asked += 1
+        if await self._ask(pool, host, method, f"r{number}"):
+            self._served += 1
+
+    async def _ask(
+        self, pool: client.Pool, host: int, method: str, name: str
+    ) -> bool:
+        target = b"/keyed/1" if method == "GET" else b"/plain/1"
+        request = messages.Request(
+            method.encode(),
+            target,
+            [
+                (b"x-request-id", name.encode()),
+                (b"x-deadline-ms", b"%d" % DEADLINE_MS),
+                (b"x-shard-key", b"%d" % self._random.randrange(65536)),
+            ],
+            b"",
+        )
+        address = ("127.0.0.1", self._hosts[host].ports[0])
+        if method == "POST":
+            self._unsafe.add(name)
+        answer = await pool.call(address, request, DEADLINE_MS / 1000.0)
+        if isinstance(answer, messages.Failure):
+            return False
+        if answer.status == 503:
+            self._refused.add(name)
+        if answer.status == 200 and answer.body != name.encode():
+            self._violations.append(f"{name} got the body {answer.body!r}")
+        return answer.status == 200
+
+    # Faults
+
+    async def _inject(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        kinds = (
+            self._kill,
+            self._restart,
+            self._pause,
+            self._store_down,
+            self._store_loses_answers,
+            self._silence,
+            self._crash_server,
+            self._drain_server,
+        )
+        running: list[asyncio.Task[None]] = []
+        while loop.time() < end - 4.0:
+            await asyncio.sleep(self._random.uniform(*FAULT_PAUSE_SECONDS))
+            fault = self._random.choice(kinds)
+            passed = loop.time() - self._start
+            self._faults.append(f"{passed:.1f}{fault.__name__}")
+            running.append(asyncio.create_task(fault()))
+        await asyncio.gather(*running)
+
+    def _any_host(self) -> Host:
+        return self._random.choice(self._hosts)
+
+    async def _kill(self) -> None:
+        host = self._any_host()
+        host.send(signal.SIGKILL)
+        await host.ended()
+        await host.start()
+
+    async def _restart(self) -> None:
+        host = self._any_host()
+        host.send(signal.SIGTERM)
+        await host.ended()
+        await host.start()
+
+    async def _pause(self) -> None:
+        host = self._any_host()
+        host.send(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        host.send(signal.SIGCONT)
+
+    async def _store_down(self) -> None:
+        self._log.is_down = True
+        await asyncio.sleep(self._random.uniform(1.0, 4.0))
+        self._log.is_down = False
+
+    async def _store_loses_answers(self) -> None:
+        self._log.loses_answers = True
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        self._log.loses_answers = False
+
+    async def _silence(self) -> None:
+        proxy = self._random.choice(self._proxies)
+        proxy.mode = "silent"
+        await asyncio.sleep(self._random.uniform(1.0, 5.0))
+        proxy.mode = "open"
+        if self._random.random() < 0.5:
+            proxy.reset()
+
+    async def _crash_server(self) -> None:
+        name = self._random.choice(list(self._servers))
+        crashed, task = self._servers.pop(name)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        self._add_server(crashed.is_partitioned)
+        await asyncio.sleep(1.0)
+        self._log.put("keyed.servers", name, b"")
+
+    async def _drain_server(self) -> None:
+        name = self._random.choice(list(self._servers))
+        leaving, task = self._servers.pop(name)
+        self._add_server(leaving.is_partitioned)
+        leaving.is_draining = True
+        await asyncio.sleep(3.0)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        self._log.put("keyed.servers", name, b"")
+
+    async def _tear_down(self) -> None:
+        for host in self._hosts:
+            host.send(signal.SIGCONT)
+            host.send(signal.SIGKILL)
+            await host.ended()
+        for _, task in self._servers.values():
+            task.cancel()
+        self._log.stop()
+
+    def _check(self) -> None:
+        runs = self._ledger.runs_by_request
+        self._violations += self._ledger.violations
+        for name in self._unsafe:
+            if runs[name] > 1:
+                self._violations.append(f"{name} ran {runs[name]} times")
+            if name in self._refused and runs[name]:
+                self._violations.append(f"{name} was refused and ran")
+        if self._served < SERVED_SHARE * self._asked:
+            self._violations.append(
+                f"{self._served} of {self._asked} requests were served"
+            )
+
+
+def free_port() -> int:
+    """Return a port of loopback that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def _configuration() -> bytes:
+    def rule(service: str, kind: str) -> dict[str, object]:
+        return {
+            "name": service,
+            "routeType": kind,
+            "targetLatencyMs": 500,
+            "match": {"pathPrefix": f"/{service}/"},
+            "action": {
+                "service": service,
+                "timeoutMs": DEADLINE_MS,
+                "maxAttempts": 2,
+            },
+        }
+
+    rules = [rule("keyed", "safe"), rule("plain", "unsafe")]
+    clusters = [
+        {"name": name, "healthPath": "/healthz", "sharded": name == "keyed"}
+        for name in ("keyed", "plain")
+    ]
+    return msgspec.json.encode(
+        {
+            "version": "r1",
+            "listeners": [{"host": "127.0.0.1", "rules": rules}],
+            "clusters": clusters,
+        }
+    )
+
+
+def play(seed: int, seconds: float) -> Outcome:
+    """Play one run; its logs are kept if a promise was broken."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="agatestile-soak-"))
+    outcome = asyncio.run(Soak(seed, folder).run(seconds))
+    if outcome.violations:
+        click.echo(f"logs in {folder}")
+        return outcome
+    for path in folder.iterdir():
+        path.unlink()
+    folder.rmdir()
+    return outcome
+
+
+@click.command()
+@click.option("--seed", default=1, help="First seed.")
+@click.option("--runs", default=1, help="Number of seeds.")
+@click.option("--seconds", default=20.0, help="Length of each run.")
+def main(seed: int, runs: int, seconds: float) -> None:
+    """Play runs; exit with 1 if a promise was broken."""
+    failed = False
+    for number in range(seed, seed + runs):
+        outcome = play(number, seconds)
+        click.echo(
+            f"seed {number}: {outcome.served} of {outcome.asked} served, "
+            f"{len(outcome.faults)} faults, "
+            f"{len(outcome.violations)} violations"
+        )
+        for violation in outcome.violations[:10]:
+            click.echo(f"  {violation}")
+        failed = failed or bool(outcome.violations)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/agatestile/balancing/load.py
+++ b/src/agatestile/balancing/load.py
@@ -108,6 +108,10 @@
             return 1.0
         return self._slowness
 
+    def report_age(self, now: float) -> float:
+        """Return the age of the last report, seconds."""
+        return now - self._reported
+
     def occupancy(self, now: float) -> float:
         """Return the requests that are probably at the server."""
         age = max(0.0, now - self._reported)
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections
+import heapq
 import math
+import random
 import typing
 
 from agatestile.assignment import coordinator
@@ -39,6 +41,13 @@
 """Time after which a server's report of a cold start would have arrived: the
 interval of reports, of reads and of messages between hosts."""
 
+PROBED_SERVERS = 2
+"""Servers that are asked for their load before one of them is chosen."""
+
+REPORT_SECONDS = 0.15
+"""Age from which a report of load is renewed; a machine is slow for a few
+hundred milliseconds at a time."""
+
 REMOTE_WEIGHT = 0.05
 """Weight of one answer that another host measured."""
 
@@ -74,6 +83,7 @@
         self._loads: dict[Life, load.ServerLoad] = {}
         self._cold_sends: dict[Life, collections.deque[float]] = {}
         self._unconfirmed_since: dict[Life, float] = {}
+        self._generator = random.Random()
         self.host_count = UNKNOWN_HOSTS
         self.host_rank = 0
         self.domain_host_count = 1
@@ -243,6 +253,27 @@
             )
         return found
 
+    def worth_asking(
+        self, service: str, now: float, without: set[str]
+    ) -> list[directory_module.ServerEntry]:
+        """Return the likely choices whose last report is old."""
+        candidates = self.candidates(service, now, without)
+        likely = heapq.nsmallest(
+            PROBED_SERVERS,
+            (
+                one
+                for one in candidates
+                if not one.load.is_suspended(now)
+                and not one.load.is_silent(now)
+            ),
+            key=lambda one: choice.expected_cost(one, now, self._generator),
+        )
+        return [
+            self.directory.by_id[one.id].entry
+            for one in likely
+            if one.load.report_age(now) > REPORT_SECONDS
+        ]
+
     def _homes(self, service: str) -> frozenset[str]:
         """Return the servers that this host uses first.
 
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -31,6 +31,9 @@
 """Longest idle time of a connection that carries a request which must not
 be repeated: a server may have dropped an older one."""
 
+PROBE_SECONDS = 0.03
+"""Longest wait for the answer to a load probe, which takes 6 ms."""
+
 PATIENCE = 1.2
 """Multiple of the latency objective within which an answer must be expected
 when a request is sent."""
@@ -135,6 +138,7 @@
         self._pool = pool
         self._speech = speech
         self._now = now
+        self._probes = client.Pool(now)
         self._budgets: dict[str, limits.RetryBudget] = {}
         self._splits: dict[tuple[str, ...], limits.WeightedSplit] = {}
 
@@ -199,6 +203,10 @@
             headers,
         )
 
+    def _service(self, name: str) -> configuration.Service | None:
+        current = self._fleet.configuration
+        return None if current is None else current.services_by_name.get(name)
+
     def _split(self, route: configuration.Route) -> str:
         targets = route.targets
         if len(targets) == 1:
@@ -286,6 +294,7 @@
     async def run(self) -> messages.Answer:
         """Send until there is an answer or nothing more may be done."""
         while True:
+            await self._refresh()
             pick = await self._next_server()
             if isinstance(pick, refusals.Verdict):
                 return self._give_up(pick)
@@ -331,6 +340,36 @@
                     picker_module.OWNER_RETRY_AFTER,
                 )
 
+    async def _refresh(self) -> None:
+        """Ask the servers that would be chosen for their present load."""
+        course = self._course
+        if course.key is not None:
+            return
+        now = self._now()
+        entries = self._fleet.worth_asking(course.service, now, self._tried)
+        service = self._handler._service(course.service)
+        if len(entries) < 2 or service is None or not service.health_path:
+            return
+        async with asyncio.TaskGroup() as tasks:
+            for entry in entries:
+                tasks.create_task(self._ask_load(entry, service.health_path))
+
+    async def _ask_load(self, entry: directory.ServerEntry, path: str) -> None:
+        request = messages.Request(b"GET", path.encode(), [], b"")
+        self._handler._registry.count(
+            "probes_total", service=self._course.service
+        )
+        answer = await self._handler._probes.call(
+            entry.address,
+            request,
+            PROBE_SECONDS,
+            (entry.id, entry.incarnation),
+        )
+        if isinstance(answer, messages.Answer):
+            facts = self._handler._speech.read_answer(answer)
+            load = self._fleet.load_of(entry)
+            load.on_report(self._now(), facts.report)
+
     def _patience(self) -> float:
         """Return how long a wait for a server may be, seconds.
 
--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -181,6 +181,11 @@
         if not self.is_busy and self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     async def _answer_all(self) -> None:
         try:
             while self._waiting:
--- /dev/null
+++ b/standins/platform_log.py
@@ -0,0 +1,192 @@
+"""Stand-in of the platform's store: keyed topics and groups."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import typing
+import urllib.parse
+
+import msgspec
+
+from agatestile.catalog import configuration
+from agatestile.transport import messages
+from agatestile.transport import server
+
+
+class _Topic:
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.changed = asyncio.Event()
+
+    def append(self, records: list[bytes]) -> None:
+        self.records += records
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class _Group:
+    def __init__(self) -> None:
+        self.generation = 0
+        self.deadline_by_member: dict[str, float] = {}
+
+    def expire(self, now: float) -> None:
+        for member, deadline in list(self.deadline_by_member.items()):
+            if deadline < now:
+                del self.deadline_by_member[member]
+                self.generation += 1
+
+    def holder(self) -> str:
+        return next(iter(self.deadline_by_member), "")
+
+
+class PlatformLog:
+    """The store, with faults that a test switches on.
+
+    Attributes
+    ----------
+    is_down : bool
+        Whether every call is refused.
+    loses_answers : bool
+        Whether writes are carried out without an answer.
+    delay : float
+        Time that each answer takes, seconds.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.loses_answers = False
+        self.delay = 0.0
+        self._topics: dict[str, _Topic] = {}
+        self._groups: dict[str, _Group] = {}
+        self._listener = server.Listener(self._handle, _limits)
+
+    async def start(self, port: int) -> None:
+        """Listen on loopback."""
+        await self._listener.start("127.0.0.1", port)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._listener.stop()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record, as the operator and servers do."""
+        name = key.encode()
+        record = bytes((len(name),)) + name + value
+        self._topic(topic).append([record])
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+    async def _handle(self, request: messages.Request) -> messages.Answer:
+        if self.is_down:
+            return messages.Answer(503, [], b"")
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        target = urllib.parse.urlsplit(request.target.decode())
+        query = dict(urllib.parse.parse_qsl(target.query))
+        call = getattr(self, "_" + target.path.strip("/").replace("-", "_"))
+        answer: messages.Answer = await call(query, request.body)
+        if self.loses_answers and request.method == b"POST":
+            await asyncio.sleep(60.0)
+        return answer
+
+    async def _log_append(
+        self, query: dict[str, str], body: bytes
+    ) -> messages.Answer:
+        topic = self._topic(query["topic"])
+        expected = query.get("asOf")
+        if expected is not None and int(expected) != len(topic.records):
+            return _json(412, {"end": len(topic.records)})
+        records = []
+        place = 0
+        while place < len(body):
+            length = int.from_bytes(body[place : place + 4], "big")
+            records.append(body[place + 4 : place + 4 + length])
+            place += 4 + length
+        offset = len(topic.records)
+        topic.append(records)
+        return _json(200, {"offset": offset, "end": len(topic.records)})
+
+    async def _log_read(
+        self, query: dict[str, str], body: bytes
+    ) -> messages.Answer:
+        topic = self._topic(query["topic"])
+        start = int(query["from"])
+        wait = int(query.get("waitMs", "0")) / 1000.0
+        if start >= len(topic.records) and wait:
+            try:
+                async with asyncio.timeout(wait):
+                    await topic.changed.wait()
+            except TimeoutError:
+                pass
+        parts = [len(topic.records).to_bytes(8, "big"), bytes(8)]
+        for record in topic.records[start:]:
+            parts += [len(record).to_bytes(4, "big"), record]
+        return messages.Answer(200, [], b"".join(parts))
+
+    async def _log_newest(
+        self, query: dict[str, str], body: bytes
+    ) -> messages.Answer:
+        topic = self._topic(query["topic"])
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, record in enumerate(topic.records):
+            end = 1 + record[0]
+            newest[record[1:end].decode()] = (offset, record[end:])
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in newest.items()
+            if value
+        ]
+        return _json(
+            200, {"items": items, "hasMore": False, "end": len(topic.records)}
+        )
+
+    async def _log_join(
+        self, query: dict[str, str], body: bytes
+    ) -> messages.Answer:
+        fields = msgspec.json.decode(body)
+        group = self._group(fields["group"])
+        member = fields["member"]
+        if member not in group.deadline_by_member:
+            group.generation += 1
+        now = asyncio.get_running_loop().time()
+        group.deadline_by_member[member] = now + fields["ttlMs"] / 1000.0
+        parts = []
+        if group.holder() == member:
+            parts = [[fields["topics"][0], 0, 0]]
+        return _json(200, {"generation": group.generation, "parts": parts})
+
+    async def _log_leave(
+        self, query: dict[str, str], body: bytes
+    ) -> messages.Answer:
+        fields = msgspec.json.decode(body)
+        group = self._group(fields["group"])
+        if group.deadline_by_member.pop(fields["member"], None) is not None:
+            group.generation += 1
+        return _json(200, {})
+
+    async def _log_owners(
+        self, query: dict[str, str], body: bytes
+    ) -> messages.Answer:
+        holder = self._group(query["group"]).holder()
+        rows = [[query["group"], 0, holder, 0]] if holder else []
+        return _json(200, {"rows": rows})
+
+    def _group(self, name: str) -> _Group:
+        group = self._groups.setdefault(name, _Group())
+        group.expire(asyncio.get_running_loop().time())
+        return group
+
+
+def _limits() -> configuration.CallerLimits:
+    return configuration.CallerLimits()
+
+
+def _json(status: int, fields: dict[str, typing.Any]) -> messages.Answer:
+    kind = [(b"content-type", b"application/json")]
+    return messages.Answer(status, kind, msgspec.json.encode(fields))
--- a/tests/entry/scenes.py
+++ b/tests/entry/scenes.py
@@ -130,8 +130,20 @@
             configuration.CallerLimits(),
         )
 
-    async def add_server(self, name: str, script: Script) -> None:
-        """Start a server that answers as its script says."""
+    async def add_server(
+        self, name: str, script: Script, load: bytes = b""
+    ) -> None:
+        """Start a server that answers as its script says.
+
+        Parameters
+        ----------
+        name : str
+            Its identifier.
+        script : callable
+            Returns the bytes of an answer, None to close the connection.
+        load : bytes, optional
+            Header lines of its answers to probes.
+        """
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -145,7 +157,11 @@
                     body = await reader.readexactly(length)
                     arrival = Arrival(name, head, body)
                     self.arrivals.append(arrival)
-                    data = await script(arrival)
+                    is_probe = b"/healthz" in head
+                    if is_probe:
+                        data: bytes | None = answer(arrival, extra=load)
+                    else:
+                        data = await script(arrival)
                     if data is None:
                         break
                     writer.write(data)
@@ -179,6 +195,10 @@
         self.waiter.changed.set()
         self.waiter.changed = asyncio.Event()
 
+    def work(self) -> list[Arrival]:
+        """Return the arrivals that are no probes."""
+        return [one for one in self.arrivals if b"/healthz" not in one.head]
+
     async def ask(
         self,
         method: bytes = b"GET",
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -70,7 +70,7 @@
         ).service_time = 0.3
         answer = await scene.ask()
     assert answer.status == 200
-    assert [one.server_id for one in scene.arrivals] == ["bad", "good"]
+    assert [one.server_id for one in scene.work()] == ["bad", "good"]
 
 
 @pytest.mark.parametrize("kind", [KIND.UNSAFE, KIND.UPLOAD])
@@ -84,7 +84,7 @@
         await scene.add_server("b", script)
         answer = await scene.ask(b"POST", b"x")
     assert answer.status == 502
-    assert len(scene.arrivals) == 1
+    assert len(scene.work()) == 1
 
 
 async def test_unsafe_request_that_did_not_run_is_repeated() -> None:
@@ -95,7 +95,7 @@
         answer = await scene.ask(b"POST", b"x")
     assert answer.status == 503
     assert answer.header(b"retry-after") is not None
-    assert len(scene.arrivals) == 2
+    assert len(scene.work()) == 2
 
 
 async def test_refusal_after_a_request_may_have_run_does_not_say_not_run() -> (
@@ -121,7 +121,7 @@
         for name in "abcde":
             await scene.add_server(name, _cut)
         await scene.ask()
-    assert len({one.server_id for one in scene.arrivals}) == 3
+    assert len({one.server_id for one in scene.work()}) == 3
 
 
 async def test_last_failure_of_a_server_is_passed_on_unchanged() -> None:
@@ -221,3 +221,19 @@
             await asking
         load = scene.fleet.load_of(scene.fleet.directory.by_id["a"].entry)
         assert load.in_flight == 0
+
+
+async def test_servers_are_asked_for_their_load_before_a_choice() -> None:
+    """Pattern: noisy neighbours, seen by nobody in time."""
+    async with scenes.scene() as scene:
+        scene.configure()
+        busy, free = b"2,5,2,300", b"0,0,2,100"
+        header = b"x-upstream-load: %b\r\n"
+        await scene.add_server("slow", _ok, header % busy)
+        await scene.add_server("free", _ok, header % free)
+        scene.fleet.load_of(
+            scene.fleet.directory.by_id["free"].entry
+        ).service_time = 0.2
+        answer = await scene.ask()
+    assert answer.status == 200
+    assert [one.server_id for one in scene.work()] == ["free"]
