Take back servers of a host's own

The usual load makes hosts refuse requests of owners that are free. Both go; the model now compares serving in turn, least in flight and expected time.

A part of a host that fails is started again, a request whose handling fails ends its connection, both with a log line; tables of gone servers shrink.

--- a/src/agatestile/balancing/choice.py
+++ b/src/agatestile/balancing/choice.py
@@ -18,11 +18,6 @@
 """Cost of a server in another failure domain: traffic between domains is
 billed, and a request there fails when the domain is cut off."""
 
-AWAY_SHARE = 0.7
-"""Cost of a server that other hosts use first, as a part of its time of
-service. Each host has servers of its own, whose load it knows exactly; with
-many hosts it learns too rarely of the load of the others."""
-
 FAILURE_SHARE_LIMIT = 0.6
 """Share of failures from which a server is used only if all are bad."""
 
@@ -42,14 +37,11 @@
         What is known of it.
     is_near : bool
         Whether it is in this host's failure domain.
-    is_home : bool
-        Whether this host is the first to use it.
     """
 
     id: str
     load: load_module.ServerLoad
     is_near: bool
-    is_home: bool = False
 
 
 def choose(
@@ -102,8 +94,6 @@
         cost += share * FAILURE_SECONDS
         if share > FAILURE_SHARE_LIMIT:
             cost += FAILURE_SECONDS
-    if not candidate.is_home:
-        cost += AWAY_SHARE * known.service_time
     if not candidate.is_near:
         cost += DOMAIN_SECONDS
     return cost
--- a/src/agatestile/balancing/load.py
+++ b/src/agatestile/balancing/load.py
@@ -9,11 +9,6 @@
 """Time in which a server's report of its load loses most of its weight;
 the work of other hosts changes within a few requests."""
 
-USUAL_WEIGHT = 0.15
-"""Weight of one report in the usual load by other hosts, which is assumed
-where no fresh report is known; without it a fast server that was not asked
-lately looks idle to all hosts at once."""
-
 SPEED_WEIGHT = 0.15
 """Weight of one answer in the mean time of service."""
 
@@ -84,7 +79,6 @@
         self.failure_share = 0.0
         self.answered = 0
         self._others = 0.0
-        self._usual_others = 0.0
         self._reported = -math.inf
         self._slowness = 1.0
         self._suspended_until = -math.inf
@@ -116,8 +110,7 @@
         """Return the requests that are probably at the server."""
         age = max(0.0, now - self._reported)
         fade = math.exp(-age / REPORT_FADE_SECONDS)
-        usual = self._usual_others
-        return self.in_flight + usual + (self._others - usual) * fade
+        return self.in_flight + self._others * fade
 
     def expected_wait(self, now: float) -> float:
         """Return the time until a request sent now starts, seconds."""
@@ -184,8 +177,6 @@
         # The report may still count the request that it answers.
         others = report.running + report.waiting - self.in_flight
         self._others = max(0.0, float(others))
-        change = self._others - self._usual_others
-        self._usual_others += USUAL_WEIGHT * change
         self._slowness = min(max(report.slowness, 0.2), SLOWNESS_LIMIT)
         if report.slots > 0:
             self.slots = report.slots
--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -173,6 +173,9 @@
         self._missing_since.pop(server_id, None)
         if server is not None:
             self._unlink(server.entry)
+            newest = self._newest_by_address.get(server.entry.address)
+            if newest is not None and newest.id == server_id:
+                del self._newest_by_address[server.entry.address]
             self._version_by_id.pop(server_id, None)
             self.version += 1
 
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -86,10 +86,6 @@
         self._generator = random.Random()
         self.host_count = UNKNOWN_HOSTS
         self.host_rank = 0
-        self.domain_host_count = 1
-        self.domain_host_rank = 0
-        self._homes_by_service: dict[str, frozenset[str]] = {}
-        self._homes_key = (-1, 0, 0)
 
     # Beliefs
 
@@ -235,7 +231,6 @@
     ) -> list[choice.Candidate]:
         """Return the servers that may take a request without a key."""
         found = []
-        homes = self._homes(service)
         for server in self.directory.of_service(service):
             entry = server.entry
             if entry.id in without or self.is_leaving(server):
@@ -244,12 +239,7 @@
                 continue
             is_near = entry.failure_domain == self.failure_domain
             found.append(
-                choice.Candidate(
-                    entry.id,
-                    self.load_of(entry),
-                    is_near,
-                    entry.id in homes,
-                )
+                choice.Candidate(entry.id, self.load_of(entry), is_near)
             )
         return found
 
@@ -274,33 +264,6 @@
             if one.load.report_age(now) > REPORT_SECONDS
         ]
 
-    def _homes(self, service: str) -> frozenset[str]:
-        """Return the servers that this host uses first.
-
-        The servers of a failure domain are divided among its hosts.
-        """
-        count, rank = self.domain_host_count, self.domain_host_rank
-        key = (self.directory.version, count, rank)
-        if key != self._homes_key:
-            self._homes_key = key
-            self._homes_by_service.clear()
-        homes = self._homes_by_service.get(service)
-        if homes is None:
-            near = sorted(
-                server.entry.id
-                for server in self.directory.of_service(service)
-                if server.entry.failure_domain == self.failure_domain
-                and not self.is_leaving(server)
-            )
-            shared = rank % len(near) if near else 0
-            homes = frozenset(
-                server_id
-                for place, server_id in enumerate(near)
-                if place % count == rank or place == shared
-            )
-            self._homes_by_service[service] = homes
-        return homes
-
     # coordinator.Fleet
 
     def services(self) -> list[str]:
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -31,8 +31,8 @@
 
     Attributes
     ----------
-    host, failure_domain : str
-        Peer address of the host, and where it is.
+    host : str
+        Peer address of the host.
     epoch, version : int
         Assignment that it knows.
     directory : int
@@ -44,7 +44,6 @@
     """
 
     host: str
-    failure_domain: str
     epoch: int
     version: int
     directory: int
@@ -116,8 +115,6 @@
         The present assignment.
     host_count, host_rank : int
         Number of hosts that report, and the place of this one.
-    domain_host_count, domain_host_rank : int
-        The same among the hosts of its failure domain.
     is_confirmed : bool
         Whether the store answered the coordinator lately.
     operator_end : int
@@ -134,8 +131,6 @@
     version: int
     host_count: int
     host_rank: int
-    domain_host_count: int
-    domain_host_rank: int
     is_confirmed: bool
     operator_end: int
     directory: int
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import random
 import signal
+import traceback
 import typing
 
 import anyio
@@ -43,6 +43,9 @@
 """How long a starting host waits for the owners of keys before it counts
 as ready without them."""
 
+RESTART_SECONDS = 0.5
+"""Pause before a failed part of a host is started again."""
+
 HOUSEKEEPING_SECONDS = 0.25
 """Interval of flushes and of closing idle connections."""
 
@@ -201,16 +204,15 @@
                 addresses.append((self.metrics, settings.metrics))
             for listener, address in addresses:
                 await listener.start(*address)
-            tasks.start_soon(self._keep_house)
-            tasks.start_soon(self.operator.run)
-            tasks.start_soon(self.discovery.run)
-            tasks.start_soon(self.coordinator.run)
-            tasks.start_soon(self.seat.run)
-            tasks.start_soon(
-                functools.partial(
-                    self.reporter.run, lambda: self.coordinator.is_active
-                )
-            )
+            for name, part in (
+                ("housekeeping", self._keep_house),
+                ("operator's records", self.operator.run),
+                ("service discovery", self.discovery.run),
+                ("coordinator", self.coordinator.run),
+                ("seat", self.seat.run),
+                ("reports", self._report),
+            ):
+                tasks.start_soon(self._keep_running, name, part)
             await stop.wait()
             await self._stop()
             tasks.cancel_scope.cancel()
@@ -228,6 +230,30 @@
             return True
         return self._now() > self._started + ASSIGNMENT_WAIT_SECONDS
 
+    async def _keep_running(
+        self, name: str, part: typing.Callable[[], typing.Awaitable[None]]
+    ) -> None:
+        """Start a part of the host again if it fails."""
+        while True:
+            try:
+                await part()
+                return
+            except Exception as error:
+                # The other parts still serve; a process that ends would
+                # break off their requests.
+                events.emit(
+                    "error",
+                    part=name,
+                    reason=repr(error),
+                    trace=traceback.format_exc(limit=-4),
+                )
+                if part == self.coordinator.run:
+                    self.coordinator.lose_seat("the coordinator failed")
+            await anyio.sleep(RESTART_SECONDS)
+
+    async def _report(self) -> None:
+        await self.reporter.run(lambda: self.coordinator.is_active)
+
     async def _stop(self) -> None:
         """Leave the balancer and wait for the requests in progress."""
         started = self._now()
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -91,7 +91,6 @@
         self._reporter = reporter
         self._now = now
         self._seen_by_host: dict[str, float] = {}
-        self._domains_by_host: dict[str, str] = {}
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Answer a report."""
@@ -130,7 +129,6 @@
         """Take a report and return the assignment once it is newer."""
         now = self._now()
         self._seen_by_host[report.host] = now
-        self._domains_by_host[report.host] = report.failure_domain
         for service, counts in report.requests.items():
             self._coordinator.add_heat(service, counts)
         for server_id, figures in report.servers.items():
@@ -160,11 +158,6 @@
                 for name, state in coordinator.services.items()
             }
         members = self._members()
-        neighbours = [
-            host
-            for host in members
-            if self._domains_by_host[host] == report.failure_domain
-        ]
         servers = self._fleet.directory
         now = self._now()
         known_directory = report.directory
@@ -175,8 +168,6 @@
             coordinator.version,
             len(members),
             members.index(report.host),
-            len(neighbours),
-            neighbours.index(report.host),
             self._is_confirmed(),
             self._operator_end(),
             servers.version,
@@ -194,7 +185,6 @@
         for host, seen in list(self._seen_by_host.items()):
             if now - seen > MEMBER_SECONDS:
                 del self._seen_by_host[host]
-                del self._domains_by_host[host]
         return sorted(self._seen_by_host)
 
 
@@ -426,8 +416,6 @@
     def _take(self, instructions: peer_messages.Instructions) -> None:
         self._fleet.host_count = max(1, instructions.host_count)
         self._fleet.host_rank = instructions.host_rank
-        self._fleet.domain_host_count = max(1, instructions.domain_host_count)
-        self._fleet.domain_host_rank = instructions.domain_host_rank
         if instructions.services is None:
             return
         maps: dict[str, ranges.RangeMap] = {}
@@ -474,6 +462,9 @@
     def _report(self) -> peer_messages.Report:
         requests, self._requests = self._requests, {}
         servers = {}
+        known = self._fleet.directory.by_id
+        for server_id in [one for one in self._answered if one not in known]:
+            del self._answered[server_id]
         for server_id, load in self._fleet.loads_by_id().items():
             before = self._answered.get(server_id, 0)
             if load.answered > before:
@@ -485,7 +476,6 @@
                 )
         return peer_messages.Report(
             self._member,
-            self._fleet.failure_domain,
             self._view.epoch,
             self._view.version,
             self._known_directory(),
--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from agatestile.observability import events
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
@@ -190,7 +191,14 @@
         try:
             while self._waiting:
                 request, keep = self._waiting.pop(0)
-                answer = await self._listener.handler(request)
+                try:
+                    answer = await self._listener.handler(request)
+                except Exception as error:
+                    # One request must not take the others with it, and its
+                    # caller learns at once that there is no answer.
+                    events.emit("error", part="request", reason=repr(error))
+                    self.abort()
+                    return
                 self._write(request, answer, keep)
         finally:
             self._task = None
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -123,3 +123,15 @@
         async with asyncio.timeout(2.0):
             assert await reader.read() == b""
         assert asyncio.get_running_loop().time() - start > 0.25
+
+
+async def test_fault_of_a_handler_ends_its_connection_at_once() -> None:
+    async def handler(request: messages.Request) -> messages.Answer:
+        raise KeyError("fault")
+
+    async with _listening(handler) as (listener, reader, writer):
+        writer.write(GET)
+        async with asyncio.timeout(1.0):
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+        assert listener.busy == 0
