--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -8,7 +8,9 @@
 import anyio
 import msgspec
 
+from agatestile.assignment import grantor
 from agatestile.assignment import heat as heat_module
+from agatestile.assignment import journal
 from agatestile.assignment import leases
 from agatestile.assignment import planner
 from agatestile.assignment import ports
@@ -40,13 +42,6 @@
 RETRY_SECONDS = 0.3
 """Pause before an unanswered order is repeated."""
 
-SILENT_RENEWALS = 2
-"""Unanswered renewals in a row after which a server's keys are moved."""
-
-DISCOVERY_AWAY_SECONDS = 2.5
-"""Age of a server's newest report from which service discovery counts as
-away; servers report about once a second."""
-
 FIRST_SERVERS_SECONDS = 1.5
 """How long the first assignment of a service waits for more servers to
 register after the first."""
@@ -131,29 +126,28 @@
         address: str,
         now: typing.Callable[[], float],
     ) -> None:
-        self._store = store
+        self._journal = journal.Journal(store)
+        self._grantor = grantor.Grantor(orders, now)
         self._orders = orders
         self._hosts = hosts
         self._fleet = fleet
         self._address = address
         self._now = now
-        self._end = 0
         self._own_epoch = 0
         self._store_retry_at = 0.0
         self._fences = leases.Fences(0)
-        self._holds = leases.Holds()
-        self._append_lock = anyio.Lock()
-        self._locks_by_life: dict[leases.Life, anyio.Lock] = {}
-        self._silent_by_life: dict[leases.Life, int] = {}
-        self._disconnected_by_life: dict[leases.Life, float] = {}
         self._moving: dict[tuple[str, int, int], None] = {}
         self._changed = anyio.Event()
         self._plan_wanted = anyio.Event()
-        self.tenure = leases.Tenure()
         self.epoch = 0
         self.version = 0
         self.services: dict[str, ServiceState] = {}
 
+    @property
+    def tenure(self) -> leases.Tenure:
+        """Right of this host to decide."""
+        return self._grantor.tenure
+
     @property
     def is_active(self) -> bool:
         """Whether this host has the seat and may decide."""
@@ -162,30 +156,24 @@
     async def take_seat(self) -> outcomes.Refusal | None:
         """Become the holder of the seat; return why not."""
         sent = self._now()
-        page = await self._store.newest(records.TOPIC)
-        if isinstance(page, outcomes.Refusal):
-            return page
-        stored = records.decode(page)
-        if isinstance(stored, str):
-            return outcomes.Refusal(codes.ResultCode.RECORD_STALE, stored)
+        stored = await self._journal.read()
+        if isinstance(stored, outcomes.Refusal):
+            return stored
         seat = records.Seat(stored.seat.epoch + 1, self._address)
-        end = await self._store.append(
-            records.TOPIC, [records.encode_seat(seat)], stored.end
-        )
-        if isinstance(end, outcomes.Refusal):
-            return end
+        refusal = await self._journal.append(records.encode_seat(seat))
+        if refusal is not None:
+            return refusal
         now = self._now()
-        self._end = end
         self._fences = leases.Fences(seat.epoch)
         if stored.seat.epoch != self._own_epoch or not self._own_epoch:
             predecessor = await self._ask(stored.seat, seat.epoch)
-            self._holds.take_over(self._now(), predecessor)
+            self._grantor.holds.take_over(self._now(), predecessor)
             if predecessor.renews_for < leases.TENURE_SECONDS:
                 refusal = await self._settle(seat)
                 if refusal is not None:
                     return refusal
         self._own_epoch = seat.epoch
-        self._silent_by_life.clear()
+        self._grantor.start_epoch()
         self._moving.clear()
         self.services = {
             name: ServiceState(key_map, now)
@@ -199,7 +187,7 @@
             epoch=seat.epoch,
             predecessor=stored.seat.host,
             resigned=stored.seat.is_resigned,
-            wait=round(self._holds.unknown_left(self._now()), 2),
+            wait=round(self._grantor.holds.unknown_left(self._now()), 2),
         )
         return None
 
@@ -229,13 +217,7 @@
     async def _settle(self, seat: records.Seat) -> outcomes.Refusal | None:
         """Record that no earlier holder renews grants any more."""
         settled = msgspec.structs.replace(seat, is_settled=True)
-        end = await self._store.append(
-            records.TOPIC, [records.encode_seat(settled)], self._end
-        )
-        if isinstance(end, outcomes.Refusal):
-            return end
-        self._end = end
-        return None
+        return await self._journal.append(records.encode_seat(settled))
 
     def supersede(self, epoch: int) -> ports.Answered:
         """Give up the seat to a later epoch and tell what servers hold."""
@@ -245,10 +227,9 @@
         return ports.Answered(True, self._left())
 
     def _left(self) -> list[tuple[str, int, float]]:
-        busy = {
-            life for life, lock in self._locks_by_life.items() if lock.locked()
-        }
-        return self._holds.left(self._named_lives(), busy, self._now())
+        return self._grantor.holds.left(
+            self._named_lives(), self._grantor.busy_lives(), self._now()
+        )
 
     def lose_seat(self, reason: str) -> None:
         """Stop to decide."""
@@ -265,15 +246,12 @@
         epoch = self.epoch
         self.lose_seat("this host stops")
         holds = self._left()
-        async with self._append_lock:
-            seat = records.Seat(
-                epoch, self._address, is_resigned=True, holds=holds
-            )
-            result = await self._store.append(
-                records.TOPIC, [records.encode_seat(seat)], self._end
-            )
-        if isinstance(result, outcomes.Refusal):
-            events.emit("resignation_failed", reason=str(result))
+        seat = records.Seat(
+            epoch, self._address, is_resigned=True, holds=holds
+        )
+        refusal = await self._journal.append(records.encode_seat(seat))
+        if refusal is not None:
+            events.emit("resignation_failed", reason=str(refusal))
 
     def add_heat(self, service: str, counts: dict[int, int]) -> None:
         """Count requests by key."""
@@ -334,7 +312,7 @@
 
     async def _renew(self, service: str, life: leases.Life) -> None:
         epoch = self.epoch
-        async with self._lock_of(life):
+        async with self._grantor.lock_of(life):
             for one in list(self.services[service].key_map.ranges):
                 if leases.life_of(one.owner) != life:
                     continue
@@ -345,72 +323,28 @@
                     return
                 if not self._still_owned(service, one):
                     continue
-                if not self._is_same_life(placement, life):
+                if not self._grantor.is_same_life(
+                    placement.recipient, placement.heard
+                ):
                     return
-                if not await self._renew_range(placement, life, one):
+                if not await self._renew_range(placement, one):
                     return
 
-    def _is_same_life(self, placement: Placement, life: leases.Life) -> bool:
-        """Tell whether a server surely did not start anew unnoticed.
-
-        After its connection was lost, a server has to report to service
-        discovery as the same life before its grants are renewed: a later
-        life holds nothing and must not get the fences of an earlier one.
-        """
-        if self._orders.is_connected(placement.recipient):
-            self._disconnected_by_life.pop(life, None)
-            return True
-        now = self._now()
-        since = self._disconnected_by_life.setdefault(life, now)
-        if placement.heard < now - since:
-            return True
-        # Without news of any server, discovery itself is away.
-        return placement.heard > DISCOVERY_AWAY_SECONDS
-
     async def _renew_range(
-        self,
-        placement: Placement,
-        life: leases.Life,
-        key_range: ranges.KeyRange,
+        self, placement: Placement, key_range: ranges.KeyRange
     ) -> bool:
-        result = await self._grant(placement, life, key_range, None)
+        recipient = placement.recipient
+        result = await self._grantor.grant(recipient, key_range, None)
         if result is None:
             return False
         if result.reply is ports.Reply.DONE:
-            if self._silent_by_life.pop(life, 0) >= SILENT_RENEWALS:
-                events.emit("server_answers_again", server=life[0])
             return True
         if result.reply is ports.Reply.FENCED:
-            self.lose_seat(f"a higher fence was used at {life[0]}")
-            return False
-        count = self._silent_by_life.get(life, 0) + 1
-        self._silent_by_life[life] = count
-        if count == SILENT_RENEWALS:
-            events.emit("server_silent", server=life[0], reason=result.reason)
+            self.lose_seat(f"a higher fence was used at {recipient.server_id}")
+        elif self._grantor.is_silent(recipient[:2]):
             self.request_plan()
         return False
 
-    async def _grant(
-        self,
-        placement: Placement,
-        life: leases.Life,
-        key_range: ranges.KeyRange,
-        handover: str | None,
-    ) -> ports.OrderResult | None:
-        """Send a grant if this host may still decide."""
-        if not self.tenure.holds(self._now()):
-            return None
-        try:
-            return await self._orders.grant(
-                placement.recipient,
-                key_range,
-                leases.HOLD_SECONDS,
-                handover,
-                leases.ORDER_SECONDS,
-            )
-        finally:
-            self._holds.on_grant_end(life, self._now())
-
     def _still_owned(self, service: str, one: ranges.KeyRange) -> bool:
         return self.services[service].key_map.find(one.first) == one
 
@@ -420,9 +354,6 @@
             return None
         return placement
 
-    def _lock_of(self, life: leases.Life) -> anyio.Lock:
-        return self._locks_by_life.setdefault(life, anyio.Lock())
-
     # Plans
 
     def _named_lives(self) -> set[leases.Life]:
@@ -442,11 +373,7 @@
                 state = ServiceState(ranges.RangeMap(), now)
                 self.services[service] = state
             await self._plan(service, state, tasks)
-        named = self._named_lives()
-        self._holds.forget(named)
-        for life in list(self._locks_by_life):
-            if life not in named and not self._locks_by_life[life].locked():
-                del self._locks_by_life[life]
+        self._grantor.forget(self._named_lives())
 
     async def _plan(
         self, service: str, state: ServiceState, tasks: typing.Any
@@ -487,8 +414,7 @@
         return True
 
     def _with_silence(self, holder: planner.Holder) -> planner.Holder:
-        life = (holder.id, holder.incarnation)
-        if self._silent_by_life.get(life, 0) < SILENT_RENEWALS:
+        if not self._grantor.is_silent((holder.id, holder.incarnation)):
             return holder
         return holder._replace(can_take=False, must_leave=True)
 
@@ -540,39 +466,27 @@
     async def _persist(self, service: str, key_map: ranges.RangeMap) -> bool:
         if self._now() < self._store_retry_at:
             return False
-        async with self._append_lock:
-            epoch = self.epoch
-            sent = self._now()
-            result = await self._store.append(
-                records.TOPIC,
-                [records.encode_map(service, key_map)],
-                self._end,
-            )
-            if epoch != self.epoch:
-                return False
-            if not isinstance(result, outcomes.Refusal):
-                self._end = result
-                self.tenure.confirm(sent)
-                return True
-            self._store_retry_at = self._now() + STORE_RETRY_SECONDS
-            events.emit(
-                "assignment_not_stored", service=service, reason=str(result)
-            )
-            if result.code == codes.ResultCode.RECORD_STALE:
-                # The condition fails also if an unanswered append of this
-                # host was carried out late; taking the seat anew reads it.
-                self.lose_seat("the assignments were changed meanwhile")
-            elif result.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
-                await self._reread_end(service)
+        epoch = self.epoch
+        sent = self._now()
+        record = records.encode_map(service, key_map)
+        refusal = await self._journal.append(record)
+        if epoch != self.epoch:
             return False
-
-    async def _reread_end(self, service: str) -> None:
-        """Give up the seat unless the state is as it was."""
-        page = await self._store.newest(records.TOPIC)
-        if isinstance(page, outcomes.Refusal):
-            return
-        if page.end != self._end:
-            self.lose_seat(f"an append for {service} was carried out late")
+        if refusal is None:
+            self.tenure.confirm(sent)
+            return True
+        self._store_retry_at = self._now() + STORE_RETRY_SECONDS
+        events.emit(
+            "assignment_not_stored", service=service, reason=str(refusal)
+        )
+        if refusal.code == codes.ResultCode.RECORD_STALE:
+            # The condition fails also if an unanswered append of this host
+            # was carried out late; taking the seat anew reads it.
+            self.lose_seat("the assignments were changed meanwhile")
+        elif refusal.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
+            if await self._journal.has_changed():
+                self.lose_seat(f"an append for {service} was carried out late")
+        return False
 
     # Moves
 
@@ -595,18 +509,18 @@
             placement = self._placement(service, target)
             if placement is None:
                 break
-            async with self._lock_of(target):
-                result = await self._grant(placement, target, change, handover)
+            async with self._grantor.lock_of(target):
+                result = await self._grantor.grant(
+                    placement.recipient, change, handover
+                )
             if result is None:
                 return
-            if result.reply is ports.Reply.DONE:
-                break
             if result.reply is ports.Reply.FENCED:
                 self.lose_seat(f"a higher fence was used at {target[0]}")
                 return
-            count = self._silent_by_life.get(target, 0) + 1
-            self._silent_by_life[target] = count
-            if count >= SILENT_RENEWALS:
+            if result.reply is ports.Reply.DONE:
+                break
+            if self._grantor.is_silent(target):
                 break
             await anyio.sleep(RETRY_SECONDS)
         self._complete(service, change, epoch, handover, started)
@@ -650,9 +564,9 @@
         order = change._replace(
             owner=change.source._replace(fence=change.owner.fence)
         )
-        async with self._lock_of(life):
+        async with self._grantor.lock_of(life):
             # Later grants don't cover these keys any more.
-            held_until = self._holds.until(life)
+            held_until = self._grantor.holds.until(life)
         while epoch == self.epoch:
             if self._now() >= held_until or self._fleet.is_replaced(life):
                 return None
--- a/src/agatestile/entry/picker.py
+++ b/src/agatestile/entry/picker.py
@@ -14,6 +14,7 @@
     from agatestile.balancing import load
     from agatestile.catalog import directory
     from agatestile.entry import fleet as fleet_module
+    from agatestile.entry import view as view_module
 
 WORK_SHARE = 0.6
 """Part of a server's mean time of work that has to fit into the time left
@@ -58,7 +59,7 @@
     ----------
     fleet : fleet.Fleet
         Known servers.
-    view : fleet.AssignmentView
+    view : view.AssignmentView
         Owners of keys.
     generator : random.Random
         Source of randomness.
@@ -67,7 +68,7 @@
     def __init__(
         self,
         fleet: fleet_module.Fleet,
-        view: fleet_module.AssignmentView,
+        view: view_module.AssignmentView,
         generator: random.Random,
     ) -> None:
         self._fleet = fleet
--- /dev/null
+++ b/src/agatestile/entry/view.py
@@ -0,0 +1,74 @@
+"""Owners of keys, as one host knows them."""
+
+from __future__ import annotations
+
+import math
+
+from agatestile.assignment import ranges
+
+
+class AssignmentView:
+    """Owners of keys as the coordinator last told.
+
+    Attributes
+    ----------
+    epoch, version : int
+        Which coordinator, and the number of its assignment.
+    """
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.version = -1
+        self.maps: dict[str, ranges.RangeMap] = {}
+        self._moving_since: dict[tuple[str, int], float] = {}
+
+    def moving_since(self, service: str, key_range: ranges.KeyRange) -> float:
+        """Return since when a range is known to change hands."""
+        return self._moving_since.get(
+            (service, key_range.owner.fence), math.inf
+        )
+
+    def find(self, service: str, key: int) -> ranges.KeyRange | None:
+        """Return the range of a key, None before the first assignment."""
+        key_map = self.maps.get(service)
+        return None if key_map is None else key_map.find(key)
+
+    def take_stored(
+        self, epoch: int, maps: dict[str, ranges.RangeMap]
+    ) -> None:
+        """Take the stored assignment, which does not tell the end of moves.
+
+        A move lasts for a moment only, so its target counts as the owner;
+        a server that does not hold a key yet says so.
+        """
+        self.epoch, self.version = epoch, -1
+        self._moving_since.clear()
+        self.maps = {
+            service: key_map.replace(
+                [
+                    one._replace(source=ranges.NOBODY)
+                    for one in key_map.ranges
+                    if one.source != ranges.NOBODY
+                ]
+            )
+            for service, key_map in maps.items()
+        }
+
+    def update(
+        self,
+        epoch: int,
+        version: int,
+        maps: dict[str, ranges.RangeMap],
+        now: float,
+    ) -> bool:
+        """Take an assignment unless a newer one is known."""
+        if (epoch, version) <= (self.epoch, self.version):
+            return False
+        self.epoch, self.version, self.maps = epoch, version, maps
+        before, self._moving_since = self._moving_since, {}
+        for service, key_map in maps.items():
+            for one in key_map.ranges:
+                if one.source != ranges.NOBODY:
+                    move = (service, one.owner.fence)
+                    self._moving_since[move] = before.get(move, now)
+        return True
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -15,8 +15,10 @@
 from agatestile.entry import fleet as fleet_module
 from agatestile.entry import handler as handler_module
 from agatestile.entry import picker as picker_module
+from agatestile.entry import view as view_module
 from agatestile.node import clock
 from agatestile.node import peers
+from agatestile.node import reporter as reporter_module
 from agatestile.node import seat as seat_module
 from agatestile.node import watchers
 from agatestile.observability import counters
@@ -112,7 +114,7 @@
         self.fleet = fleet_module.Fleet(
             settings.bounds, settings.failure_domain, now
         )
-        self.view = fleet_module.AssignmentView()
+        self.view = view_module.AssignmentView()
         peer_pool = client.Pool(now)
         self.coordinator = coordinator_module.Coordinator(
             platform.store,
@@ -125,7 +127,7 @@
         self.seat = seat_module.SeatKeeper(
             platform.store, self.coordinator, member, clock.boot_time
         )
-        self.reporter = peers.Reporter(
+        self.reporter = reporter_module.Reporter(
             peer_pool,
             platform.store,
             self.fleet,
--- a/src/agatestile/transport/messages.py
+++ b/src/agatestile/transport/messages.py
@@ -22,6 +22,24 @@
 }
 
 
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+"""Headers that concern one connection only."""
+
+
 class Request(typing.NamedTuple):
     """A complete request of a caller."""
 
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -242,7 +242,7 @@
         scene.hosts.by_address["host-2"] = restarted
         third = scene.add_coordinator("host-3")
         assert await third.take_seat() is None
-        left = third._holds.unknown_left(trio.current_time())
+        left = third._grantor.holds.unknown_left(trio.current_time())
         assert left >= leases.TENURE_SECONDS
 
     scenes.run(scenario)
--- a/tests/entry/scenes.py
+++ b/tests/entry/scenes.py
@@ -13,6 +13,7 @@
 from agatestile.entry import fleet as fleet_module
 from agatestile.entry import handler as handler_module
 from agatestile.entry import picker as picker_module
+from agatestile.entry import view as view_module
 from agatestile.node import settings as node_settings
 from agatestile.observability import counters
 from agatestile.platform import headers
@@ -88,7 +89,7 @@
         now = asyncio.get_running_loop().time
         self.now = now
         self.fleet = fleet_module.Fleet(BOUNDS, "anna", now)
-        self.view = fleet_module.AssignmentView()
+        self.view = view_module.AssignmentView()
         self.waiter = Waiter()
         self.arrivals: list[Arrival] = []
         self.fleet.host_count = 1
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -6,6 +6,7 @@
 
 from agatestile.catalog import configuration
 from agatestile.entry import fleet as fleet_module
+from agatestile.entry import view as view_module
 from agatestile.node import settings as node_settings
 from tests.catalog import test_directory
 
@@ -82,7 +83,7 @@
 
 
 def test_older_assignment_is_ignored() -> None:
-    view = fleet_module.AssignmentView()
+    view = view_module.AssignmentView()
     assert view.update(2, 1, {}, 0.0)
     assert not view.update(1, 9, {}, 0.0)
     assert not view.update(2, 1, {}, 0.0)
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -7,8 +7,10 @@
 
 from agatestile.assignment import ranges
 from agatestile.entry import fleet as fleet_module
+from agatestile.entry import view as view_module
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
+from agatestile.node import reporter as reporter_module
 from agatestile.node import seat
 from agatestile.node import settings as node_settings
 from tests.assignment import scenes
@@ -22,11 +24,11 @@
     keeper = seat.SeatKeeper(
         scene.store, scene.coordinator, "host-1", trio.current_time
     )
-    reporter = peers.Reporter(
+    reporter = reporter_module.Reporter(
         None,  # type: ignore[arg-type]
         scene.store,
         fleet,
-        fleet_module.AssignmentView(),
+        view_module.AssignmentView(),
         "host-1",
         (),
         keeper,
@@ -122,7 +124,7 @@
     """Pattern: a host that is cut off from the others only."""
     owner, source = ranges.Owner("b", 1, 4), ranges.Owner("a", 1, 3)
     key_map = ranges.RangeMap().replace([ranges.KeyRange(5, 9, owner, source)])
-    view = fleet_module.AssignmentView()
+    view = view_module.AssignmentView()
     view.update(3, 17, {"prices": ranges.RangeMap()}, 0.0)
     view.take_stored(3, {"prices": key_map})
     found = view.find("prices", 7)
