--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -1,4 +1,4 @@
-"""Grants, renews and moves keys for as long as this host has the seat."""
+"""Grants, renews and moves keys for as long as this host leads."""
 
 from __future__ import annotations
 
@@ -99,7 +99,7 @@
 
 
 class Coordinator:
-    """Decides about assignments while it has the seat.
+    """Decides about assignments while it leads.
 
     Parameters
     ----------
@@ -108,7 +108,7 @@
     orders : ports.Orders
         Sends grants and releases.
     hosts : ports.Hosts
-        Asks earlier holders of the seat.
+        Asks earlier leaders.
     fleet : Fleet
         Known servers.
     address : str
@@ -150,51 +150,55 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether this host has the seat and may decide."""
+        """Whether this host leads and may decide."""
         return self.epoch > 0 and self.tenure.holds(self._now())
 
-    async def take_seat(self) -> outcomes.Refusal | None:
-        """Become the holder of the seat; return why not."""
+    async def take_leadership(self) -> outcomes.Refusal | None:
+        """Become the leader; return why not."""
         sent = self._now()
         stored = await self._journal.read()
         if isinstance(stored, outcomes.Refusal):
             return stored
-        seat = records.Seat(stored.seat.epoch + 1, self._address)
-        refusal = await self._journal.append(records.encode_seat(seat))
+        leadership = records.Leadership(
+            stored.leadership.epoch + 1, self._address
+        )
+        refusal = await self._journal.append(
+            records.encode_leadership(leadership)
+        )
         if refusal is not None:
             return refusal
         now = self._now()
-        self._fences = leases.Fences(seat.epoch)
-        if stored.seat.epoch != self._own_epoch or not self._own_epoch:
-            predecessor = await self._ask(stored.seat, seat.epoch)
+        self._fences = leases.Fences(leadership.epoch)
+        if stored.leadership.epoch != self._own_epoch or not self._own_epoch:
+            predecessor = await self._ask(stored.leadership, leadership.epoch)
             self._grantor.holds.take_over(self._now(), predecessor)
             if predecessor.renews_for < leases.TENURE_SECONDS:
-                refusal = await self._settle(seat)
+                refusal = await self._settle(leadership)
                 if refusal is not None:
                     return refusal
-        self._own_epoch = seat.epoch
+        self._own_epoch = leadership.epoch
         self._grantor.start_epoch()
         self._moving.clear()
         self.services = {
             name: ServiceState(key_map, now)
             for name, key_map in stored.maps.items()
         }
-        self.epoch = seat.epoch
+        self.epoch = leadership.epoch
         self.tenure.confirm(sent)
         self._publish()
         events.emit(
-            "seat_taken",
-            epoch=seat.epoch,
-            predecessor=stored.seat.host,
-            resigned=stored.seat.is_resigned,
+            "leadership_taken",
+            epoch=leadership.epoch,
+            predecessor=stored.leadership.host,
+            resigned=stored.leadership.is_resigned,
             wait=round(self._grantor.holds.unknown_left(self._now()), 2),
         )
         return None
 
     async def _ask(
-        self, before: records.Seat, epoch: int
+        self, before: records.Leadership, epoch: int
     ) -> leases.Predecessor:
-        """Return what is known of the last holder of the seat."""
+        """Return what is known of the last leader."""
         if not before.epoch:
             return leases.NO_PREDECESSOR
         if before.is_resigned:
@@ -214,16 +218,18 @@
             return leases.Predecessor(answered.holds, 0.0)
         return ended
 
-    async def _settle(self, seat: records.Seat) -> outcomes.Refusal | None:
-        """Record that no earlier holder renews grants any more."""
-        settled = msgspec.structs.replace(seat, is_settled=True)
-        return await self._journal.append(records.encode_seat(settled))
+    async def _settle(
+        self, leadership: records.Leadership
+    ) -> outcomes.Refusal | None:
+        """Record that no earlier leader renews grants any more."""
+        settled = msgspec.structs.replace(leadership, is_settled=True)
+        return await self._journal.append(records.encode_leadership(settled))
 
     def supersede(self, epoch: int) -> ports.Answered:
-        """Give up the seat to a later epoch and tell what servers hold."""
+        """Give way to a later epoch and tell what servers hold."""
         if not self.epoch or self.epoch >= epoch:
             return ports.Answered(False, [])
-        self.lose_seat(f"epoch {epoch} has begun")
+        self.lose_leadership(f"epoch {epoch} has begun")
         return ports.Answered(True, self._left())
 
     def _left(self) -> list[tuple[str, int, float]]:
@@ -231,25 +237,27 @@
             self._named_lives(), self._grantor.busy_lives(), self._now()
         )
 
-    def lose_seat(self, reason: str) -> None:
+    def lose_leadership(self, reason: str) -> None:
         """Stop to decide."""
         if self.epoch:
-            events.emit("seat_lost", epoch=self.epoch, reason=reason)
+            events.emit("leadership_lost", epoch=self.epoch, reason=reason)
         self.epoch = 0
         self.tenure.end()
         self._publish()
 
     async def resign(self) -> None:
-        """Leave the seat to another host, which need not wait then."""
+        """Leave the leadership to another host, which need not wait then."""
         if not self.is_active:
             return
         epoch = self.epoch
-        self.lose_seat("this host stops")
+        self.lose_leadership("this host stops")
         holds = self._left()
-        seat = records.Seat(
+        leadership = records.Leadership(
             epoch, self._address, is_resigned=True, holds=holds
         )
-        refusal = await self._journal.append(records.encode_seat(seat))
+        refusal = await self._journal.append(
+            records.encode_leadership(leadership)
+        )
         if refusal is not None:
             events.emit("resignation_failed", reason=str(refusal))
 
@@ -340,7 +348,9 @@
         if result.reply is ports.Reply.DONE:
             return True
         if result.reply is ports.Reply.FENCED:
-            self.lose_seat(f"a higher fence was used at {recipient.server_id}")
+            self.lose_leadership(
+                f"a higher fence was used at {recipient.server_id}"
+            )
         elif self._grantor.is_silent(recipient[:2]):
             self.request_plan()
         return False
@@ -481,11 +491,13 @@
         )
         if refusal.code == codes.ResultCode.RECORD_STALE:
             # The condition fails also if an unanswered append of this host
-            # was carried out late; taking the seat anew reads it.
-            self.lose_seat("the assignments were changed meanwhile")
+            # was carried out late; taking the leadership anew reads it.
+            self.lose_leadership("the assignments were changed meanwhile")
         elif refusal.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
             if await self._journal.has_changed():
-                self.lose_seat(f"an append for {service} was carried out late")
+                self.lose_leadership(
+                    f"an append for {service} was carried out late"
+                )
         return False
 
     # Moves
@@ -516,7 +528,7 @@
             if result is None:
                 return
             if result.reply is ports.Reply.FENCED:
-                self.lose_seat(f"a higher fence was used at {target[0]}")
+                self.lose_leadership(f"a higher fence was used at {target[0]}")
                 return
             if result.reply is ports.Reply.DONE:
                 break
--- a/src/agatestile/assignment/journal.py
+++ b/src/agatestile/assignment/journal.py
@@ -1,4 +1,4 @@
-"""The stored seat and maps, as their only writer sees them."""
+"""The stored leadership and maps, as their only writer sees them."""
 
 from __future__ import annotations
 
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -12,7 +12,7 @@
 silent keeps its keys unavailable for this long."""
 
 RENEW_SECONDS = 0.9
-"""Interval of renewals; a new holder of the seat has the rest of a hold to
+"""Interval of renewals; a new leader has the rest of a hold to
 take over."""
 
 CLOCK_ERROR = 0.02
@@ -27,7 +27,7 @@
 """Longest wait for the answer to a grant."""
 
 TENURE_SECONDS = 8.0
-"""How long the holder of the seat may renew without a confirmation from
+"""How long the leader may renew without a confirmation from
 the store. A successor waits for it before it reassigns the keys of a server
 that does not answer, so it bounds both."""
 
@@ -35,7 +35,7 @@
 
 
 class Predecessor(typing.NamedTuple):
-    """The holder of the seat before this host.
+    """The leader before this host.
 
     Attributes
     ----------
@@ -56,7 +56,7 @@
 class Holds:
     """Latest time at which each life of a server may hold keys.
 
-    Every server in a map taken over from another holder of the seat counts
+    Every server in a map taken over from another leader counts
     as renewed until that holder's tenure has ended.
     """
 
@@ -65,12 +65,12 @@
         self._default = -math.inf
 
     def take_over(self, now: float, predecessor: Predecessor) -> None:
-        """Start after another holder of the seat.
+        """Start after another leader.
 
         Parameters
         ----------
         now : float
-            Clock after the seat was taken and the predecessor asked,
+            Clock after the leadership was taken and the predecessor asked,
             seconds.
         predecessor : Predecessor
             What is known of the other holder.
--- a/src/agatestile/assignment/ports.py
+++ b/src/agatestile/assignment/ports.py
@@ -45,12 +45,12 @@
 
 
 class Answered(typing.NamedTuple):
-    """What an earlier holder of the seat answered.
+    """What an earlier leader answered.
 
     Attributes
     ----------
     was_holder : bool
-        Whether its process had the seat until now.
+        Whether its process led until now.
     holds : list of (str, int, float)
         Of a holder: identifier and incarnation of servers, and for how
         much longer each may hold keys, seconds.
@@ -64,7 +64,7 @@
     """Other hosts."""
 
     async def supersede(self, host: str, epoch: int) -> Answered | None:
-        """Tell a host that it lost the seat; None without an answer."""
+        """Tell a host that it lost the leadership; None without an answer."""
 
 
 class Orders(typing.Protocol):
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -1,7 +1,7 @@
-"""Durable form of the seat and of the range maps.
+"""Durable form of the leadership and of the range maps.
 
 All of it lies in one topic, whose appends name the end that they expect, so
-that a host that lost the seat can't change anything.
+that a host that lost the leadership can't change anything.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
 from agatestile.store import port
 
 TOPIC = "keyed.agatestile"
-SEAT_KEY = "seat"
+LEADER_KEY = "leadership"
 SERVICE_PREFIX = "service/"
 
 
-class Seat(msgspec.Struct, frozen=True, array_like=True):
+class Leadership(msgspec.Struct, frozen=True, array_like=True):
     """Who decides about assignments.
 
     Attributes
@@ -30,7 +30,7 @@
     is_resigned : bool
         Whether the holder has stopped to renew grants.
     is_settled : bool
-        Whether no earlier holder may renew grants any more.
+        Whether no earlier leader may renew grants any more.
     holds : list of (str, int, float)
         Of a resigned holder: identifier and incarnation of servers, and
         for how much longer each may hold keys, seconds.
@@ -121,27 +121,29 @@
 
     Attributes
     ----------
-    seat : Seat
-        Last holder of the seat; epoch 0 before the first.
+    leadership : Leadership
+        Last leader; epoch 0 before the first.
     maps : dict
         Range map by service.
     end : int
         Offset that the next append has to name.
     """
 
-    seat: Seat
+    leadership: Leadership
     maps: dict[str, ranges.RangeMap]
     end: int
 
 
 def decode(page: port.Page) -> Stored | str:
     """Return the content of the topic, or why it can't be read."""
-    seat = Seat(0, "")
+    leadership = Leadership(0, "")
     maps = {}
     for record in page.records:
         try:
-            if record.key == SEAT_KEY:
-                seat = msgspec.msgpack.decode(record.value, type=Seat)
+            if record.key == LEADER_KEY:
+                leadership = msgspec.msgpack.decode(
+                    record.value, type=Leadership
+                )
             elif record.key.startswith(SERVICE_PREFIX) and record.value:
                 stored = msgspec.msgpack.decode(
                     record.value, type=ServiceRanges
@@ -150,12 +152,12 @@
                 maps[name] = stored.to_map()
         except (msgspec.DecodeError, ValueError) as error:
             return f"record {record.key} can't be read: {error}"
-    return Stored(seat, maps, page.end)
+    return Stored(leadership, maps, page.end)
 
 
-def encode_seat(seat: Seat) -> port.Record:
-    """Return the record of a seat."""
-    return port.Record(SEAT_KEY, msgspec.msgpack.encode(seat))
+def encode_leadership(leadership: Leadership) -> port.Record:
+    """Return the record of a leadership."""
+    return port.Record(LEADER_KEY, msgspec.msgpack.encode(leadership))
 
 
 def encode_map(service: str, key_map: ranges.RangeMap) -> port.Record:
--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -15,8 +15,8 @@
 if typing.TYPE_CHECKING:
     from agatestile.balancing import load as load_module
     from agatestile.catalog import directory
-    from agatestile.entry import dialect
     from agatestile.entry import handler as handler_module
+    from agatestile.entry import header_port
 
 DEFAULT_TIME_LEFT = 30.0
 """Time for a request without a deadline, seconds."""
@@ -56,14 +56,14 @@
     ----------
     answer : messages.Answer or None
         What the server answered.
-    facts : dialect.ServerFacts or None
+    facts : header_port.ServerFacts or None
         What its headers say.
     failure : messages.Failure or None
         Why there is no answer.
     """
 
     answer: messages.Answer | None
-    facts: dialect.ServerFacts | None
+    facts: header_port.ServerFacts | None
     failure: messages.Failure | None
 
 
@@ -71,7 +71,7 @@
     """What is fixed for a request once its route is known."""
 
     request: messages.Request
-    facts: dialect.CallerFacts
+    facts: header_port.CallerFacts
     route: configuration.Route
     service: str
     key: int | None
@@ -179,7 +179,7 @@
             (entry.id, entry.incarnation),
         )
         if isinstance(answer, messages.Answer):
-            facts = self._handler.speech.read_answer(answer)
+            facts = self._handler.header_format.read_answer(answer)
             load = self._fleet.load_of(entry)
             load.on_report(self._now(), facts.report)
 
@@ -224,7 +224,7 @@
             else:
                 load.on_failure()
             return Attempt(None, None, result)
-        facts = self._handler.speech.read_answer(result)
+        facts = self._handler.header_format.read_answer(result)
         self._learn(load, result, facts, now, now - sent, wait)
         return Attempt(result, facts, None)
 
@@ -232,7 +232,7 @@
         self,
         load: load_module.ServerLoad,
         answer: messages.Answer,
-        facts: dialect.ServerFacts,
+        facts: header_port.ServerFacts,
         now: float,
         elapsed: float,
         wait: float,
@@ -277,8 +277,10 @@
         course = self._course
         request = course.request
         time_left = course.deadline - self._now()
-        speech = self._handler.speech
-        headers = course.headers + speech.server_headers(entry.id, time_left)
+        header_format = self._handler.header_format
+        headers = course.headers + header_format.server_headers(
+            entry.id, time_left
+        )
         if request.body or request.method not in (b"GET", b"HEAD"):
             headers.append((b"content-length", b"%d" % len(request.body)))
         start = b"%b %b HTTP/1.1" % (request.method, request.target)
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -15,8 +15,8 @@
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
-    from agatestile.entry import dialect
     from agatestile.entry import fleet as fleet_module
+    from agatestile.entry import header_port
     from agatestile.observability import counters
 
 _CODES = codes.ResultCode
@@ -36,7 +36,7 @@
         News of the owners of keys.
     pool : client.Pool
         Connections to servers.
-    speech : dialect.Dialect
+    header_format : header_port.HeaderFormat
         Names and formats of headers.
     now : callable
         The runtime's clock, seconds.
@@ -50,7 +50,7 @@
         picker: picker_module.Picker,
         assignments: exchange.AssignmentWaiter,
         pool: client.Pool,
-        speech: dialect.Dialect,
+        header_format: header_port.HeaderFormat,
         now: typing.Callable[[], float],
         registry: counters.Registry,
     ) -> None:
@@ -59,7 +59,7 @@
         self.picker = picker
         self.assignments = assignments
         self.pool = pool
-        self.speech = speech
+        self.header_format = header_format
         self.now = now
         self.probes = client.Pool(now)
         self._budgets: dict[str, limits.RetryBudget] = {}
@@ -68,7 +68,7 @@
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Return the final answer to a request."""
         started = self.now()
-        facts = self.speech.read_request(request.headers)
+        facts = self.header_format.read_request(request.headers)
         course = self._plan(request, facts, started)
         if isinstance(course, refusals.Verdict):
             time_left = facts.time_left or exchange.DEFAULT_TIME_LEFT
@@ -81,7 +81,7 @@
     def _plan(
         self,
         request: messages.Request,
-        facts: dialect.CallerFacts,
+        facts: header_port.CallerFacts,
         started: float,
     ) -> exchange.Course | refusals.Verdict:
         current = self.fleet.configuration
@@ -114,7 +114,7 @@
             pair
             for pair in request.headers
             if pair[0] not in messages.HOP_HEADERS
-            and not self.speech.is_own(pair[0])
+            and not self.header_format.is_own(pair[0])
         ]
         return exchange.Course(
             request,
@@ -157,12 +157,12 @@
     def refuse(
         self,
         verdict: refusals.Verdict,
-        facts: dialect.CallerFacts,
+        facts: header_port.CallerFacts,
         course: exchange.Course | None,
         started: float,
         time_left: float,
     ) -> messages.Answer:
-        answer = refusals.answer(verdict, time_left, self.speech)
+        answer = refusals.answer(verdict, time_left, self.header_format)
         kind = "request_refused"
         if not codes.is_not_run(verdict.code):
             kind = "request_failed"
@@ -175,7 +175,7 @@
         self,
         kind: str,
         code: codes.ResultCode,
-        facts: dialect.CallerFacts,
+        facts: header_port.CallerFacts,
         course: exchange.Course | None,
         started: float,
         reason: str,
--- a/src/agatestile/entry/dialect.py
+++ b/src/agatestile/entry/header_port.py
@@ -48,7 +48,7 @@
     report: load.LoadReport | None
 
 
-class Dialect(typing.Protocol):
+class HeaderFormat(typing.Protocol):
     """Names and formats of headers."""
 
     echo_header: bytes
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -8,7 +8,7 @@
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
-    from agatestile.entry import dialect
+    from agatestile.entry import header_port
 
 LEAST_RETRY_AFTER = 0.05
 """Shortest pause that a refused caller is asked for, seconds."""
@@ -53,7 +53,9 @@
 
 
 def answer(
-    verdict: Verdict, time_left: float, speech: dialect.Dialect
+    verdict: Verdict,
+    time_left: float,
+    header_format: header_port.HeaderFormat,
 ) -> messages.Answer:
     """Return the answer for a verdict.
 
@@ -63,14 +65,14 @@
         Why the request ends.
     time_left : float
         How long the caller would wait, seconds.
-    speech : dialect.Dialect
+    header_format : header_port.HeaderFormat
         Names of headers.
     """
     status = STATUS_BY_CODE[verdict.code]
     pause = None
     if status == 503:
         pause = bounded_pause(verdict.retry_after, time_left)
-    return messages.Answer(status, speech.refusal_headers(pause), b"")
+    return messages.Answer(status, header_format.refusal_headers(pause), b"")
 
 
 def bounded_pause(wanted: float | None, time_left: float) -> float:
--- a/src/agatestile/node/seat.py
+++ b/src/agatestile/node/leadership.py
@@ -1,8 +1,8 @@
-"""Keeps the coordinator's seat by a membership in the store.
+"""Keeps the leadership by a membership in the store.
 
-Only the holder of the seat is a member for long, so that the store's dealing
-among members does not move the seat without need. A host that finds the
-group empty joins it, takes the seat if the store deals it the first
+Only the leader is a member for long, so that the store's dealing
+among members does not move the leadership without need. A host that finds the
+group empty joins it, takes the leadership if the store deals it the first
 partition, and leaves again otherwise.
 """
 
@@ -20,32 +20,32 @@
     from agatestile.assignment import coordinator as coordinator_module
     from agatestile.store import port
 
-GROUP = "agatestile.seat"
-"""Group, and topic whose first partition stands for the seat."""
+GROUP = "agatestile.leader"
+"""Group, and topic whose first partition stands for the leadership."""
 
-SEAT_PART = 0
+LEADER_PART = 0
 
 JOIN_SECONDS = 0.5
 """Interval of joins."""
 
 TTL_SECONDS = 1.5
-"""Silence after which the store deals the seat to another host; the rest of
-the servers' holds is left to take over."""
+"""Silence after which the store deals the leadership to another host; the
+rest of the servers' holds is left to take over."""
 
 UNCONFIRMED_SECONDS = 1.2
 """Age of the last successful join from which other hosts are told to look
 for another holder."""
 
 
-class SeatKeeper:
-    """Takes and keeps the seat.
+class LeadershipKeeper:
+    """Takes and keeps the leadership.
 
     Parameters
     ----------
     store : port.Store
-        Deals the seat.
+        Deals the leadership.
     coordinator : coordinator.Coordinator
-        Decides while this host has the seat.
+        Decides while this host leads.
     member : str
         Peer address of this host.
     now : callable
@@ -75,13 +75,13 @@
         return self._now() < self._joined_at + UNCONFIRMED_SECONDS
 
     def stand(self) -> None:
-        """Try to take the seat, as nobody has it."""
+        """Try to take the leadership, as nobody has it."""
         if not self._is_leaving:
             self._is_candidate = True
             self._wanted.set()
 
     async def run(self) -> None:
-        """Join at intervals while this host has or wants the seat."""
+        """Join at intervals while this host leads or wants to."""
         while not self._is_leaving:
             if not self._coordinator.epoch and not self._is_candidate:
                 await self._wanted.wait()
@@ -101,7 +101,7 @@
             return
         self._generation = joined.generation
         self._joined_at = sent
-        has_part = SEAT_PART in joined.parts
+        has_part = LEADER_PART in joined.parts
         if not self._coordinator.epoch:
             await self._take_or_leave(has_part, joined.generation)
         elif has_part and joined.generation == self._confirmed_generation:
@@ -110,7 +110,7 @@
             await self._verify(joined.generation)
 
     async def leave(self) -> None:
-        """Give up the seat and the membership."""
+        """Give up the leadership and the membership."""
         self._is_leaving = True
         was_member = self._is_candidate or self._coordinator.epoch
         await self._coordinator.resign()
@@ -120,15 +120,15 @@
     async def _take_or_leave(self, has_part: bool, generation: int) -> None:
         self._is_candidate = False
         if has_part:
-            refusal = await self._coordinator.take_seat()
+            refusal = await self._coordinator.take_leadership()
             if refusal is None:
                 self._confirmed_generation = generation
                 return
-            events.emit("seat_not_taken", reason=str(refusal))
+            events.emit("leadership_not_taken", reason=str(refusal))
         await self._store.leave(GROUP, self._member)
 
     async def _verify(self, generation: int) -> None:
-        """Confirm the seat after the group changed."""
+        """Confirm the leadership after the group changed."""
         sent = self._now()
         page = await self._store.newest(records.TOPIC)
         if isinstance(page, outcomes.Refusal):
@@ -137,9 +137,14 @@
         if isinstance(stored, str):
             events.emit("assignments_unreadable", reason=stored)
             return
-        seat = stored.seat
-        if (seat.epoch, seat.host) == (self._coordinator.epoch, self._member):
+        leadership = stored.leadership
+        if (leadership.epoch, leadership.host) == (
+            self._coordinator.epoch,
+            self._member,
+        ):
             self._coordinator.tenure.confirm(sent)
             self._confirmed_generation = generation
         else:
-            self._coordinator.lose_seat(f"{seat.host} has taken the seat")
+            self._coordinator.lose_leadership(
+                f"{leadership.host} has taken the leadership"
+            )
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -139,7 +139,7 @@
 
 
 class Supersede(msgspec.Struct, array_like=True):
-    """Tells the holder of the seat that a later epoch has begun.
+    """Tells the leader that a later epoch has begun.
 
     Attributes
     ----------
@@ -151,12 +151,12 @@
 
 
 class Superseded(msgspec.Struct, array_like=True):
-    """Answer of the earlier holder.
+    """Answer of the earlier leader.
 
     Attributes
     ----------
     was_holder : bool
-        Whether its process had the seat until now.
+        Whether its process led until now.
     holds : list of (str, int, float)
         Identifier and incarnation of servers, and for how much longer each
         may hold keys, seconds.
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -17,9 +17,9 @@
 from agatestile.entry import picker as picker_module
 from agatestile.entry import view as view_module
 from agatestile.node import clock
+from agatestile.node import leadership as leadership_module
 from agatestile.node import peers
 from agatestile.node import reporter as reporter_module
-from agatestile.node import seat as seat_module
 from agatestile.node import watchers
 from agatestile.observability import counters
 from agatestile.observability import events
@@ -30,7 +30,7 @@
 
 if typing.TYPE_CHECKING:
     from agatestile.assignment import ports
-    from agatestile.entry import dialect
+    from agatestile.entry import header_port
     from agatestile.node import settings as settings_module
     from agatestile.store import port
 
@@ -74,7 +74,7 @@
         Grants and releases.
     record_format : watchers.Format
         Formats of records.
-    speech : dialect.Dialect
+    header_format : header_port.HeaderFormat
         Headers.
     load_settings : callable
         Reads the settings again.
@@ -83,7 +83,7 @@
     store: port.Store
     orders: ports.Orders
     record_format: watchers.Format
-    speech: dialect.Dialect
+    header_format: header_port.HeaderFormat
     load_settings: typing.Callable[
         [], settings_module.NodeSettings | outcomes.Refusal
     ]
@@ -124,7 +124,7 @@
             member,
             clock.boot_time,
         )
-        self.seat = seat_module.SeatKeeper(
+        self.leadership = leadership_module.LeadershipKeeper(
             platform.store, self.coordinator, member, clock.boot_time
         )
         self.reporter = reporter_module.Reporter(
@@ -134,7 +134,7 @@
             self.view,
             member,
             settings.seeds,
-            self.seat,
+            self.leadership,
             now,
         )
         self.peer_service = peers.PeerService(
@@ -163,13 +163,13 @@
             self._on_evacuations,
             self.reporter.is_relayed,
         )
-        self.server_pool = client.Pool(now, platform.speech.echo_header)
+        self.server_pool = client.Pool(now, platform.header_format.echo_header)
         handler = handler_module.Handler(
             self.fleet,
             picker_module.Picker(self.fleet, self.view, random.Random()),
             self.reporter,
             self.server_pool,
-            platform.speech,
+            platform.header_format,
             now,
             self.registry,
         )
@@ -211,7 +211,7 @@
                 ("operator's records", self.operator.run),
                 ("service discovery", self.discovery.run),
                 ("coordinator", self.coordinator.run),
-                ("seat", self.seat.run),
+                ("leadership", self.leadership.run),
                 ("reports", self._report),
             ):
                 tasks.start_soon(self._keep_running, name, part)
@@ -250,7 +250,7 @@
                     trace=traceback.format_exc(limit=-4),
                 )
                 if part == self.coordinator.run:
-                    self.coordinator.lose_seat("the coordinator failed")
+                    self.coordinator.lose_leadership("the coordinator failed")
             await anyio.sleep(RESTART_SECONDS)
 
     async def _report(self) -> None:
@@ -263,7 +263,7 @@
         events.emit("stopping", open_requests=self.callers.busy)
         deadline = started + self._settings.bounds.grace - STOP_MARGIN_SECONDS
         self.callers.begin_close()
-        await self.seat.leave()
+        await self.leadership.leave()
         while self._now() < started + NOTICE_SECONDS:
             await anyio.sleep(0.05)
         self.callers.close_idle()
@@ -297,7 +297,7 @@
     def _is_confirmed(self) -> bool:
         last = self.discovery.reading.last_success
         is_fresh = last is not None and self._now() < last + FRESH_SECONDS
-        return is_fresh and self.seat.is_confirmed()
+        return is_fresh and self.leadership.is_confirmed()
 
     def _discovery_interval(self) -> float:
         if self.coordinator.is_active:
@@ -327,7 +327,7 @@
         gauge("servers_known", lambda: len(fleet.directory.by_id))
         gauge("hosts_known", lambda: fleet.host_count)
         gauge("assignment_epoch", lambda: self.view.epoch)
-        gauge("seat_held", lambda: float(self.coordinator.is_active))
+        gauge("is_leader", lambda: float(self.coordinator.is_active))
         gauge("server_connections_opened", lambda: self.server_pool.opened)
 
     async def _on_metrics(self, request: messages.Request) -> messages.Answer:
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -27,7 +27,7 @@
 that is only cut off from the coordinator goes on sending to servers."""
 
 SUPERSEDE_TIMEOUT = 0.6
-"""Longest wait for the earlier holder of the seat, seconds."""
+"""Longest wait for the earlier leader, seconds."""
 
 REPORT_TARGET = b"/report"
 SUPERSEDE_TARGET = b"/supersede"
@@ -39,7 +39,7 @@
     Parameters
     ----------
     coordinator : coordinator.Coordinator
-        Decides if this host has the seat.
+        Decides if this host leads.
     fleet : fleet.Fleet
         Takes what other hosts measured.
     reporter : reporter.Reporter
@@ -116,7 +116,9 @@
                 figures.answered,
             )
         if report.epoch > self._coordinator.epoch:
-            self._coordinator.lose_seat(f"{report.host} knows a later one")
+            self._coordinator.lose_leadership(
+                f"{report.host} knows a later one"
+            )
         if report.epoch == self._coordinator.epoch:
             await self._coordinator.wait_changed(
                 report.version, REPORT_SECONDS
@@ -178,7 +180,7 @@
         self._pool = pool
 
     async def supersede(self, host: str, epoch: int) -> ports.Answered | None:
-        """Tell a host that it lost the seat; None without an answer."""
+        """Tell a host that it lost the leadership; None without an answer."""
         ip, _, port_text = host.rpartition(":")
         body = msgspec.msgpack.encode(peer_messages.Supersede(epoch))
         answer = await self._pool.call(
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -11,9 +11,9 @@
 
 from agatestile.assignment import ranges
 from agatestile.assignment import records
+from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
-from agatestile.node import seat
 from agatestile.observability import events
 from agatestile.results import outcomes
 from agatestile.transport import messages
@@ -28,7 +28,7 @@
 """Longest wait for the coordinator's answer, seconds."""
 
 CHECK_SECONDS = 0.7
-"""Interval of looking for another holder of an unconfirmed seat."""
+"""Interval of looking for another leader while none is confirmed."""
 
 STORED_SECONDS = 1.0
 """Interval of reads of the stored assignment while the coordinator can't be
@@ -50,7 +50,7 @@
     pool : client.Pool
         Connections to other hosts.
     store : port.Store
-        Tells who has the seat.
+        Tells who is the leader.
     fleet : fleet.Fleet
         Gives what this host measured.
     view : view.AssignmentView
@@ -59,8 +59,8 @@
         Peer address of this host.
     seeds : tuple of str
         Peer addresses to ask first.
-    seat_keeper : seat.SeatKeeper
-        Stands for the seat if nobody has it.
+    leadership_keeper : leadership.LeadershipKeeper
+        Stands for the leadership if nobody has it.
     now : callable
         The runtime's clock, seconds.
 
@@ -78,10 +78,10 @@
         view: view_module.AssignmentView,
         member: str,
         seeds: tuple[str, ...],
-        seat_keeper: seat.SeatKeeper,
+        leadership_keeper: leadership.LeadershipKeeper,
         now: typing.Callable[[], float],
     ) -> None:
-        self._seat = seat_keeper
+        self._leadership = leadership_keeper
         self._now = now
         self._checked = 0.0
         self._pool = pool
@@ -104,7 +104,7 @@
         self.coordinator = ""
 
     def set_local(self, service: peers.PeerService) -> None:
-        """Set the service that answers if this host has the seat."""
+        """Set the service that answers if this host leads."""
         self._local = service
 
     def count(self, service: str, key: int) -> None:
@@ -174,7 +174,7 @@
         if isinstance(stored, str):
             events.emit("assignment_unreadable", reason=stored)
             return
-        self._view.take_stored(stored.seat.epoch, stored.maps)
+        self._view.take_stored(stored.leadership.epoch, stored.maps)
         self._notify()
 
     def _notify(self) -> None:
@@ -209,18 +209,20 @@
         return f"{target} is not the coordinator"
 
     async def _check(self) -> None:
-        """Look for another holder of a seat that the store can't confirm."""
+        """Look for another leader while the store can't confirm this one."""
         if self._now() < self._checked + CHECK_SECONDS:
             return
         self._checked = self._now()
         await self._find_member()
 
     async def _find_member(self) -> str | None | outcomes.Refusal:
-        found = await self._store.member_of(seat.GROUP, seat.SEAT_PART)
+        found = await self._store.member_of(
+            leadership.GROUP, leadership.LEADER_PART
+        )
         if isinstance(found, str):
             self.coordinator = found
         elif found is None:
-            self._seat.stand()
+            self._leadership.stand()
         return found
 
     async def _search(self) -> None:
--- a/src/agatestile/platform/__main__.py
+++ b/src/agatestile/platform/__main__.py
@@ -36,7 +36,7 @@
         store.PlatformStore(client.Pool(now), loaded.store),
         orders.PlatformOrders(client.Pool(now)),
         records.PlatformFormat(),
-        headers.PlatformDialect(),
+        headers.PlatformHeaders(),
         settings.load,
     )
     await node.Node(loaded, platform).run()
--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -5,7 +5,7 @@
 import typing
 
 from agatestile.balancing import load
-from agatestile.entry import dialect
+from agatestile.entry import header_port
 
 if typing.TYPE_CHECKING:
     from agatestile.transport import messages
@@ -24,12 +24,14 @@
 _MISDIRECTED = 421
 
 
-class PlatformDialect:
+class PlatformHeaders:
     """Reads and writes the platform's headers."""
 
     echo_header = REQUEST_ID
 
-    def read_request(self, headers: messages.Headers) -> dialect.CallerFacts:
+    def read_request(
+        self, headers: messages.Headers
+    ) -> header_port.CallerFacts:
         """Return what a caller's headers say."""
         request_id = b""
         deadline = None
@@ -41,7 +43,7 @@
                 deadline = _number(value)
             elif name == _KEY:
                 key = _number(value)
-        return dialect.CallerFacts(
+        return header_port.CallerFacts(
             request_id,
             None if deadline is None else deadline / 1000.0,
             int(key) if key is not None and key < _KEY_LIMIT else None,
@@ -60,7 +62,7 @@
         """Tell whether a caller's header is replaced on the way."""
         return name in (_DEADLINE, _INSTANCE)
 
-    def read_answer(self, answer: messages.Answer) -> dialect.ServerFacts:
+    def read_answer(self, answer: messages.Answer) -> header_port.ServerFacts:
         """Return what a server's headers say."""
         report = None
         has_signature = False
@@ -72,7 +74,7 @@
                 has_signature = True
             elif name == _NOT_RUN:
                 is_not_run = True
-        return dialect.ServerFacts(
+        return header_port.ServerFacts(
             is_not_run,
             answer.status == _MISDIRECTED,
             has_signature,
--- a/tests/assignment/scenes.py
+++ b/tests/assignment/scenes.py
@@ -162,7 +162,7 @@
 
 
 class FakeHosts:
-    """Earlier holders of the seat, by address; others don't answer."""
+    """Earlier leaders, by address; others don't answer."""
 
     def __init__(self) -> None:
         self.by_address: dict[str, coordinator_module.Coordinator] = {}
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -14,7 +14,7 @@
 async def _assigned(scene: scenes.Scene, *names: str) -> None:
     for name in names:
         scene.fleet.add(name)
-    assert await scene.coordinator.take_seat() is None
+    assert await scene.coordinator.take_leadership() is None
     while not scene.orders.orders:
         _keep(scene)
         await anyio.sleep(0.1)
@@ -26,7 +26,7 @@
 
 
 async def _sleep(scene: scenes.Scene, seconds: float) -> None:
-    """Let time pass while the store confirms the seat."""
+    """Let time pass while the store confirms the leadership."""
     end = trio.current_time() + seconds
     while trio.current_time() < end:
         if scene.coordinator.epoch:
@@ -50,7 +50,7 @@
     # A successor must know of every server that may hold keys.
     async def scenario(scene: scenes.Scene) -> None:
         scene.fleet.add("a")
-        assert await scene.coordinator.take_seat() is None
+        assert await scene.coordinator.take_leadership() is None
         scene.store.is_down = True
         await _sleep(scene, 5.0)
         assert not scene.orders.orders
@@ -147,7 +147,7 @@
     scenes.run(scenario)
 
 
-def test_higher_fence_at_a_server_ends_the_seat() -> None:
+def test_higher_fence_at_a_server_ends_the_leadership() -> None:
     async def scenario(scene: scenes.Scene) -> None:
         await _assigned(scene, "a")
         scene.orders.fenced.add("a")
@@ -164,9 +164,9 @@
         await _assigned(scene, "a", "b")
         scene.orders.silent.add("a")
         second = scene.add_coordinator("host-2")
-        assert await second.take_seat() is None
+        assert await second.take_leadership() is None
         taken = trio.current_time()
-        scene.coordinator.lose_seat("test")
+        scene.coordinator.lose_leadership("test")
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(second.run)
             while (
@@ -189,7 +189,7 @@
         await scene.coordinator.resign()
         scene.orders.silent.add("a")
         second = scene.add_coordinator("host-2")
-        assert await second.take_seat() is None
+        assert await second.take_leadership() is None
         taken = trio.current_time()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(second.run)
@@ -213,7 +213,7 @@
         scene.orders.silent.add("a")
         scene.hosts.by_address["host-1"] = scene.coordinator
         second = scene.add_coordinator("host-2")
-        assert await second.take_seat() is None
+        assert await second.take_leadership() is None
         taken = trio.current_time()
         assert not scene.coordinator.epoch
         async with anyio.create_task_group() as tasks:
@@ -237,18 +237,18 @@
     async def scenario(scene: scenes.Scene) -> None:
         await _assigned(scene, "a", "b")
         second = scene.add_coordinator("host-2")
-        assert await second.take_seat() is None
+        assert await second.take_leadership() is None
         restarted = scene.add_coordinator("host-2")
         scene.hosts.by_address["host-2"] = restarted
         third = scene.add_coordinator("host-3")
-        assert await third.take_seat() is None
+        assert await third.take_leadership() is None
         left = third._grantor.holds.unknown_left(trio.current_time())
         assert left >= leases.TENURE_SECONDS
 
     scenes.run(scenario)
 
 
-def test_lost_answer_to_an_append_ends_the_seat() -> None:
+def test_lost_answer_to_an_append_ends_the_leadership() -> None:
     # The append may be carried out late; the state has to be read again.
     async def scenario(scene: scenes.Scene) -> None:
         await _assigned(scene, "a", "b")
@@ -257,18 +257,18 @@
         scene.coordinator.request_plan()
         await _sleep(scene, 1.0)
         assert not scene.coordinator.epoch
-        assert await scene.coordinator.take_seat() is None
+        assert await scene.coordinator.take_leadership() is None
         await _sleep(scene, 1.5)
         assert scene.owner_of(0) == "b"
 
     scenes.run(scenario)
 
 
-def test_second_holder_of_the_seat_stops_the_first() -> None:
+def test_second_leader_stops_the_first() -> None:
     async def scenario(scene: scenes.Scene) -> None:
         await _assigned(scene, "a", "b")
         second = scene.add_coordinator("host-2")
-        assert await second.take_seat() is None
+        assert await second.take_leadership() is None
         scene.fleet.add("a", leaves=True)
         scene.coordinator.request_plan()
         await _sleep(scene, 1.0)
--- a/tests/assignment/test_records.py
+++ b/tests/assignment/test_records.py
@@ -13,17 +13,21 @@
 B = ranges.Owner("b", 4, 6)
 
 
-def test_map_and_seat_survive_the_store() -> None:
+def test_map_and_leadership_survive_the_store() -> None:
     key_map = ranges.RangeMap().replace(
         [ranges.KeyRange(100, 199, A), ranges.KeyRange(200, 65535, B, A)]
     )
-    seat = records.Seat(7, "host-1", True, True, [("a", 3, 1.5)])
+    leadership = records.Leadership(7, "host-1", True, True, [("a", 3, 1.5)])
     page = port.Page(
-        [records.encode_seat(seat), records.encode_map("prices", key_map)], 9
+        [
+            records.encode_leadership(leadership),
+            records.encode_map("prices", key_map),
+        ],
+        9,
     )
     stored = records.decode(page)
     assert isinstance(stored, records.Stored)
-    assert stored.seat == seat
+    assert stored.leadership == leadership
     assert stored.maps["prices"].ranges == key_map.ranges
     assert stored.end == 9
 
--- a/tests/entry/scenes.py
+++ b/tests/entry/scenes.py
@@ -99,7 +99,7 @@
             picker_module.Picker(self.fleet, self.view, random.Random(1)),
             self.waiter,
             client.Pool(now, headers.REQUEST_ID),
-            headers.PlatformDialect(),
+            headers.PlatformHeaders(),
             now,
             counters.Registry(),
         )
--- a/tests/node/test_seat.py
+++ b/tests/node/test_leadership.py
@@ -1,24 +1,26 @@
-"""Who holds the coordinator's seat, on a clock that tests control."""
+"""Who holds the leadership, on a clock that tests control."""
 
 from __future__ import annotations
 
 import anyio
 import trio
 
-from agatestile.node import seat
+from agatestile.node import leadership
 from tests.assignment import scenes
 
 
 def _keeper(
     scene: scenes.Scene, host: str
-) -> tuple[seat.SeatKeeper, scenes.coordinator_module.Coordinator]:
+) -> tuple[leadership.LeadershipKeeper, scenes.coordinator_module.Coordinator]:
     coordinator = scene.add_coordinator(host)
-    keeper = seat.SeatKeeper(scene.store, coordinator, host, trio.current_time)
+    keeper = leadership.LeadershipKeeper(
+        scene.store, coordinator, host, trio.current_time
+    )
     return keeper, coordinator
 
 
-def test_one_of_several_hosts_takes_the_seat_and_keeps_it() -> None:
-    """Guards against a seat that moves when a host joins."""
+def test_one_of_several_hosts_takes_the_leadership_and_keeps_it() -> None:
+    """Guards against a leadership that moves when a host joins."""
 
     async def scenario(scene: scenes.Scene) -> None:
         keepers = [_keeper(scene, f"host-{number}") for number in range(3)]
@@ -40,7 +42,7 @@
     scenes.run(scenario)
 
 
-def test_host_that_leaves_frees_the_seat() -> None:
+def test_host_that_leaves_frees_the_leadership() -> None:
     async def scenario(scene: scenes.Scene) -> None:
         first, holder = _keeper(scene, "host-1")
         first.stand()
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -8,10 +8,10 @@
 from agatestile.assignment import ranges
 from agatestile.entry import fleet as fleet_module
 from agatestile.entry import view as view_module
+from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
 from agatestile.node import reporter as reporter_module
-from agatestile.node import seat
 from agatestile.node import settings as node_settings
 from tests.assignment import scenes
 from tests.catalog import test_directory
@@ -21,7 +21,7 @@
     fleet = fleet_module.Fleet(
         node_settings.Bounds(), "anna", trio.current_time
     )
-    keeper = seat.SeatKeeper(
+    keeper = leadership.LeadershipKeeper(
         scene.store, scene.coordinator, "host-1", trio.current_time
     )
     reporter = reporter_module.Reporter(
@@ -54,7 +54,7 @@
     async def scenario(scene: scenes.Scene) -> None:
         service = _service(scene)
         scene.fleet.add("a")
-        await scene.coordinator.take_seat()
+        await scene.coordinator.take_leadership()
         first = await service.answer(_report("host-2"))
         assert first.epoch == 1
         while scene.coordinator.version == first.version:
@@ -73,7 +73,7 @@
 
     async def scenario(scene: scenes.Scene) -> None:
         service = _service(scene)
-        await scene.coordinator.take_seat()
+        await scene.coordinator.take_leadership()
         for host in ("host-1", "host-2", "host-3"):
             await service.answer(_report(host))
         await anyio.sleep(5.0)
@@ -85,10 +85,10 @@
     scenes.run(scenario)
 
 
-def test_report_of_a_later_epoch_ends_the_seat() -> None:
+def test_report_of_a_later_epoch_ends_the_leadership() -> None:
     async def scenario(scene: scenes.Scene) -> None:
         service = _service(scene)
-        await scene.coordinator.take_seat()
+        await scene.coordinator.take_leadership()
         await service.answer(_report("host-2", epoch=5))
         assert not scene.coordinator.epoch
 
@@ -100,7 +100,7 @@
 
     async def scenario(scene: scenes.Scene) -> None:
         service = _service(scene)
-        await scene.coordinator.take_seat()
+        await scene.coordinator.take_leadership()
         servers = service._fleet.directory
         servers.put(test_directory.entry("a", warmup_left=2.0), 0.0)
         servers.put(test_directory.entry("b", is_draining=True), 0.0)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -156,8 +156,8 @@
 
 
 def test_caller_and_server_headers() -> None:
-    speech = headers.PlatformDialect()
-    facts = speech.read_request(
+    header_format = headers.PlatformHeaders()
+    facts = header_format.read_request(
         [
             (b"x-request-id", b"id"),
             (b"x-deadline-ms", b"1500"),
@@ -165,7 +165,7 @@
         ]
     )
     assert facts == (b"id", 1.5, 77)
-    assert speech.server_headers("s", 0.25) == [
+    assert header_format.server_headers("s", 0.25) == [
         (b"x-deadline-ms", b"250"),
         (b"x-target-instance", b"s"),
     ]
@@ -184,17 +184,17 @@
     value: bytes, expected: load.LoadReport | None
 ) -> None:
     answer = messages.Answer(200, [(b"x-upstream-load", value)], b"")
-    assert headers.PlatformDialect().read_answer(answer).report == expected
+    assert headers.PlatformHeaders().read_answer(answer).report == expected
 
 
 def test_answers_that_did_not_run() -> None:
-    speech = headers.PlatformDialect()
+    header_format = headers.PlatformHeaders()
     shed = messages.Answer(503, [(b"x-not-executed", b"1")], b"")
-    assert speech.read_answer(shed).is_not_run
+    assert header_format.read_answer(shed).is_not_run
     other = messages.Answer(421, [], b"")
-    assert speech.read_answer(other).is_misdirected
+    assert header_format.read_answer(other).is_misdirected
     failed = messages.Answer(503, [(b"x-upstream-signature", b"s")], b"")
-    assert not speech.read_answer(failed).is_not_run
+    assert not header_format.read_answer(failed).is_not_run
 
 
 def test_settings_are_decoded() -> None:
