Send no release after the tenure

Cause, found by reading: a host that was frozen during a move repeated the release when it woke, although its tenure had ended; a release is never refused and would undo a successor's grant until its next renewal. The test fails without the change.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -583,7 +583,9 @@
             if self._now() >= held_until or self._fleet.is_replaced(life):
                 return None
             placement = self._placement(service, life)
-            if placement is None:
+            if placement is None or not self.is_active:
+                # A release is never refused, so one that is sent after the
+                # tenure could undo a successor's grant.
                 await anyio.sleep(RETRY_SECONDS)
                 continue
             left = max(0.01, held_until - self._now())
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -264,6 +264,30 @@
     scenes.run(scenario)
 
 
+def test_nothing_is_released_after_the_tenure() -> None:
+    # A host that wakes up late could undo its successor's grant.
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        scene.orders.silent.add("a")
+        scene.fleet.add("a", leaves=True)
+        scene.coordinator.request_plan()
+        await _sleep(scene, 0.5)
+        scene.coordinator.tenure.end()
+        ended = trio.current_time()
+        # The order that is under way is answered after 0.5 s.
+        await anyio.sleep(1.0)
+        scene.orders.silent.clear()
+        await anyio.sleep(10.0)
+        late = [
+            one
+            for one in scene.orders.of("release", "a")
+            if one.time > ended + 1.0
+        ]
+        assert late == []
+
+    scenes.run(scenario)
+
+
 def test_second_leader_stops_the_first() -> None:
     async def scenario(scene: scenes.Scene) -> None:
         await _assigned(scene, "a", "b")
