--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -20,7 +20,6 @@
     from agatestile.observability import counters
 
 _CODES = codes.ResultCode
-_KIND = messages.FailureKind
 
 
 class Handler:
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -105,7 +105,6 @@
     ) -> None:
         self._settings = settings
         self._load_settings = platform.load_settings
-        self._store = platform.store
         now = asyncio.get_running_loop().time
         self._now = now
         self._started = now()
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -258,6 +258,8 @@
         self._scope: anyio.CancelScope | None = None
         self._started = 0.0
         self._is_behind = False
+        self._is_waiting = False
+        self._must_catch_up = False
         self.reading = Reading("operator's records")
 
     async def run(self) -> None:
@@ -268,6 +270,7 @@
             with anyio.CancelScope() as scope:
                 self._scope = scope
                 is_done = await self.poll()
+            self._is_waiting = False
             if not is_done:
                 await anyio.sleep(RETRY_SECONDS)
 
@@ -288,7 +291,10 @@
             self._is_behind = end is not None and told_end > end
             # The record may be on its way over the connection.
             is_late = was_behind and self._is_behind
-        if is_late and self._scope is not None:
+        if is_late and self._is_waiting and self._scope is not None:
+            # The next read doesn't wait and so is not given up: a slow one
+            # would otherwise never end while records come.
+            self._must_catch_up = True
             self._scope.cancel()
 
     async def poll(self) -> bool:
@@ -299,7 +305,9 @@
         if reading.end is None:
             page = await self._store.newest(topic)
         else:
-            page = await self._store.read(topic, reading.end, self._wait())
+            wait = 0.0 if self._must_catch_up else self._wait()
+            self._is_waiting = wait > 0.0
+            page = await self._store.read(topic, reading.end, wait)
         if isinstance(page, outcomes.Refusal):
             if page.code == codes.ResultCode.LOG_HISTORY_GONE:
                 reading.end = None
@@ -308,6 +316,7 @@
             return False
         reading.on_success(self._now())
         reading.end = page.end
+        self._must_catch_up = False
         evacuated = set() if is_listing else set(self._evacuated)
         for record in page.records:
             self._apply(record, evacuated)
--- a/src/agatestile/platform/store.py
+++ b/src/agatestile/platform/store.py
@@ -48,12 +48,6 @@
     parts: list[tuple[str, int, int]]
 
 
-class _Owners(msgspec.Struct):
-    parts: list[list[typing.Any]] = []
-    owners: list[list[typing.Any]] = []
-    rows: list[list[typing.Any]] = []
-
-
 class PlatformStore:
     """Calls to the log.
 
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -168,3 +168,39 @@
 
     trio.run(main, clock=testing.MockClock(autojump_threshold=0))
     assert len(store.calls) > 2
+
+
+class _SlowStore(ScriptedStore):
+    """Takes longer for each read than the interval of checks."""
+
+    async def read(
+        self, topic: str, start: int, wait: float
+    ) -> port.Page | outcomes.Refusal:
+        self.calls.append(f"read {start} for {wait:g}")
+        await anyio.sleep(0.6)
+        return port.Page([], start + 1)
+
+
+def test_slow_reads_make_progress_while_records_come() -> None:
+    """Pattern: manifests in quick succession over a slow link."""
+    store = _SlowStore(port.Page([], 2))
+
+    async def main() -> int | None:
+        watcher = watchers.OperatorWatcher(
+            store,  # type: ignore[arg-type]
+            records.PlatformFormat(),
+            trio.current_time,
+            lambda new: None,
+            lambda domains: None,
+            lambda: True,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watcher.run)
+            for _ in range(20):
+                await anyio.sleep(0.25)
+                watcher.check(100)
+            tasks.cancel_scope.cancel()
+        return watcher.reading.end
+
+    end = trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+    assert end is not None and end >= 5
