--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,11 @@
 AGATESTILE ?= $(BIN)/agatestile
 SEED ?= 1
 SECONDS ?= 600
+WHY ?= a single day
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup demo test check soak measure binary lock generate clean
+.PHONY: setup demo test check platform-day soak measure binary lock generate clean
 
 setup: $(VENV)/.ready
 
@@ -28,6 +29,9 @@
 test: check
 	$(BIN)/pytest
 
+platform-day:
+	$(FLEETBENCH) run $(SITE) $(DAY) --jobs 1 --why "$(WHY)"
+
 soak: setup
 	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import msgspec
 
 from agatestile.assignment import heat as heat_module
 from agatestile.assignment import leases
@@ -111,6 +112,8 @@
         Where assignments are kept.
     orders : ports.Orders
         Sends grants and releases.
+    hosts : ports.Hosts
+        Asks earlier holders of the seat.
     fleet : Fleet
         Known servers.
     address : str
@@ -123,12 +126,14 @@
         self,
         store: port.Store,
         orders: ports.Orders,
+        hosts: ports.Hosts,
         fleet: Fleet,
         address: str,
         now: typing.Callable[[], float],
     ) -> None:
         self._store = store
         self._orders = orders
+        self._hosts = hosts
         self._fleet = fleet
         self._address = address
         self._now = now
@@ -173,10 +178,12 @@
         self._end = end
         self._fences = leases.Fences(seat.epoch)
         if stored.seat.epoch != self._own_epoch or not self._own_epoch:
-            told = stored.seat.holds if stored.seat.is_resigned else None
-            if not stored.seat.epoch:
-                told = []
-            self._holds.take_over(now, told)
+            predecessor = await self._ask(stored.seat, seat.epoch)
+            self._holds.take_over(self._now(), predecessor)
+            if predecessor.renews_for < leases.TENURE_SECONDS:
+                refusal = await self._settle(seat)
+                if refusal is not None:
+                    return refusal
         self._own_epoch = seat.epoch
         self._silent_by_life.clear()
         self._moving.clear()
@@ -192,9 +199,57 @@
             epoch=seat.epoch,
             predecessor=stored.seat.host,
             resigned=stored.seat.is_resigned,
+            wait=round(self._holds.unknown_left(self._now()), 2),
         )
         return None
 
+    async def _ask(
+        self, before: records.Seat, epoch: int
+    ) -> leases.Predecessor:
+        """Return what is known of the last holder of the seat."""
+        if not before.epoch:
+            return leases.NO_PREDECESSOR
+        if before.is_resigned:
+            return leases.Predecessor(before.holds, 0.0)
+        ended = leases.Predecessor(None, leases.ORDER_SECONDS)
+        unknown = leases.Predecessor(None, leases.TENURE_SECONDS)
+        if not before.is_settled:
+            # A holder before it may still renew.
+            ended = unknown
+        if before.host == self._address:
+            # An earlier process of this host; it renews nothing any more.
+            return ended
+        answered = await self._hosts.supersede(before.host, epoch)
+        if answered is None:
+            return unknown
+        if answered.was_holder:
+            return leases.Predecessor(answered.holds, 0.0)
+        return ended
+
+    async def _settle(self, seat: records.Seat) -> outcomes.Refusal | None:
+        """Record that no earlier holder renews grants any more."""
+        settled = msgspec.structs.replace(seat, is_settled=True)
+        end = await self._store.append(
+            records.TOPIC, [records.encode_seat(settled)], self._end
+        )
+        if isinstance(end, outcomes.Refusal):
+            return end
+        self._end = end
+        return None
+
+    def supersede(self, epoch: int) -> ports.Answered:
+        """Give up the seat to a later epoch and tell what servers hold."""
+        if not self.epoch or self.epoch >= epoch:
+            return ports.Answered(False, [])
+        self.lose_seat(f"epoch {epoch} has begun")
+        return ports.Answered(True, self._left())
+
+    def _left(self) -> list[tuple[str, int, float]]:
+        busy = {
+            life for life, lock in self._locks_by_life.items() if lock.locked()
+        }
+        return self._holds.left(self._named_lives(), busy, self._now())
+
     def lose_seat(self, reason: str) -> None:
         """Stop to decide."""
         if self.epoch:
@@ -209,12 +264,11 @@
             return
         epoch = self.epoch
         self.lose_seat("this host stops")
-        busy = {
-            life for life, lock in self._locks_by_life.items() if lock.locked()
-        }
-        holds = self._holds.left(self._named_lives(), busy, self._now())
+        holds = self._left()
         async with self._append_lock:
-            seat = records.Seat(epoch, self._address, True, holds)
+            seat = records.Seat(
+                epoch, self._address, is_resigned=True, holds=holds
+            )
             result = await self._store.append(
                 records.TOPIC, [records.encode_seat(seat)], self._end
             )
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import typing
 
 from agatestile.assignment import ranges
 
@@ -25,7 +26,7 @@
 ORDER_SECONDS = 0.6
 """Longest wait for the answer to a grant."""
 
-TENURE_SECONDS = 12.0
+TENURE_SECONDS = 8.0
 """How long the holder of the seat may renew without a confirmation from
 the store. A successor waits for it before it reassigns the keys of a server
 that does not answer, so it bounds both."""
@@ -33,6 +34,25 @@
 Life = tuple[str, int]
 
 
+class Predecessor(typing.NamedTuple):
+    """The holder of the seat before this host.
+
+    Attributes
+    ----------
+    holds : list of (str, int, float) or None
+        Identifier and incarnation of servers, and for how much longer each
+        may hold keys, seconds; None if it did not tell.
+    renews_for : float
+        For how much longer it may renew grants, seconds.
+    """
+
+    holds: list[tuple[str, int, float]] | None
+    renews_for: float
+
+
+NO_PREDECESSOR = Predecessor([], 0.0)
+
+
 class Holds:
     """Latest time at which each life of a server may hold keys.
 
@@ -44,25 +64,28 @@
         self._until_by_life: dict[Life, float] = {}
         self._default = -math.inf
 
-    def take_over(
-        self, now: float, told: list[tuple[str, int, float]] | None
-    ) -> None:
+    def take_over(self, now: float, predecessor: Predecessor) -> None:
         """Start after another holder of the seat.
 
         Parameters
         ----------
         now : float
-            Clock after the seat was taken, seconds.
-        told : list of (str, int, float) or None
-            Lives and how much longer they may hold keys, from a holder
-            that resigned; None if the holder may still renew all grants.
+            Clock after the seat was taken and the predecessor asked,
+            seconds.
+        predecessor : Predecessor
+            What is known of the other holder.
         """
         self._until_by_life.clear()
-        if told is None:
-            self._default = now + TENURE_SECONDS + _longest_hold()
-            return
         self._default = -math.inf
-        for server_id, incarnation, left in told:
+        if predecessor.holds is None:
+            self._default = (
+                now
+                + predecessor.renews_for
+                + ARRIVAL_SLACK_SECONDS
+                + _longest_hold()
+            )
+            return
+        for server_id, incarnation, left in predecessor.holds:
             self._until_by_life[server_id, incarnation] = now + left
 
     def left(
@@ -98,6 +121,10 @@
         """Return the time from which a life surely holds nothing."""
         return max(self._until_by_life.get(life, -math.inf), self._default)
 
+    def unknown_left(self, now: float) -> float:
+        """Return how long unknown lives may hold keys, seconds."""
+        return max(0.0, self._default - now)
+
     def forget(self, lives: set[Life]) -> None:
         """Drop lives that no map names."""
         for life in list(self._until_by_life):
--- a/src/agatestile/assignment/ports.py
+++ b/src/agatestile/assignment/ports.py
@@ -44,6 +44,29 @@
     address: tuple[str, int]
 
 
+class Answered(typing.NamedTuple):
+    """What an earlier holder of the seat answered.
+
+    Attributes
+    ----------
+    was_holder : bool
+        Whether its process had the seat until now.
+    holds : list of (str, int, float)
+        Of a holder: identifier and incarnation of servers, and for how
+        much longer each may hold keys, seconds.
+    """
+
+    was_holder: bool
+    holds: list[tuple[str, int, float]]
+
+
+class Hosts(typing.Protocol):
+    """Other hosts."""
+
+    async def supersede(self, host: str, epoch: int) -> Answered | None:
+        """Tell a host that it lost the seat; None without an answer."""
+
+
 class Orders(typing.Protocol):
     """Gives keys to servers and takes them back."""
 
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -29,6 +29,8 @@
         Control address of the holder.
     is_resigned : bool
         Whether the holder has stopped to renew grants.
+    is_settled : bool
+        Whether no earlier holder may renew grants any more.
     holds : list of (str, int, float)
         Of a resigned holder: identifier and incarnation of servers, and
         for how much longer each may hold keys, seconds.
@@ -37,6 +39,7 @@
     epoch: int
     host: str
     is_resigned: bool = False
+    is_settled: bool = False
     holds: list[tuple[str, int, float]] = []
 
 
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -386,6 +386,27 @@
         key_map = self.maps.get(service)
         return None if key_map is None else key_map.find(key)
 
+    def take_stored(
+        self, epoch: int, maps: dict[str, ranges.RangeMap]
+    ) -> None:
+        """Take the stored assignment, which does not tell the end of moves.
+
+        A move lasts for a moment only, so its target counts as the owner;
+        a server that does not hold a key yet says so.
+        """
+        self.epoch, self.version = epoch, -1
+        self._moving_since.clear()
+        self.maps = {
+            service: key_map.replace(
+                [
+                    one._replace(source=ranges.NOBODY)
+                    for one in key_map.ranges
+                    if one.source != ranges.NOBODY
+                ]
+            )
+            for service, key_map in maps.items()
+        }
+
     def update(
         self,
         epoch: int,
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -143,6 +143,34 @@
     services: dict[str, records.ServiceRanges] | None
 
 
+class Supersede(msgspec.Struct, array_like=True):
+    """Tells the holder of the seat that a later epoch has begun.
+
+    Attributes
+    ----------
+    epoch : int
+        The later epoch.
+    """
+
+    epoch: int
+
+
+class Superseded(msgspec.Struct, array_like=True):
+    """Answer of the earlier holder.
+
+    Attributes
+    ----------
+    was_holder : bool
+        Whether its process had the seat until now.
+    holds : list of (str, int, float)
+        Identifier and incarnation of servers, and for how much longer each
+        may hold keys, seconds.
+    """
+
+    was_holder: bool
+    holds: list[tuple[str, int, float]]
+
+
 class Redirect(msgspec.Struct, array_like=True):
     """Answer of a host that is not the coordinator.
 
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -110,9 +110,11 @@
             settings.bounds, settings.failure_domain, now
         )
         self.view = fleet_module.AssignmentView()
+        peer_pool = client.Pool(now)
         self.coordinator = coordinator_module.Coordinator(
             platform.store,
             platform.orders,
+            peers.Hosts(peer_pool),
             self.fleet,
             member,
             clock.boot_time,
@@ -121,7 +123,7 @@
             platform.store, self.coordinator, member, clock.boot_time
         )
         self.reporter = peers.Reporter(
-            client.Pool(now),
+            peer_pool,
             platform.store,
             self.fleet,
             self.view,
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 
+from agatestile.assignment import ports
 from agatestile.assignment import ranges
 from agatestile.assignment import records
 from agatestile.node import messages as peer_messages
@@ -33,6 +34,10 @@
 CHECK_SECONDS = 0.7
 """Interval of looking for another holder of an unconfirmed seat."""
 
+STORED_SECONDS = 1.0
+"""Interval of reads of the stored assignment while the coordinator can't be
+reached although the store confirms it."""
+
 SEARCH_SECONDS = 0.3
 """Pause between searches for the coordinator."""
 
@@ -44,7 +49,11 @@
 """Silence after which a host does not count as a member any more. A host
 that is only cut off from the coordinator goes on sending to servers."""
 
+SUPERSEDE_TIMEOUT = 0.6
+"""Longest wait for the earlier holder of the seat, seconds."""
+
 REPORT_TARGET = b"/report"
+SUPERSEDE_TARGET = b"/supersede"
 
 
 class PeerService:
@@ -86,6 +95,8 @@
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Answer a report."""
+        if request.target == SUPERSEDE_TARGET:
+            return self._supersede(request)
         if request.target != REPORT_TARGET:
             return messages.Answer(404, [], b"")
         try:
@@ -101,6 +112,18 @@
         instructions = await self.answer(report)
         return messages.Answer(200, [], msgspec.msgpack.encode(instructions))
 
+    def _supersede(self, request: messages.Request) -> messages.Answer:
+        try:
+            told = msgspec.msgpack.decode(
+                request.body, type=peer_messages.Supersede
+            )
+        except msgspec.DecodeError as error:
+            events.emit("report_unreadable", reason=str(error))
+            return messages.Answer(400, [], b"")
+        answered = self._coordinator.supersede(told.epoch)
+        reply = peer_messages.Superseded(answered.was_holder, answered.holds)
+        return messages.Answer(200, [], msgspec.msgpack.encode(reply))
+
     async def answer(
         self, report: peer_messages.Report
     ) -> peer_messages.Instructions:
@@ -175,6 +198,39 @@
         return sorted(self._seen_by_host)
 
 
+class Hosts:
+    """Calls to other hosts that the coordinator makes.
+
+    Parameters
+    ----------
+    pool : client.Pool
+        Connections to other hosts.
+    """
+
+    def __init__(self, pool: client.Pool) -> None:
+        self._pool = pool
+
+    async def supersede(self, host: str, epoch: int) -> ports.Answered | None:
+        """Tell a host that it lost the seat; None without an answer."""
+        ip, _, port_text = host.rpartition(":")
+        body = msgspec.msgpack.encode(peer_messages.Supersede(epoch))
+        answer = await self._pool.call(
+            (ip, int(port_text)),
+            messages.Request(b"POST", SUPERSEDE_TARGET, [], body),
+            SUPERSEDE_TIMEOUT,
+        )
+        if isinstance(answer, messages.Failure) or answer.status != 200:
+            return None
+        try:
+            reply = msgspec.msgpack.decode(
+                answer.body, type=peer_messages.Superseded
+            )
+        except msgspec.DecodeError as error:
+            events.emit("report_unreadable", reason=str(error))
+            return None
+        return ports.Answered(reply.was_holder, reply.holds)
+
+
 class Reporter:
     """Reports to the coordinator and takes its assignment.
 
@@ -232,6 +288,8 @@
         self._directory_epoch = 0
         self._relayed_at = -math.inf
         self._operator_end = 0
+        self._lost = ""
+        self._stored_at = -math.inf
         self.coordinator = ""
 
     def set_local(self, service: PeerService) -> None:
@@ -289,9 +347,29 @@
             events.emit(
                 "dependency_lost", dependency="coordinator", reason=answer
             )
+        self._lost = target
         self.coordinator = ""
         return False
 
+    async def _read_stored(self) -> None:
+        """Read the assignment, as its coordinator can't be reached."""
+        if self._now() < self._stored_at + STORED_SECONDS:
+            return
+        self._stored_at = self._now()
+        page = await self._store.newest(records.TOPIC)
+        if isinstance(page, outcomes.Refusal):
+            return
+        stored = records.decode(page)
+        if isinstance(stored, str):
+            events.emit("assignment_unreadable", reason=stored)
+            return
+        self._view.take_stored(stored.seat.epoch, stored.maps)
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
     async def _ask(
         self, target: str, report: peer_messages.Report
     ) -> peer_messages.Instructions | str:
@@ -336,7 +414,10 @@
 
     async def _search(self) -> None:
         """Find the coordinator in the store, else among known hosts."""
+        lost = self._lost
         found = await self._find_member()
+        if isinstance(found, str) and found == lost:
+            await self._read_stored()
         if isinstance(found, outcomes.Refusal) and self._seeds:
             seed = self._seeds.pop(0)
             self._seeds.append(seed)
@@ -359,8 +440,7 @@
         if self._view.update(
             instructions.epoch, instructions.version, maps, self._now()
         ):
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._notify()
 
     def is_relayed(self) -> bool:
         """Tell whether the coordinator tells of all servers."""
--- a/tests/assignment/scenes.py
+++ b/tests/assignment/scenes.py
@@ -161,6 +161,17 @@
         ]
 
 
+class FakeHosts:
+    """Earlier holders of the seat, by address; others don't answer."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[str, coordinator_module.Coordinator] = {}
+
+    async def supersede(self, host: str, epoch: int) -> ports.Answered | None:
+        known = self.by_address.get(host)
+        return None if known is None else known.supersede(epoch)
+
+
 class FakeFleet:
     """Servers that a test adds and removes."""
 
@@ -194,12 +205,18 @@
         self.store = MemoryStore()
         self.orders = FakeOrders(trio.current_time)
         self.fleet = FakeFleet()
+        self.hosts = FakeHosts()
         self.coordinator = self.add_coordinator(host)
 
     def add_coordinator(self, host: str) -> coordinator_module.Coordinator:
         """Return a further coordinator on the same store and servers."""
         return coordinator_module.Coordinator(
-            self.store, self.orders, self.fleet, host, trio.current_time
+            self.store,
+            self.orders,
+            self.hosts,
+            self.fleet,
+            host,
+            trio.current_time,
         )
 
     def owner_of(self, key: int) -> str:
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -207,6 +207,47 @@
     scenes.run(scenario)
 
 
+def test_predecessor_that_answers_stops_and_tells_what_servers_hold() -> None:
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        scene.orders.silent.add("a")
+        scene.hosts.by_address["host-1"] = scene.coordinator
+        second = scene.add_coordinator("host-2")
+        assert await second.take_seat() is None
+        taken = trio.current_time()
+        assert not scene.coordinator.epoch
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(second.run)
+            while (
+                second.services[scenes.SERVICE].key_map.find(0).owner[0]
+                in ("a",)
+                or second.services[scenes.SERVICE].key_map.find(0).source[0]
+            ):
+                second.tenure.confirm(trio.current_time())
+                await anyio.sleep(0.1)
+            passed = trio.current_time() - taken
+            tasks.cancel_scope.cancel()
+        assert passed < leases.TENURE_SECONDS
+
+    scenes.run(scenario)
+
+
+def test_restarted_predecessor_does_not_speak_for_the_one_before_it() -> None:
+    # The first holder may still renew although the second is known dead.
+    async def scenario(scene: scenes.Scene) -> None:
+        await _assigned(scene, "a", "b")
+        second = scene.add_coordinator("host-2")
+        assert await second.take_seat() is None
+        restarted = scene.add_coordinator("host-2")
+        scene.hosts.by_address["host-2"] = restarted
+        third = scene.add_coordinator("host-3")
+        assert await third.take_seat() is None
+        left = third._holds.unknown_left(trio.current_time())
+        assert left >= leases.TENURE_SECONDS
+
+    scenes.run(scenario)
+
+
 def test_lost_answer_to_an_append_ends_the_seat() -> None:
     # The append may be carried out late; the state has to be read again.
     async def scenario(scene: scenes.Scene) -> None:
--- a/tests/assignment/test_leases.py
+++ b/tests/assignment/test_leases.py
@@ -18,7 +18,8 @@
 
 def test_unknown_predecessor_may_have_renewed_until_its_tenure_ended() -> None:
     holds = leases.Holds()
-    holds.take_over(10.0, None)
+    unknown = leases.Predecessor(None, leases.TENURE_SECONDS)
+    holds.take_over(10.0, unknown)
     assert holds.until(("a", 1)) >= 10.0 + leases.TENURE_SECONDS + LONGEST
 
 
@@ -27,7 +28,7 @@
     first.on_grant_end(("a", 1), 10.0)
     told = first.left({("a", 1), ("b", 1), ("c", 1)}, {("b", 1)}, 11.0)
     second = leases.Holds()
-    second.take_over(50.0, told)
+    second.take_over(50.0, leases.Predecessor(told, 0.0))
     assert 50.0 + LONGEST - 1.1 < second.until(("a", 1)) < 50.0 + LONGEST
     # An order to b is under way and may still arrive.
     assert second.until(("b", 1)) > 50.0 + LONGEST
--- a/tests/assignment/test_records.py
+++ b/tests/assignment/test_records.py
@@ -17,7 +17,7 @@
     key_map = ranges.RangeMap().replace(
         [ranges.KeyRange(100, 199, A), ranges.KeyRange(200, 65535, B, A)]
     )
-    seat = records.Seat(7, "host-1", True, [("a", 3, 1.5)])
+    seat = records.Seat(7, "host-1", True, True, [("a", 3, 1.5)])
     page = port.Page(
         [records.encode_seat(seat), records.encode_map("prices", key_map)], 9
     )
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -118,8 +118,15 @@
     scenes.run(scenario)
 
 
-def test_ranges_survive_a_report() -> None:
-    key_map = ranges.RangeMap().replace(
-        [ranges.KeyRange(5, 9, ranges.Owner("a", 1, 3))]
-    )
-    assert key_map.find(7).owner.server_id == "a"
+def test_stored_assignment_serves_a_host_without_its_coordinator() -> None:
+    """Pattern: a host that is cut off from the others only."""
+    owner, source = ranges.Owner("b", 1, 4), ranges.Owner("a", 1, 3)
+    key_map = ranges.RangeMap().replace([ranges.KeyRange(5, 9, owner, source)])
+    view = fleet_module.AssignmentView()
+    view.update(3, 17, {"prices": ranges.RangeMap()}, 0.0)
+    view.take_stored(3, {"prices": key_map})
+    found = view.find("prices", 7)
+    assert found is not None
+    assert (found.owner, found.source) == (owner, ranges.NOBODY)
+    # What the coordinator tells later replaces it.
+    assert view.update(3, 5, {}, 1.0)
