Elect leaders of two-server domains

Cause: a domain with two checking servers needs both of them for a majority, so the loss of one together with the leader left it without a leader until the server returned. test_leader_and_owner_lost failed whenever it chose such a domain, under either parameter, since the domain is chosen by where leaders and gates happen to be.

Ruled out: counting one of two votes as enough (two candidates on either side of a cut); the log as the third voter (a partial leader would have to wait out a log lease of 1.68 s and then a serve lease, 3.9 s in all, and nobody could be elected while the log is down).

Change: a checking server of another domain votes as a witness. Servers keep a term and a leader lease per domain.

--- a/src/agatestile/ownership/appointments.py
+++ b/src/agatestile/ownership/appointments.py
@@ -6,6 +6,7 @@
 import logging
 import typing
 
+from agatestile.ownership import election
 from agatestile.ownership import posts
 from agatestile.results import codes
 from agatestile.state import records
@@ -71,7 +72,9 @@
             for row in self._state.table.servers_by_name.values()
             if row.domain == self._votes.domain
         }
-        self._votes.set_servers(rows.values())
+        self._votes.set_servers(
+            election.voters(self._state.table, self._votes.domain)
+        )
         for name in set(self.posts) - set(rows):
             del self.posts[name]
         for name, row in rows.items():
--- a/src/agatestile/ownership/election.py
+++ b/src/agatestile/ownership/election.py
@@ -19,6 +19,10 @@
 
     from agatestile.ownership import ports
     from agatestile.state import cluster
+    from agatestile.state import table
+
+WITNESSED_VOTERS = 2
+"""Number of checking servers at which a domain needs a witness."""
 
 
 def candidates(
@@ -34,16 +38,40 @@
         key=lambda host: (
             (0, 0, host.name)
             if host.domain == domain
-            else (
-                1,
-                xxhash.xxh64_intdigest(f"{domain}/{host.name}".encode()),
-                host.name,
-            )
+            else (1, *_rank(domain, host.name))
         ),
     )
     return [host.name for host in ordered]
 
 
+def voters(table: table.Table, domain: str) -> list[records.TableRow]:
+    """Return a domain's servers and, if it needs one, its witness.
+
+    Two checking servers are no majority once one of them is lost, so a
+    checking server of another domain votes as a third.
+    """
+    rows = [
+        row for row in table.servers_by_name.values() if row.domain == domain
+    ]
+    if sum(row.fenced for row in rows) != WITNESSED_VOTERS:
+        return rows
+    witness = min(
+        (
+            row
+            for row in table.servers_by_name.values()
+            if row.fenced and row.domain != domain
+        ),
+        key=lambda row: _rank(domain, row.server),
+        default=None,
+    )
+    return rows if witness is None else [*rows, witness]
+
+
+def _rank(domain: str, name: str) -> tuple[int, str]:
+    """Return a name's place in the rendezvous order of a domain."""
+    return xxhash.xxh64_intdigest(f"{domain}/{name}".encode()), name
+
+
 class Campaign:
     """One attempt of a host to become leader.
 
--- a/src/agatestile/ownership/grants.py
+++ b/src/agatestile/ownership/grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import typing
 
 import msgspec
 
@@ -37,9 +38,22 @@
     running: int = 0
 
 
+class _Vote(typing.NamedTuple):
+    """A server's vote in one failure domain."""
+
+    term: records.Term = terms.NO_TERM
+    until: float = -math.inf
+
+
+NO_VOTE = _Vote()
+
+
 class GrantBook:
     """Rules of a server that checks fences.
 
+    A server has a vote in its own failure domain, and one in each domain
+    that needs it as a witness.
+
     Parameters
     ----------
     incarnation : str
@@ -51,8 +65,7 @@
     def __init__(self, incarnation: str, now: float) -> None:
         self._incarnation = incarnation
         self._started = now
-        self._term = terms.NO_TERM
-        self._leader_until = -math.inf
+        self._votes_by_domain: dict[str, _Vote] = {}
         self._fence: records.Fence | None = None
         self._gate: str | None = None
         self._serve_until = -math.inf
@@ -74,13 +87,14 @@
         reason = self._refusal(request, now)
         if not reason:
             self._accept(request)
+        vote = self._votes_by_domain.get(request.domain, NO_VOTE)
         return GrantReply(
             accepted=not reason,
             reason=reason,
             stamp=now,
             incarnation=self._incarnation,
-            term=self._term,
-            leader_remaining_ms=max(0.0, self._leader_until - now) * 1000,
+            term=vote.term,
+            leader_remaining_ms=max(0.0, vote.until - now) * 1000,
             fence=self._fence.to_text() if self._fence else None,
             gate=self._gate,
             serve_remaining_ms=max(0.0, self._serve_until - now) * 1000,
@@ -105,12 +119,10 @@
             return "started less than a leader lease ago"
         if request.stamp + lease <= now:
             return "lease of the stamp is over"
-        if request.term < self._term:
+        vote = self._votes_by_domain.get(request.domain, NO_VOTE)
+        if request.term < vote.term:
             return "term is lower"
-        if (
-            request.term.instance != self._term.instance
-            and now < self._leader_until
-        ):
+        if request.term.instance != vote.term.instance and now < vote.until:
             return "another leader holds the lease"
         fence = _parse(request.fence)
         if fence and self._fence and fence < self._fence:
@@ -120,9 +132,10 @@
     def _accept(self, request: GrantRequest) -> None:
         stamp = request.stamp or 0.0
         until = stamp + request.leader_ms / 1000
-        if request.term.instance == self._term.instance:
-            until = max(until, self._leader_until)
-        self._term, self._leader_until = request.term, until
+        vote = self._votes_by_domain.get(request.domain, NO_VOTE)
+        if request.term.instance == vote.term.instance:
+            until = max(until, vote.until)
+        self._votes_by_domain[request.domain] = _Vote(request.term, until)
         fence = _parse(request.fence)
         if fence is None:
             return
--- a/src/agatestile/ownership/leadership.py
+++ b/src/agatestile/ownership/leadership.py
@@ -19,6 +19,7 @@
     from agatestile.ownership import grants
     from agatestile.ownership import leases
     from agatestile.state import cluster
+    from agatestile.state import records
 
 LOG = logging.getLogger(__name__)
 
@@ -108,16 +109,20 @@
         self, server: str, now: float
     ) -> tuple[grants.GrantRequest, leases.Exchange] | None:
         """Return the next grant for a server."""
-        post = self.posts.get(server)
-        if post is None or self.is_deposed:
+        lease = self.votes.by_server.get(server)
+        if lease is None or self.is_deposed:
             return None
+        post = self.posts.get(server)
+        if post is None:
+            # A witness votes and has no gate of this domain.
+            return lease.prepare(self.domain, self.votes.term, now)
         held = self.votes.is_held(now)
         if post.fence and not self.checks.check(
             "grant-with-majority", held, f"{server} fence {post.fence}"
         ):
             self.is_deposed = True
             return None
-        return post.lease.prepare(
+        return lease.prepare(
             self.domain,
             self.votes.term,
             now,
@@ -125,6 +130,15 @@
             post.host or None,
         )
 
+    def witnesses(self) -> list[records.TableRow]:
+        """Return the servers of other domains that vote in this one."""
+        return [
+            self.state.table.servers_by_name[name]
+            for name in self.votes.by_server
+            if name not in self.posts
+            and name in self.state.table.servers_by_name
+        ]
+
     def receive(
         self,
         server: str,
@@ -133,10 +147,10 @@
         now: float,
     ) -> None:
         """Take a server's answer to a grant."""
-        post = self.posts.get(server)
-        if post is None:
+        lease = self.votes.by_server.get(server)
+        if lease is None:
             return
-        post.lease.receive(exchange, reply, now)
+        lease.receive(exchange, reply, now)
         self.votes.note_reply(reply)
         self.tick(now)
 
--- a/src/agatestile/ownership/leading.py
+++ b/src/agatestile/ownership/leading.py
@@ -112,6 +112,8 @@
             await anyio.sleep(TICK)
 
     def _send_grants(self, tasks: anyio.abc.TaskGroup, is_due: bool) -> None:
+        for row in self.leadership.witnesses() if is_due else ():
+            self._send_grant(tasks, row)
         for server, post in self.leadership.posts.items():
             news = (post.fence, self.leadership.votes.term)
             is_new = self._sent.get(server) != news
@@ -125,20 +127,24 @@
                         self.leadership.note_probe,
                     )
                 continue
-            # Time has passed since the check before, and maybe a pause.
-            now = anyio.current_time()
-            if not self.leadership.may_act(now):
-                return
-            prepared = self.leadership.request(server, now)
-            if prepared is None:
+            if not self._send_grant(tasks, post.row):
                 return
             self._sent[server] = news
-            tasks.start_soon(
-                self._calls.grant,
-                post.row,
-                prepared,
-                self.leadership.receive,
-            )
+
+    def _send_grant(
+        self, tasks: anyio.abc.TaskGroup, row: records.TableRow
+    ) -> bool:
+        # Time has passed since the check before, and maybe a pause.
+        now = anyio.current_time()
+        if not self.leadership.may_act(now):
+            return False
+        prepared = self.leadership.request(row.server, now)
+        if prepared is None:
+            return False
+        tasks.start_soon(
+            self._calls.grant, row, prepared, self.leadership.receive
+        )
+        return True
 
     def _announce(
         self, tasks: anyio.abc.TaskGroup, to_all: bool, now: float
--- a/src/agatestile/ownership/leases.py
+++ b/src/agatestile/ownership/leases.py
@@ -140,7 +140,7 @@
     term : records.Term
         Term that the grants carry.
     by_server : dict of str to ServerLease
-        All servers of the domain.
+        All servers of the domain, and its witness if it has one.
     highest_epoch : int
         Highest epoch seen in any term of the domain.
     """
@@ -159,7 +159,7 @@
     def set_servers(
         self, rows: collections.abc.Iterable[records.TableRow]
     ) -> None:
-        """Take the domain's servers from the table."""
+        """Take the domain's servers and its witness from the table."""
         rows = tuple(rows)
         self._voters = frozenset(row.server for row in rows if row.fenced)
         names = {row.server for row in rows}
--- a/src/agatestile/ownership/standing.py
+++ b/src/agatestile/ownership/standing.py
@@ -97,11 +97,14 @@
         delay = position * self._timing.stagger
         return delay + LEAVING_DELAY if leaves else delay
 
+    def _voters(self) -> list[records.TableRow]:
+        return election.voters(self._state.table, self._domain)
+
     async def _ask_servers(
         self, tasks: anyio.abc.TaskGroup, contest: Contest, leaves: bool
     ) -> leases.Votes | outcomes.Refusal:
         votes = leases.Votes(self._domain, self._instance, self._timing)
-        votes.set_servers(self._calls.rows(self._domain))
+        votes.set_servers(self._voters())
         campaign = election.Campaign(votes, self._state, anyio.current_time())
         await self._poll(tasks, campaign, campaign.has_answers)
         wait = campaign.wait()
@@ -134,7 +137,7 @@
         is_done: typing.Callable[[], bool],
     ) -> None:
         """Send a grant to each server and wait until enough answered."""
-        for row in self._calls.rows(self._domain):
+        for row in self._voters():
             if row.fenced and not self._calls.is_busy(row.server):
                 prepared = campaign.request(row.server, anyio.current_time())
                 tasks.start_soon(
--- a/standins/backend_application.py
+++ b/standins/backend_application.py
@@ -202,7 +202,11 @@
             reason = server.grants.offer(request, now)
         server.counts["grants"] += 1
         reply = server.grants.reply(
-            reason, now, server.incarnation, server.running
+            request["domain"],
+            reason,
+            now,
+            server.incarnation,
+            server.running,
         )
         await backend_messages.send_json(send, reply)
 
--- a/standins/backend_grants.py
+++ b/standins/backend_grants.py
@@ -48,8 +48,8 @@
 
     def __init__(self, started: float) -> None:
         self.started = started
-        self.term: Term | None = None
-        self.leader_until = 0.0
+        self.term_by_domain: dict[str, Term] = {}
+        self.leader_until_by_domain: dict[str, float] = {}
         self.fence: str | None = None
         self.gate: str | None = None
         self.serve_until = 0.0
@@ -87,21 +87,25 @@
         if stamp + length <= now:
             return "lease of the stamp is over"
         term = _term(request)
-        if self.term is None or term == self.term:
+        known = self.term_by_domain.get(request["domain"])
+        if known is None or term == known:
             return ""
-        if term < self.term:
+        if term < known:
             return "term is lower"
-        if term[2] != self.term[2] and now < self.leader_until:
+        until = self.leader_until_by_domain[request["domain"]]
+        if term[2] != known[2] and now < until:
             return "another leader holds the lease"
         return ""
 
     def _take_leader(self, request: Request) -> None:
         term = _term(request)
         until = float(request["stamp"] or 0) + request["leader_ms"] / 1000
-        if self.term is not None and term[2] == self.term[2]:
-            until = max(until, self.leader_until)
-        self.term = term
-        self.leader_until = until
+        domain = request["domain"]
+        known = self.term_by_domain.get(domain)
+        if known is not None and term[2] == known[2]:
+            until = max(until, self.leader_until_by_domain[domain])
+        self.term_by_domain[domain] = term
+        self.leader_until_by_domain[domain] = until
 
     def _fence_refusal(self, request: Request) -> str:
         fence = request.get("fence")
@@ -122,16 +126,23 @@
         self.serve_until = until
 
     def reply(
-        self, reason: str, now: float, incarnation: str, running: int
+        self,
+        domain: str,
+        reason: str,
+        now: float,
+        incarnation: str,
+        running: int,
     ) -> dict[str, object]:
         """Return the body of the answer to POST /grant."""
+        term = self.term_by_domain.get(domain)
+        until = self.leader_until_by_domain.get(domain, 0.0)
         return {
             "accepted": not reason,
             "reason": reason,
             "stamp": now,
             "incarnation": incarnation,
-            "term": list(self.term) if self.term else None,
-            "leader_remaining_ms": _remaining_ms(self.leader_until, now),
+            "term": list(term) if term else None,
+            "leader_remaining_ms": _remaining_ms(until, now),
             "fence": self.fence,
             "gate": self.gate,
             "serve_remaining_ms": _remaining_ms(self.serve_until, now),
--- a/tests/ownership/scene.py
+++ b/tests/ownership/scene.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from agatestile.observability import invariants
+from agatestile.ownership import election
 from agatestile.ownership import gates
 from agatestile.ownership import grants
 from agatestile.ownership import leadership
@@ -98,11 +99,7 @@
         }
         self.silent: set[str] = set()
         self.votes = leases.Votes(DOMAIN, instance, TIMING)
-        self.votes.set_servers(
-            row
-            for row in known.table.servers_by_name.values()
-            if row.domain == DOMAIN
-        )
+        self.votes.set_servers(election.voters(known.table, DOMAIN))
         self.votes.term = term or records.Term(1, 2, instance)
         for _ in range(2):
             for name, lease in self.votes.by_server.items():
@@ -131,7 +128,7 @@
     def round(self, now: float) -> None:
         """Send a grant to each server and decide."""
         self.leader.tick(now)
-        for name in list(self.leader.posts):
+        for name in list(self.votes.by_server):
             prepared = self.leader.request(name, now)
             if prepared is not None:
                 self._exchange(name, prepared)
--- a/tests/ownership/test_election.py
+++ b/tests/ownership/test_election.py
@@ -8,6 +8,7 @@
 from agatestile.ownership import ports
 from agatestile.results import codes
 from agatestile.results import outcomes
+from agatestile.state import cluster
 from agatestile.state import records
 from tests.ownership import scene
 
@@ -99,3 +100,57 @@
     one.stand()
     assert one.votes.term > scene.LEAD
     assert one.votes.term == records.Term(1, 2, "h0#z")
+
+
+def _two_voters() -> cluster.ClusterState:
+    """Return a state in which one domain has two checking servers."""
+    known = cluster.ClusterState()
+    rows = tuple(row for row in scene.table() if row.server != "p3")
+    scene.append(known, records.TableChange("t", "op", -1, rows))
+    return known
+
+
+def test_two_voters_get_a_witness() -> None:
+    """Guards against a domain whose voters are lost by a single loss."""
+    names = [
+        row.server
+        for row in election.voters(_two_voters().table, scene.DOMAIN)
+    ]
+    assert names == ["p1", "p2", "q1"]
+    whole = election.voters(scene.state().table, scene.DOMAIN)
+    assert [row.server for row in whole] == ["p1", "p2", "p3"]
+
+
+def test_leader_is_elected_with_the_witness() -> None:
+    """Guards against no leader after one of two voters and the leader.
+
+    The witness votes in its own domain at the same time.
+    """
+    known = _two_voters()
+    servers = {
+        name: grants.GrantBook(f"{name}#1", 0.0) for name in ("p1", "q1")
+    }
+    own = leases.Votes("warszawa", "h3#c", scene.TIMING)
+    own.set_servers(election.voters(known.table, "warszawa"))
+    votes = leases.Votes(scene.DOMAIN, "h2#b", scene.TIMING)
+    votes.set_servers(election.voters(known.table, scene.DOMAIN))
+    for each, names in ((own, ("q1",)), (votes, ("p1", "q1"))):
+        one = election.Campaign(each, known, 10.0)
+        send(one, servers, 10.0, names)
+        assert one.wait() == 0
+        one.stand()
+        send(one, servers, 10.01, names)
+        assert each.is_held(10.1)
+
+
+def test_leader_goes_on_with_the_witness() -> None:
+    """Guards against a leader that neglects the vote of its witness."""
+    known = _two_voters()
+    servers = {
+        name: grants.GrantBook(f"{name}#1", 0.0) for name in ("p1", "p2", "q1")
+    }
+    domain = scene.Domain(known, 10.0, books=servers)
+    assert [row.server for row in domain.leader.witnesses()] == ["q1"]
+    domain.silent.add("p2")
+    now = domain.run(10.1, 12.5)
+    assert domain.leader.may_act(now)
--- a/tests/standins/test_backend_grants.py
+++ b/tests/standins/test_backend_grants.py
@@ -12,10 +12,14 @@
 
 
 def _request(
-    stamp: float | None, step: int = 1, instance: str = "a", sequence: int = 1
+    stamp: float | None,
+    step: int = 1,
+    instance: str = "a",
+    sequence: int = 1,
+    domain: str = "radom",
 ) -> backend_grants.Request:
     return {
-        "domain": "radom",
+        "domain": domain,
         "term": [3, step, instance],
         "leader_ms": 1000,
         "stamp": stamp,
@@ -58,6 +62,17 @@
     assert grants.offer(_request(21.5), 21.6) == "term is lower"
 
 
+def test_witness_votes_in_each_domain(grants: backend_grants.Grants) -> None:
+    """Guards against a vote in one domain that blocks another's leader."""
+    assert not grants.offer(_request(20.0), 20.1)
+    rival = _request(20.2, instance="b", domain="warszawa-a")
+    rival["fence"] = None
+    assert not grants.offer(rival, 20.3)
+    assert grants.reply("radom", "", 20.4, "i", 0)["term"] == [3, 1, "a"]
+    assert grants.reply("warszawa-a", "", 20.4, "i", 0)["term"] == [3, 1, "b"]
+    assert grants.admits("3.1.1.a", 20.4)
+
+
 def test_higher_fence_ends_the_lower_one(
     grants: backend_grants.Grants,
 ) -> None:
@@ -77,26 +92,27 @@
             strategies.integers(1, 3),
             strategies.sampled_from("ab"),
             strategies.integers(1, 3),
+            strategies.sampled_from(["radom", "warszawa-a"]),
         ),
         max_size=25,
     )
 )
 def test_product_reads_the_same_rules(
-    offers: list[tuple[float, float, int, str, int]],
+    offers: list[tuple[float, float, int, str, int, str]],
 ) -> None:
     """Guards against two readings of section 5.1, of which one is wrong."""
     mine = backend_grants.Grants(10.0)
     theirs = product_grants.GrantBook("i", 10.0)
     now = 10.0
-    for passed, age, step, instance, sequence in offers:
+    for passed, age, step, instance, sequence, domain in offers:
         now += passed
-        request = _request(now - age, step, instance, sequence)
+        request = _request(now - age, step, instance, sequence, domain)
         reason = mine.offer(request, now)
         reply = theirs.handle(
             msgspec.convert(request, product_grants.GrantRequest), now
         )
         assert reply.reason == reason
-        answer = mine.reply(reason, now, "i", 0)
+        answer = mine.reply(domain, reason, now, "i", 0)
         assert answer["leader_remaining_ms"] == pytest.approx(
             reply.leader_remaining_ms, abs=0.01
         )
