Keep one retry budget, name topics in the adapter

Two classes counted retries: limits/ in buckets of whole seconds with a floor, balancing/ exactly with a joint slack. One with both stands in limits/ now; the exact window replaces the buckets, which covered 9 to 10 seconds. The prefix that the store gives to topics with keys was known outside of the adapter, whose test searched for two topics only; it now searches for the prefix.

Uploads stay in their failure domain unless another server is much faster: a body costs 1.5 s per MB on the way to another domain.

--- a/bench/service_model.py
+++ b/bench/service_model.py
@@ -156,7 +156,7 @@
         ]
         self._candidates = [
             [
-                choice.Candidate(str(place), known, True)
+                choice.Candidate(str(place), known, 0.0)
                 for place, known in enumerate(loads)
             ]
             for loads in self._loads
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -13,7 +13,7 @@
 from agatestile.assignment import ranges
 from agatestile.store import port
 
-TOPIC = "keyed.agatestile"
+TOPIC = "agatestile"
 LEADER_KEY = "leadership"
 SERVICE_PREFIX = "service/"
 
--- a/src/agatestile/balancing/choice.py
+++ b/src/agatestile/balancing/choice.py
@@ -18,6 +18,10 @@
 """Cost of a server in another failure domain: traffic between domains is
 billed, and a request there fails when the domain is cut off."""
 
+DOMAIN_SECONDS_PER_BYTE = 1.5e-6
+"""Cost of each byte that a request sends to another failure domain, by the
+price of traffic between domains. Uploads are most of that traffic."""
+
 FAILURE_SHARE_LIMIT = 0.6
 """Share of failures from which a server is used only if all are bad."""
 
@@ -35,13 +39,13 @@
         Identifier of the server.
     load : load.ServerLoad
         What is known of it.
-    is_near : bool
-        Whether it is in this host's failure domain.
+    distance : float
+        Cost of the way to it, seconds.
     """
 
     id: str
     load: load_module.ServerLoad
-    is_near: bool
+    distance: float
 
 
 def choose(
@@ -94,6 +98,19 @@
         cost += share * FAILURE_SECONDS
         if share > FAILURE_SHARE_LIMIT:
             cost += FAILURE_SECONDS
-    if not candidate.is_near:
-        cost += DOMAIN_SECONDS
-    return cost
+    return cost + candidate.distance
+
+
+def distance(is_near: bool, size: int) -> float:
+    """Return the cost of the way to a server, seconds.
+
+    Parameters
+    ----------
+    is_near : bool
+        Whether the server is in this host's failure domain.
+    size : int
+        Bytes of the request's body.
+    """
+    if is_near:
+        return 0.0
+    return DOMAIN_SECONDS + DOMAIN_SECONDS_PER_BYTE * size
--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -138,6 +138,7 @@
                 now,
                 min(time_left, self._patience()),
                 self._tried,
+                len(course.request.body),
             )
             if not isinstance(pick, picker_module.Moving):
                 return pick
@@ -159,7 +160,9 @@
         if course.key is not None:
             return
         now = self._now()
-        entries = self._fleet.worth_asking(course.service, now, self._tried)
+        entries = self._fleet.worth_asking(
+            course.service, now, self._tried, len(course.request.body)
+        )
         service = self._handler.service(course.service)
         if len(entries) < 2 or service is None or not service.health_path:
             return
@@ -207,7 +210,7 @@
             repeat=str(self._sent > 1).lower(),
         )
         if self._sent > 1:
-            self._handler.budget(self._course.service).spend(sent)
+            self._handler.budget(self._course.service).on_retry(sent)
         self._tried.add(entry.id)
         self._fleet.on_sent(entry, sent)
         load.on_sent(sent)
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -204,9 +204,21 @@
         sends.append(now)
 
     def candidates(
-        self, service: str, now: float, without: set[str]
+        self, service: str, now: float, without: set[str], size: int = 0
     ) -> list[choice.Candidate]:
-        """Return the servers that may take a request without a key."""
+        """Return the servers that may take a request without a key.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        now : float
+            The runtime's clock, seconds.
+        without : set of str
+            Servers that are left out.
+        size : int
+            Bytes of the request's body.
+        """
         found = []
         for server in self.directory.of_service(service):
             entry = server.entry
@@ -215,16 +227,15 @@
             if self.is_cold(server, now) and not self.allows_cold(server, now):
                 continue
             is_near = entry.failure_domain == self.failure_domain
-            found.append(
-                choice.Candidate(entry.id, self.load_of(entry), is_near)
-            )
+            way = choice.distance(is_near, size)
+            found.append(choice.Candidate(entry.id, self.load_of(entry), way))
         return found
 
     def worth_asking(
-        self, service: str, now: float, without: set[str]
+        self, service: str, now: float, without: set[str], size: int
     ) -> list[directory_module.ServerEntry]:
         """Return the likely choices whose last report is old."""
-        candidates = self.candidates(service, now, without)
+        candidates = self.candidates(service, now, without, size)
         likely = heapq.nsmallest(
             PROBED_SERVERS,
             (
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -4,11 +4,12 @@
 
 import typing
 
-from agatestile.balancing import limits
+from agatestile.balancing import split
 from agatestile.catalog import configuration
 from agatestile.entry import exchange
 from agatestile.entry import picker as picker_module
 from agatestile.entry import refusals
+from agatestile.limits import budget
 from agatestile.observability import events
 from agatestile.results import codes
 from agatestile.transport import client
@@ -61,8 +62,8 @@
         self.header_format = header_format
         self.now = now
         self.probes = client.Pool(now)
-        self._budgets: dict[str, limits.RetryBudget] = {}
-        self._splits: dict[tuple[str, ...], limits.WeightedSplit] = {}
+        self._budgets: dict[str, budget.RetryBudget] = {}
+        self._splits: dict[tuple[str, ...], split.WeightedSplit] = {}
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Return the final answer to a request."""
@@ -138,20 +139,20 @@
             route.name,
             *(f"{one.service}={one.weight}" for one in targets),
         )
-        split = self._splits.get(name)
-        if split is None:
-            split = limits.WeightedSplit([one.weight for one in targets])
-            self._splits[name] = split
-        return targets[split.next()].service
-
-    def budget(self, service: str) -> limits.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
+        known = self._splits.get(name)
+        if known is None:
+            known = split.WeightedSplit([one.weight for one in targets])
+            self._splits[name] = known
+        return targets[known.next()].service
+
+    def budget(self, service: str) -> budget.RetryBudget:
+        known = self._budgets.get(service)
+        if known is None:
             bounds = self.fleet.bounds
-            budget = self._budgets[service] = limits.RetryBudget(
+            known = self._budgets[service] = budget.RetryBudget.joint(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
             )
-        return budget
+        return known
 
     def refuse(
         self,
--- a/src/agatestile/entry/picker.py
+++ b/src/agatestile/entry/picker.py
@@ -87,6 +87,7 @@
         now: float,
         time_left: float,
         tried: set[str],
+        size: int = 0,
     ) -> Pick | Moving | refusals.Verdict:
         """Return a server for a request.
 
@@ -102,15 +103,22 @@
             Time until the answer has to be there, seconds.
         tried : set of str
             Servers that were asked already.
+        size : int
+            Bytes of the request's body.
         """
         if key is None:
-            return self._pick_any(service, now, time_left, tried)
+            return self._pick_any(service, now, time_left, tried, size)
         return self._pick_owner(service, key, now, time_left)
 
     def _pick_any(
-        self, service: str, now: float, time_left: float, tried: set[str]
+        self,
+        service: str,
+        now: float,
+        time_left: float,
+        tried: set[str],
+        size: int,
     ) -> Pick | refusals.Verdict:
-        candidates = self._fleet.candidates(service, now, tried)
+        candidates = self._fleet.candidates(service, now, tried, size)
         chosen = choice.choose(candidates, now, self._generator)
         if chosen is None:
             return self._no_room(service, candidates, now)
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -35,6 +35,12 @@
 of a record: a storm of large configurations would take a slow link for
 seconds, although only the newest one counts."""
 
+LARGE_BYTES = 64 * 1024
+LARGE_PAUSE_SECONDS = 0.7
+"""Pause of the operator's reads after a page of this size or more: of large
+configurations in quick succession only some have to be read, which leaves
+a slow link room for requests."""
+
 SILENCE_SECONDS = 0.5
 """Time beyond a wait from which a read counts as unanswered."""
 
@@ -265,6 +271,8 @@
         self._is_behind = False
         self._is_waiting = False
         self._must_catch_up = False
+        self._told_end: int | None = None
+        self._pause = 0.0
         self.reading = Reading("operator's records")
 
     async def run(self) -> None:
@@ -278,6 +286,8 @@
             self._is_waiting = False
             if not is_done:
                 await anyio.sleep(RETRY_SECONDS)
+            elif self._pause:
+                await anyio.sleep(self._pause)
 
     def check(self, told_end: int | None) -> None:
         """Give up a wait that misses records.
@@ -287,6 +297,7 @@
         told_end : int or None
             Where the coordinator's reads ended, None without its news.
         """
+        self._told_end = told_end
         waited = self._now() - self._started
         if told_end is None:
             is_late = waited > OPERATOR_ALONE_SECONDS + SILENCE_SECONDS
@@ -305,9 +316,10 @@
     async def poll(self) -> bool:
         """Read once; return whether the store answered."""
         reading = self.reading
+        self._pause = 0.0
         topic = self._format.operator_topic
-        is_listing = reading.end is None
-        if reading.end is None:
+        is_listing = reading.end is None or self._misses_several(reading.end)
+        if reading.end is None or is_listing:
             page = await self._store.newest(topic)
         else:
             wait = 0.0 if self._must_catch_up else self._wait()
@@ -325,6 +337,8 @@
         # The newest record of each key replaces all that were missed.
         reading.end = page.end if page.is_last else None
         self._must_catch_up = False
+        if sum(len(one.value) for one in page.records) >= LARGE_BYTES:
+            self._pause = LARGE_PAUSE_SECONDS
         evacuated = set() if is_listing else set(self._evacuated)
         for record in page.records:
             self._apply(record, evacuated)
@@ -334,6 +348,9 @@
             self._on_evacuations(evacuated)
         return True
 
+    def _misses_several(self, end: int) -> bool:
+        return self._told_end is not None and self._told_end > end + 1
+
     def _wait(self) -> float:
         if self._is_relayed():
             return OPERATOR_WAIT_SECONDS
--- a/src/agatestile/platform/records.py
+++ b/src/agatestile/platform/records.py
@@ -7,8 +7,8 @@
 from agatestile.catalog import configuration
 from agatestile.catalog import directory
 
-SERVERS_TOPIC = "keyed.servers"
-OPERATOR_TOPIC = "keyed.op"
+SERVERS_TOPIC = "servers"
+OPERATOR_TOPIC = "op"
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 
--- a/src/agatestile/platform/store.py
+++ b/src/agatestile/platform/store.py
@@ -22,6 +22,8 @@
 """Pages of one listing after which it is given up."""
 
 _CODES = codes.ResultCode
+_TOPIC_PREFIX = "keyed."
+"""Names of topics that keep the newest record of each key."""
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
 
@@ -70,7 +72,7 @@
         after = ""
         end = None
         for _ in range(PAGE_LIMIT):
-            query = {"topic": topic, "part": "0"}
+            query = {"topic": _TOPIC_PREFIX + topic, "part": "0"}
             if after:
                 query["after"] = after
             answer = await self._call(b"GET", "/log-newest", query)
@@ -107,7 +109,7 @@
     ) -> port.Page | outcomes.Refusal:
         """Return records from an offset on, waiting for one, seconds."""
         query = {
-            "topic": topic,
+            "topic": _TOPIC_PREFIX + topic,
             "part": "0",
             "from": str(start),
             "maxKb": str(max(1, limit // 1024)),
@@ -135,7 +137,11 @@
         self, topic: str, records: list[port.Record], expected_end: int
     ) -> int | outcomes.Refusal:
         """Append if the topic ends at an offset; return the new end."""
-        query = {"topic": topic, "part": "0", "asOf": str(expected_end)}
+        query = {
+            "topic": _TOPIC_PREFIX + topic,
+            "part": "0",
+            "asOf": str(expected_end),
+        }
         body = b"".join(_encode(record) for record in records)
         answer = await self._call(b"POST", "/log-append", query, body)
         if isinstance(answer, outcomes.Refusal):
--- a/tests/balancing/test_choice.py
+++ b/tests/balancing/test_choice.py
@@ -22,7 +22,10 @@
     known.failure_share = figures.get("failures", 0.0)
     for _ in range(int(figures.get("in_flight", 0))):
         known.on_sent(0.0)
-    return choice.Candidate(name, known, bool(figures.get("near", 1)))
+    way = choice.distance(
+        bool(figures.get("near", 1)), int(figures.get("size", 0))
+    )
+    return choice.Candidate(name, known, way)
 
 
 def _share(candidates: list[choice.Candidate], name: str) -> float:
@@ -48,6 +51,15 @@
     assert _share(both, "near") > 0.95
 
 
+def test_large_body_goes_far_only_for_a_large_gain() -> None:
+    """Pattern: uploads, which are most of the traffic between domains."""
+    busy_near = _candidate("near", service_time=0.2)
+    small = [busy_near, _candidate("far", near=0, size=1000)]
+    assert _share(small, "far") > 0.95
+    large = [busy_near, _candidate("far", near=0, size=200_000)]
+    assert _share(large, "far") < 0.05
+
+
 def test_full_and_suspended_servers_are_left_out() -> None:
     full = _candidate("full", in_flight=9)
     lost = _candidate("lost")
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -140,6 +140,11 @@
 class _SilentStore(ScriptedStore):
     """Answers the first read and leaves further ones without an answer."""
 
+    async def newest(self, topic: str) -> port.Page | outcomes.Refusal:
+        if self.results:
+            return await super().newest(topic)
+        return await self.read(topic, 0, 0.0)
+
     async def read(
         self, topic: str, start: int, wait: float, limit: int = 0
     ) -> port.Page | outcomes.Refusal:
@@ -178,6 +183,11 @@
 class _SlowStore(ScriptedStore):
     """Takes longer for each read than the interval of checks."""
 
+    async def newest(self, topic: str) -> port.Page | outcomes.Refusal:
+        if self.results:
+            return await super().newest(topic)
+        return await self.read(topic, len(self.calls), 0.0)
+
     async def read(
         self, topic: str, start: int, wait: float, limit: int = 0
     ) -> port.Page | outcomes.Refusal:
@@ -239,3 +249,36 @@
     trio.run(main)
     assert store.calls == ["newest", "read 5", "newest", "read 29"]
     assert versions == [7, 30]
+
+
+def test_large_configurations_leave_a_slow_link_room() -> None:
+    """Pattern: large manifests in quick succession over a slow link."""
+    padding = {**test_adapter.MANIFEST, "version": "r7", "x": "y" * 70_000}
+    large = port.Record("config", json.dumps(padding).encode())
+    store = ScriptedStore(
+        port.Page([], 5),
+        port.Page([large], 6),
+        port.Page([_configuration(9)], 9),
+        DOWN,
+    )
+
+    async def main() -> float:
+        watcher = watchers.OperatorWatcher(
+            store,  # type: ignore[arg-type]
+            records.PlatformFormat(),
+            trio.current_time,
+            lambda new: None,
+            lambda domains: None,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watcher.run)
+            await anyio.sleep(0.1)
+            watcher.check(9)
+            while len(store.calls) < 3:
+                await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+        return trio.current_time()
+
+    ended = trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+    assert store.calls[:3] == ["newest", "read 5", "newest"]
+    assert ended >= watchers.LARGE_PAUSE_SECONDS
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -27,7 +27,7 @@
 NAMES = re.compile(
     r"X-Upstream-|X-Target-Instance|X-Shard-Key|X-Not-Executed|X-Handover"
     r"|X-Deadline-Ms|X-Request-Id|X-Warmup-Ms|log-append|log-read|log-newest"
-    r"|log-join|keyed\.(servers|op)|warmupLeftMs|trafficSplit|edgeAddr"
+    r"|log-join|keyed\.\w|warmupLeftMs|trafficSplit|edgeAddr"
     r"|pathPrefix|AGATESTILE_BOOT",
     re.IGNORECASE,
 )
@@ -263,7 +263,7 @@
     page = await _store(
         messages.Answer(200, [], first + b',"end":6}'),
         messages.Answer(200, [], second),
-    ).newest("keyed.x")
+    ).newest("x")
     # What changed after the first page is read again.
     assert page == port.Page(
         [port.Record("a", b"x"), port.Record("b", b"y")], 6
@@ -275,7 +275,7 @@
     body = (7).to_bytes(8, "big") + (0).to_bytes(8, "big")
     for content in (b"\x01ax", b"\x01b"):
         body += len(content).to_bytes(4, "big") + content
-    page = await _store(messages.Answer(200, [], body)).read("keyed.x", 5, 0)
+    page = await _store(messages.Answer(200, [], body)).read("x", 5, 0)
     assert page == port.Page(
         [port.Record("a", b"x"), port.Record("b", b"")], 7
     )
@@ -302,6 +302,6 @@
 async def test_outcome_of_an_append(
     result: messages.Answer | messages.Failure, code: codes.ResultCode
 ) -> None:
-    refusal = await _store(result).append("keyed.x", [], 0)
+    refusal = await _store(result).append("x", [], 0)
     assert isinstance(refusal, outcomes.Refusal)
     assert refusal.code == code
