--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -315,8 +315,9 @@
 
 def test_evacuation_at_the_start_is_in_force_at_once() -> None:
     told: list[tuple[set[str], float]] = []
+    store = ScriptedStore(port.Page([port.Record("evacuate/anna", b"{}")], 3))
     watcher = watchers.OperatorWatcher(
-        ScriptedStore(port.Page([port.Record("evacuate/anna", b"{}")], 3)),  # type: ignore[arg-type]
+        store,  # type: ignore[arg-type]
         records.PlatformFormat(),
         lambda: 5.0,
         lambda new: None,
