Split moves and renewals from the coordinator

Moves of keys and renewals of grants stand in modules of their own; what they share with it is a small protocol in assignment/state.py. No behaviour is changed; the tests of the package are unchanged but for names of modules.

--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -7,8 +7,8 @@
 import random
 import typing
 
-from agatestile.assignment import coordinator
 from agatestile.assignment import planner
+from agatestile.assignment import state as state_module
 from agatestile.balancing import choice
 from agatestile.balancing import load
 from agatestile.catalog import directory as directory_module
@@ -265,7 +265,7 @@
             if one.load.report_age(now) > REPORT_SECONDS
         ]
 
-    # coordinator.Fleet
+    # state.Fleet
 
     def services(self) -> list[str]:
         """Return the services divided by key."""
@@ -277,7 +277,7 @@
             if one.is_partitioned
         ]
 
-    def placements(self, service: str) -> dict[str, coordinator.Placement]:
+    def placements(self, service: str) -> dict[str, state_module.Placement]:
         """Return the servers of a service as holders of keys."""
         now = self._now()
         return {
@@ -287,7 +287,7 @@
 
     def placement(
         self, service: str, server_id: str
-    ) -> coordinator.Placement | None:
+    ) -> state_module.Placement | None:
         """Return one server, None if it is not of the service."""
         server = self.directory.by_id.get(server_id)
         if server is None or server.entry.service != service:
@@ -296,8 +296,8 @@
 
     def _placement(
         self, server: directory_module.Server, now: float
-    ) -> coordinator.Placement:
-        return coordinator.Placement(
+    ) -> state_module.Placement:
+        return state_module.Placement(
             server.entry.address,
             self._holder(server, now),
             now - server.received,
--- a/tests/assignment/scenes.py
+++ b/tests/assignment/scenes.py
@@ -12,6 +12,7 @@
 from agatestile.assignment import planner
 from agatestile.assignment import ports
 from agatestile.assignment import ranges
+from agatestile.assignment import state
 from agatestile.results import codes
 from agatestile.results import outcomes
 from agatestile.store import port
@@ -186,20 +187,18 @@
     """Servers that a test adds and removes."""
 
     def __init__(self) -> None:
-        self.by_id: dict[str, coordinator_module.Placement] = {}
+        self.by_id: dict[str, state.Placement] = {}
         self.replaced: set[tuple[str, int]] = set()
 
     def services(self) -> list[str]:
         return [SERVICE]
 
-    def placements(
-        self, service: str
-    ) -> dict[str, coordinator_module.Placement]:
+    def placements(self, service: str) -> dict[str, state.Placement]:
         return self.by_id
 
     def placement(
         self, service: str, server_id: str
-    ) -> coordinator_module.Placement | None:
+    ) -> state.Placement | None:
         return self.by_id.get(server_id)
 
     def is_replaced(self, life: tuple[str, int]) -> bool:
@@ -208,9 +207,7 @@
     def add(self, name: str, leaves: bool = False, heard: float = 0.0) -> None:
         """Add or change a server of 10 requests a second."""
         holder = planner.Holder(name, 1, 10.0, not leaves, leaves)
-        self.by_id[name] = coordinator_module.Placement(
-            ("127.0.0.1", 1), holder, heard
-        )
+        self.by_id[name] = state.Placement(("127.0.0.1", 1), holder, heard)
 
 
 class Scene:
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -5,9 +5,9 @@
 import anyio
 import trio
 
-from agatestile.assignment import coordinator
 from agatestile.assignment import grantor
 from agatestile.assignment import leases
+from agatestile.assignment import moves
 from agatestile.assignment import ranges
 from agatestile.assignment import records
 from tests.assignment import scenes
@@ -131,7 +131,7 @@
                 if one.time > lost and one.first == 0
             ]
             await _sleep(scene, 0.1)
-        margin = leases.ARRIVAL_SLACK_SECONDS + 2 * coordinator.RETRY_SECONDS
+        margin = leases.ARRIVAL_SLACK_SECONDS + 2 * moves.RETRY_SECONDS
         await _sleep(scene, margin)
         assert scene.owner_of(0) == "b"
         assert [
