--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -5,6 +5,7 @@
 import anyio
 import trio
 
+from agatestile.assignment import coordinator as coordinator_module
 from agatestile.assignment import grantor
 from agatestile.assignment import leases
 from agatestile.assignment import moves
@@ -206,6 +207,23 @@
     scenes.run(scenario)
 
 
+async def _time_to_take_keys_of_a(
+    successor: coordinator_module.Coordinator,
+) -> float:
+    """Let a successor lead until another server than "a" has its keys."""
+    taken = trio.current_time()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(successor.run)
+        while True:
+            first = successor.services[scenes.SERVICE].key_map.find(0)
+            if first.owner.server_id != "a" and first.source == ranges.NOBODY:
+                break
+            successor.tenure.confirm(trio.current_time())
+            await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+    return trio.current_time() - taken
+
+
 def test_successor_waits_for_its_predecessor_before_moving_silent_keys() -> (
     None
 ):
@@ -214,19 +232,8 @@
         scene.orders.silent.add("a")
         second = scene.add_coordinator("host-2")
         assert await second.take_leadership() is None
-        taken = trio.current_time()
         scene.coordinator.lose_leadership("test")
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(second.run)
-            while (
-                second.services[scenes.SERVICE].key_map.find(0).owner[0]
-                in ("a",)
-                or second.services[scenes.SERVICE].key_map.find(0).source[0]
-            ):
-                second.tenure.confirm(trio.current_time())
-                await anyio.sleep(0.1)
-            passed = trio.current_time() - taken
-            tasks.cancel_scope.cancel()
+        passed = await _time_to_take_keys_of_a(second)
         assert passed >= leases.TENURE_SECONDS + leases.HOLD_SECONDS
 
     scenes.run(scenario)
@@ -239,18 +246,7 @@
         scene.orders.silent.add("a")
         second = scene.add_coordinator("host-2")
         assert await second.take_leadership() is None
-        taken = trio.current_time()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(second.run)
-            while (
-                second.services[scenes.SERVICE].key_map.find(0).owner[0]
-                in ("a",)
-                or second.services[scenes.SERVICE].key_map.find(0).source[0]
-            ):
-                second.tenure.confirm(trio.current_time())
-                await anyio.sleep(0.1)
-            passed = trio.current_time() - taken
-            tasks.cancel_scope.cancel()
+        passed = await _time_to_take_keys_of_a(second)
         assert 2.0 < passed < leases.TENURE_SECONDS
 
     scenes.run(scenario)
@@ -263,19 +259,8 @@
         scene.hosts.by_address["host-1"] = scene.coordinator
         second = scene.add_coordinator("host-2")
         assert await second.take_leadership() is None
-        taken = trio.current_time()
         assert not scene.coordinator.epoch
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(second.run)
-            while (
-                second.services[scenes.SERVICE].key_map.find(0).owner[0]
-                in ("a",)
-                or second.services[scenes.SERVICE].key_map.find(0).source[0]
-            ):
-                second.tenure.confirm(trio.current_time())
-                await anyio.sleep(0.1)
-            passed = trio.current_time() - taken
-            tasks.cancel_scope.cancel()
+        passed = await _time_to_take_keys_of_a(second)
         assert passed < leases.TENURE_SECONDS
 
     scenes.run(scenario)
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import typing
 
 import anyio
 import pytest
@@ -109,6 +110,22 @@
     return port.Record("config", json.dumps(fields).encode())
 
 
+def _operator(
+    store: ScriptedStore,
+    now: typing.Callable[[], float] = trio.current_time,
+    **callbacks: typing.Any,
+) -> watchers.OperatorWatcher:
+    """Return a watcher that tells what the callbacks ask for."""
+    return watchers.OperatorWatcher(
+        store,  # type: ignore[arg-type]
+        records.PlatformFormat(),
+        now,
+        callbacks.get("on_configuration", lambda new: None),
+        callbacks.get("on_evacuations", lambda domains, since: None),
+        callbacks.get("is_relayed", lambda: False),
+    )
+
+
 @pytest.mark.anyio
 async def test_configuration_never_goes_back() -> None:
     versions: list[int] = []
@@ -117,7 +134,7 @@
     def take(new: configuration.Configuration) -> None:
         versions.append(new.version)
 
-    watcher = watchers.OperatorWatcher(
+    watcher = _operator(
         ScriptedStore(
             port.Page(
                 [_configuration(9), port.Record("evacuate/anna", b"{}")], 2
@@ -126,11 +143,10 @@
             port.Page(
                 [_configuration(10), port.Record("evacuate/anna", b"")], 6
             ),
-        ),  # type: ignore[arg-type]
-        records.PlatformFormat(),
+        ),
         lambda: 0.0,
-        take,
-        lambda domains, since: evacuations.append(domains),
+        on_configuration=take,
+        on_evacuations=lambda domains, since: evacuations.append(domains),
     )
     for _ in range(3):
         assert await watcher.poll()
@@ -162,14 +178,7 @@
     store = _SilentStore(port.Page([], 2))
 
     async def main() -> None:
-        watcher = watchers.OperatorWatcher(
-            store,  # type: ignore[arg-type]
-            records.PlatformFormat(),
-            trio.current_time,
-            lambda new: None,
-            lambda domains, since: None,
-            lambda: told_end is not None,
-        )
+        watcher = _operator(store, is_relayed=lambda: told_end is not None)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watcher.run)
             for _ in range(10):
@@ -202,14 +211,7 @@
     store = _SlowStore(port.Page([], 2))
 
     async def main() -> int | None:
-        watcher = watchers.OperatorWatcher(
-            store,  # type: ignore[arg-type]
-            records.PlatformFormat(),
-            trio.current_time,
-            lambda new: None,
-            lambda domains, since: None,
-            lambda: True,
-        )
+        watcher = _operator(store, is_relayed=lambda: True)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watcher.run)
             for _ in range(20):
@@ -235,12 +237,8 @@
         DOWN,
     )
     versions: list[int] = []
-    watcher = watchers.OperatorWatcher(
-        store,  # type: ignore[arg-type]
-        records.PlatformFormat(),
-        lambda: 0.0,
-        lambda new: versions.append(new.version),
-        lambda domains, since: None,
+    watcher = _operator(
+        store, on_configuration=lambda new: versions.append(new.version)
     )
 
     async def main() -> None:
@@ -264,13 +262,7 @@
     )
 
     async def main() -> float:
-        watcher = watchers.OperatorWatcher(
-            store,  # type: ignore[arg-type]
-            records.PlatformFormat(),
-            trio.current_time,
-            lambda new: None,
-            lambda domains, since: None,
-        )
+        watcher = _operator(store)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watcher.run)
             await anyio.sleep(0.1)
@@ -294,14 +286,12 @@
     told: list[tuple[set[str], float]] = []
     now = [0.0]
     evacuation = port.Record("evacuate/anna", b"{}")
-    watcher = watchers.OperatorWatcher(
+    watcher = _operator(
         ScriptedStore(
             port.Page([], 2), DOWN, DOWN, port.Page([evacuation], 3)
-        ),  # type: ignore[arg-type]
-        records.PlatformFormat(),
+        ),
         lambda: now[0],
-        lambda new: None,
-        lambda domains, since: told.append((domains, since)),
+        on_evacuations=lambda *news: told.append(news),
     )
 
     async def main() -> None:
@@ -316,12 +306,6 @@
 def test_evacuation_at_the_start_is_in_force_at_once() -> None:
     told: list[tuple[set[str], float]] = []
     store = ScriptedStore(port.Page([port.Record("evacuate/anna", b"{}")], 3))
-    watcher = watchers.OperatorWatcher(
-        store,  # type: ignore[arg-type]
-        records.PlatformFormat(),
-        lambda: 5.0,
-        lambda new: None,
-        lambda domains, since: told.append((domains, since)),
-    )
+    watcher = _operator(store, on_evacuations=lambda *news: told.append(news))
     trio.run(watcher.poll)
     assert told == [({"anna"}, -math.inf)]
