Ignore load reports that make no sense

Fuzzing of the headers found that a load report with "nan" or an infinite figure raised in the middle of a request, which then failed although its server had answered. Figures are now decoded as in all other headers.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import typing
 
 import anyio
@@ -27,8 +26,6 @@
 
     from agatestile.store import port
 
-LOG = logging.getLogger(__name__)
-
 PLAN_SECONDS = 0.3
 """Interval of plans; a hot stretch of keys lasts a few seconds."""
 
--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -98,13 +98,9 @@
 
 def _load(value: bytes) -> load.LoadReport | None:
     """Decode running, waiting, slots and, of some, slowness in percent."""
-    try:
-        figures = [float(part) for part in value.split(b",")]
-    except ValueError:
-        return None
-    if len(figures) < 3:
+    figures = [_number(part) for part in value.split(b",")]
+    if len(figures) < 3 or None in figures:
         return None
-    slowness = figures[3] / 100.0 if len(figures) > 3 else 1.0
-    return load.LoadReport(
-        int(figures[0]), int(figures[1]), int(figures[2]), slowness
-    )
+    running, waiting, slots, *rest = (one or 0.0 for one in figures)
+    slowness = rest[0] / 100.0 if rest else 1.0
+    return load.LoadReport(int(running), int(waiting), int(slots), slowness)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,60 @@
+"""Headers of any content, which must harm nothing else."""
+
+from __future__ import annotations
+
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from agatestile.platform import headers
+from agatestile.transport import messages
+
+NAMES = strategies.sampled_from(
+    [
+        b"x-request-id",
+        b"x-deadline-ms",
+        b"x-target-instance",
+        b"x-shard-key",
+        b"x-upstream-load",
+        b"x-upstream-signature",
+        b"x-not-executed",
+    ]
+)
+NUMBERS = strategies.floats().map(lambda value: str(value).encode())
+VALUES = strategies.one_of(
+    strategies.binary(max_size=30),
+    NUMBERS,
+    strategies.lists(NUMBERS, max_size=5).map(b",".join),
+)
+HEADERS = strategies.lists(strategies.tuples(NAMES, VALUES), max_size=8)
+
+
+@hypothesis.given(HEADERS)
+def test_headers_of_a_caller_are_read_or_ignored(
+    given: messages.Headers,
+) -> None:
+    facts = headers.PlatformHeaders().read_request(given)
+    assert facts.key is None or 0 <= facts.key < 65536
+    assert facts.time_left is None or 0 <= facts.time_left < math.inf
+
+
+@hypothesis.given(strategies.integers(100, 599), HEADERS)
+def test_headers_of_a_server_are_read_or_ignored(
+    status: int, given: messages.Headers
+) -> None:
+    answer = messages.Answer(status, given, b"")
+    facts = headers.PlatformHeaders().read_answer(answer)
+    if facts.report is not None:
+        assert facts.report.running >= 0 and facts.report.waiting >= 0
+        assert 0.0 <= facts.report.slowness < math.inf
+
+
+@pytest.mark.parametrize(
+    "value", [b"nan,0,2", b"1,inf,2", b"0,0,-1e400", b"1,2,3,nan", b"-5,0,2"]
+)
+def test_load_that_makes_no_sense_is_ignored(value: bytes) -> None:
+    """Guards against a request that fails by a server's broken report."""
+    answer = messages.Answer(200, [(b"x-upstream-load", value)], b"")
+    assert headers.PlatformHeaders().read_answer(answer).report is None
