--- /dev/null
+++ b/tests/transport/test_server_input.py
@@ -0,0 +1,110 @@
+"""Any input of a caller, which must harm no other request."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from agatestile.catalog import configuration
+from agatestile.transport import messages
+from agatestile.transport import server
+
+LIMITS = configuration.CallerLimits(400, 200, 5.0, 5.0)
+TOKENS = strategies.sampled_from(
+    [
+        b"GET /a HTTP/1.1\r\n",
+        b"POST /b?c=d HTTP/1.1\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"host: x\r\n",
+        b"content-length: 3\r\n",
+        b"content-length: 4\r\n",
+        b"transfer-encoding: chunked\r\n",
+        b"connection: close\r\n",
+        b"upgrade: websocket\r\n",
+        b"\r\n",
+        b"abc",
+        b"3\r\nabc\r\n0\r\n\r\n",
+        b"x" * 500,
+    ]
+)
+INPUTS = strategies.lists(
+    strategies.one_of(TOKENS, strategies.binary(max_size=20)), max_size=12
+).map(b"".join)
+
+
+class _Transport:
+    """Keeps what a connection writes until it closes."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.is_closed = False
+
+    def write(self, data: bytes) -> None:
+        assert not self.is_closed
+        self.written += data
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    abort = close
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+
+async def _feed(
+    parts: list[bytes],
+) -> tuple[list[messages.Request], _Transport]:
+    """Return the requests that a connection saw, and its transport."""
+    seen: list[messages.Request] = []
+
+    async def handle(request: messages.Request) -> messages.Answer:
+        seen.append(request)
+        return messages.Answer(200, [], b"")
+
+    connection = server.ServerConnection(
+        server.Listener(handle, lambda: LIMITS)
+    )
+    transport: typing.Any = _Transport()
+    connection.connection_made(transport)
+    for part in parts:
+        if transport.is_closed:
+            break
+        connection.data_received(part)
+        for _ in range(3):
+            await asyncio.sleep(0)
+    connection.connection_lost(None)
+    return seen, transport
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(INPUTS)
+def test_any_input_is_answered_or_refused_in_the_protocol(
+    content: bytes,
+) -> None:
+    seen, transport = asyncio.run(_feed([content]))
+    assert transport.written.count(b"HTTP/1.1 ") >= len(seen) or (
+        transport.is_closed
+    )
+    if transport.written:
+        assert transport.written.startswith(b"HTTP/1.1 ")
+    for request in seen:
+        assert len(request.body) <= LIMITS.body_bytes
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(INPUTS, strategies.integers(1, 40))
+def test_requests_do_not_depend_on_how_bytes_arrive(
+    content: bytes, size: int
+) -> None:
+    """Guards against a request that is smuggled inside another one."""
+    parts = [
+        content[place : place + size] for place in range(0, len(content), size)
+    ]
+    whole, _ = asyncio.run(_feed([content]))
+    pieces, _ = asyncio.run(_feed(parts))
+    shorter, longer = sorted((whole, pieces), key=len)
+    assert longer[: len(shorter)] == shorter
