--- a/tests/system/scene.py
+++ b/tests/system/scene.py
@@ -301,7 +301,7 @@
             self.repeatable_by_service,
         )
         broken = {item.name: item.broken for item in checks if item.broken}
-        assert not broken
+        assert not broken, broken
         assert not self.running.ended()
 
 
