Take back the pause for owners that deny a key

After one denial a host let one request in 0.25 s through to the owner of a range; if that one was refused for another reason, or waited long at the owner, all others of the range waited on, up to 0.3 of their time, and were refused then.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -142,15 +142,17 @@
             )
             if not isinstance(pick, picker_module.Moving):
                 return pick
-            if now >= wait_until:
+            if (
+                now >= wait_until
+                or not await self._handler.assignments.wait_changed(
+                    wait_until - now
+                )
+            ):
                 return refusals.Verdict(
                     _CODES.RANGE_MOVING,
                     pick.reason,
                     picker_module.OWNER_RETRY_AFTER,
                 )
-            await self._handler.assignments.wait_changed(
-                min(wait_until, pick.until) - now
-            )
 
     async def _refresh(self) -> None:
         """Ask the servers that would be chosen for their present load."""
@@ -298,7 +300,6 @@
         if answer is None or facts is None:
             self._on_failure(server_id, attempt.failure)
             return None
-        self._note_holding(facts)
         if facts.is_not_run:
             self._last = refusals.Verdict(
                 _CODES.SERVER_SHED,
@@ -321,16 +322,6 @@
             return None
         return self._pass_on(answer, server_id, pick.load)
 
-    def _note_holding(self, facts: header_port.ServerFacts) -> None:
-        """Learn whether the server holds the key of the request."""
-        course, picker = self._course, self._handler.picker
-        if course.key is None:
-            return
-        if facts.is_misdirected:
-            picker.on_misdirected(course.service, course.key, self._now())
-        elif not facts.is_not_run:
-            picker.on_served(course.service, course.key)
-
     def _on_failure(
         self, server_id: str, failure: messages.Failure | None
     ) -> None:
--- a/src/agatestile/entry/picker.py
+++ b/src/agatestile/entry/picker.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 import typing
 
@@ -48,18 +47,9 @@
 
 
 class Moving(typing.NamedTuple):
-    """The key changes hands, so that its owner is known shortly.
-
-    Attributes
-    ----------
-    reason : str
-        One sentence for the log.
-    until : float
-        When to look again at the latest, seconds.
-    """
+    """The key changes hands, so that its owner is known shortly."""
 
     reason: str
-    until: float = math.inf
 
 
 class Picker:
@@ -90,14 +80,6 @@
         """Epoch and version of the assignment that decides."""
         return f"{self._view.epoch}.{self._view.version}"
 
-    def on_misdirected(self, service: str, key: int, now: float) -> None:
-        """Note that the owner of a key denied to hold it."""
-        self._view.deny(service, key, now)
-
-    def on_served(self, service: str, key: int) -> None:
-        """Note that the owner of a key served it."""
-        self._view.confirm(service, key)
-
     def pick(
         self,
         service: str,
@@ -185,12 +167,6 @@
             return Moving(f"owner {owner.server_id} of key {key} is gone")
         if not self._fleet.may_still_send(server, now):
             return Moving(f"owner {owner.server_id} of key {key} leaves")
-        denied_until = self._view.ask_denied(service, key_range, now)
-        if denied_until is not None:
-            return Moving(
-                f"owner {owner.server_id} does not hold key {key}",
-                denied_until,
-            )
         load = self._fleet.load_of(server.entry)
         if load.is_suspended(now) or load.is_silent(now):
             return refusals.Verdict(
