Keep grants of two domains apart

Cause: a server that votes as a witness of another domain may get grants of two leaders on one host at once. The client kept one connection per server and closed it when the second grant found it in use, so both grants failed and leases lapsed under load.

The new test fails before (both grants SERVER_UNREACHABLE) and passes now.

--- a/src/agatestile/ownership/grant_client.py
+++ b/src/agatestile/ownership/grant_client.py
@@ -24,11 +24,20 @@
 _DECODER = msgspec.json.Decoder(grants.GrantReply)
 
 
+class Peer(typing.NamedTuple):
+    """Address of a server, and the failure domain that asks it."""
+
+    address: str
+    domain: str
+
+
 class GrantClient:
-    """Sends grants over one connection per server.
+    """Sends grants over one connection per server and failure domain.
 
-    A connection on which a call failed or timed out is closed, so that a
-    late answer is never taken for the answer to a later grant.
+    A server that is the witness of another domain may get grants of two
+    leaders on one host at the same time. A connection on which a call failed
+    or timed out is closed, so that a late answer is never taken for the
+    answer to a later grant.
 
     Parameters
     ----------
@@ -38,7 +47,7 @@
 
     def __init__(self, timeout: float) -> None:
         self._timeout = timeout
-        self._by_address: dict[str, gateway_connection.Connection] = {}
+        self._by_peer: dict[Peer, gateway_connection.Connection] = {}
 
     async def grant(
         self, row: records.TableRow, request: grants.GrantRequest
@@ -52,7 +61,8 @@
             ``GRANT_REFUSED`` if the answer is not one to a grant.
         """
         body = _ENCODER.encode(request)
-        answer = await self._call(row.address, "POST", "/grant", body)
+        peer = Peer(row.address, request.domain)
+        answer = await self._call(peer, "POST", "/grant", body)
         if isinstance(answer, outcomes.Refusal):
             return answer
         status, content = answer
@@ -70,21 +80,22 @@
 
     async def probe(self, row: records.TableRow) -> bool:
         """Tell whether a server that does not check fences answers."""
-        answer = await self._call(row.address, "GET", "/health", b"")
+        peer = Peer(row.address, row.domain)
+        answer = await self._call(peer, "GET", "/health", b"")
         return not isinstance(answer, outcomes.Refusal) and answer[0] < 500
 
     async def close(self) -> None:
         """Close all connections."""
-        for address in list(self._by_address):
-            await self._drop(address)
+        for peer in list(self._by_peer):
+            await self._drop(peer)
 
     async def _call(
-        self, address: str, method: str, path: str, body: bytes
+        self, peer: Peer, method: str, path: str, body: bytes
     ) -> tuple[int, bytes] | outcomes.Refusal:
         done = False
         try:
             with anyio.fail_after(self._timeout):
-                answer = await self._exchange(address, method, path, body)
+                answer = await self._exchange(peer, method, path, body)
             done = True
             return answer
         except (
@@ -98,27 +109,27 @@
         ) as error:
             return outcomes.Refusal(
                 codes.ResultCode.SERVER_UNREACHABLE,
-                f"{address}: {type(error).__name__} {error}".rstrip(),
+                f"{peer.address}: {type(error).__name__} {error}".rstrip(),
             )
         finally:
             if not done:
-                await self._drop(address)
+                await self._drop(peer)
 
     async def _exchange(
-        self, address: str, method: str, path: str, body: bytes
+        self, peer: Peer, method: str, path: str, body: bytes
     ) -> tuple[int, bytes]:
-        connection = self._by_address.get(address)
+        connection = self._by_peer.get(peer)
         if connection is not None and (
             connection.has_expired() or not connection.is_available()
         ):
-            await self._drop(address)
+            await self._drop(peer)
             connection = None
         if connection is None:
-            target = gateway_connection.Target.from_address(address)
+            target = gateway_connection.Target.from_address(peer.address)
             connection = gateway_connection.Connection(*target)
-            self._by_address[address] = connection
+            self._by_peer[peer] = connection
         headers = [
-            (b"host", address.encode("ascii")),
+            (b"host", peer.address.encode("ascii")),
             (b"content-type", b"application/json"),
             (b"content-length", b"%d" % len(body)),
         ]
@@ -132,8 +143,8 @@
                 raise ValueError("answer is too long")
         return answer.status, content
 
-    async def _drop(self, address: str) -> None:
-        connection = self._by_address.pop(address, None)
+    async def _drop(self, peer: Peer) -> None:
+        connection = self._by_peer.pop(peer, None)
         if connection is not None:
             with anyio.CancelScope(shield=True):
                 await connection.aclose()
--- a/tests/ownership/test_grant_client.py
+++ b/tests/ownership/test_grant_client.py
@@ -112,3 +112,50 @@
         await client.close()
 
     await _with_server([answer], use)
+
+
+@pytest.mark.anyio
+async def test_grants_of_two_domains_do_not_disturb_each_other() -> None:
+    """Guards against a witness whose connection one leader takes from another.
+
+    A host that led two domains closed the connection of a grant under way,
+    so that leases lapsed under load.
+    """
+    reply = {"accepted": True, "reason": "", "stamp": 8.25, "incarnation": "i"}
+    answer = _answer(json.dumps(reply).encode())
+    received: list[bytes] = []
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            while True:
+                try:
+                    received.append(await stream.receive())
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                await anyio.sleep(0.1)
+                await stream.send(answer)
+
+    async with await anyio.create_tcp_listener(
+        local_host="127.0.0.1"
+    ) as listener:
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        row = records.TableRow(
+            "server", "price", "price-01", "radom", f"127.0.0.1:{port}"
+        )
+        client = grant_client.GrantClient(5.0)
+        found: list[grants.GrantReply | outcomes.Refusal] = []
+
+        async def ask(domain: str) -> None:
+            request = grants.GrantRequest(domain, REQUEST.term, 1000.0, 7.5)
+            found.append(await client.grant(row, request))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            async with anyio.create_task_group() as asking:
+                asking.start_soon(ask, "radom")
+                await anyio.sleep(0.05)
+                asking.start_soon(ask, "warszawa-a")
+            await client.close()
+            tasks.cancel_scope.cancel()
+    assert all(isinstance(one, grants.GrantReply) for one in found), found
+    assert len(received) == 2
