--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -154,3 +154,25 @@
         assert abs(learnt - 0.4) < 0.04
 
     scenes.run(scenario)
+
+
+def test_new_coordinator_does_not_make_hosts_seem_fewer() -> None:
+    """Pattern: loss of the coordinator while requests are repeated.
+
+    A new coordinator has heard of few hosts at first; each host then takes
+    the common slack of repeats for itself (BUDGET).
+    """
+
+    async def scenario(scene: scenes.Scene) -> None:
+        service = _service(scene)
+        reporter, fleet = service._reporter, service._fleet
+        await scene.coordinator.take_leadership()
+        for number in range(2, 6):
+            await service.answer(_report(f"host-{number}"))
+        reporter._take(await service.answer(_report("host-1")))
+        assert fleet.host_count == 5
+        successor = _service(scene)
+        reporter._take(await successor.answer(_report("host-1")))
+        assert fleet.host_count == 5
+
+    scenes.run(scenario)
