Divide the slack by the most hosts told lately

Ruled out: the merge of the two retry budgets (same sum, same window).

Change: the largest number of hosts told in the last 5 s counts.

--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -35,6 +35,10 @@
 UNKNOWN_HOSTS = 8
 """Number of hosts that is assumed before it was learnt."""
 
+HOST_COUNT_SECONDS = 5.0
+"""How long the largest number of hosts holds: until all hosts have reported
+to a new coordinator."""
+
 CONFIRM_SECONDS = 2.0
 """Time after which a server's report of a cold start would have arrived: the
 interval of reports, of reads and of messages between hosts."""
@@ -80,10 +84,27 @@
         self._unconfirmed_since: dict[Life, float] = {}
         self._generator = random.Random()
         self.host_count = UNKNOWN_HOSTS
+        self._host_counts: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.host_rank = 0
 
     # Beliefs
 
+    def learn_host_count(self, count: int, now: float) -> None:
+        """Take a number of hosts; the largest one told lately counts.
+
+        A new coordinator has heard of few hosts at first, and hosts that
+        all divide a common bound by too few exceed it together.
+        """
+        told = self._host_counts
+        while told and told[0][0] < now - HOST_COUNT_SECONDS:
+            told.popleft()
+        while told and told[-1][1] <= count:
+            told.pop()
+        told.append((now, count))
+        self.host_count = max(1, told[0][1])
+
     def evacuate(
         self, domains: set[str], now: float, since: float | None = None
     ) -> bool:
