Log reads of the operator's records and reports

The log of a host that missed a configuration had no line between the loss of its coordinator and the next version, 4.3 s later. The start, size, pace and outcome of a read and failed reports were not logged, so that a full link, a stale read, pauses and a slow store looked alike.

A line is written for a read that returned records, failed or was cancelled, for a slow read of service discovery, and for a report without a response. No decision changes.

--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -141,6 +141,7 @@
         target = self.coordinator
         if not target or target == self.member:
             return False
+        started = self._now()
         response = await self._post_report(target, report)
         if isinstance(response, peer_messages.ReportResponse):
             if not self._has_coordinator:
@@ -160,6 +161,13 @@
             events.emit(
                 "dependency_lost", dependency="coordinator", reason=response
             )
+        events.emit(
+            "report_failed",
+            coordinator=target,
+            reason=response,
+            seconds=round(self._now() - started, 3),
+            relay_age=round(min(self._now() - self._last_relayed, 1e6), 3),
+        )
         self._lost_coordinator = target
         self.coordinator = ""
         return False
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -13,9 +13,7 @@
 from agatestile.observability import events
 from agatestile.results import codes
 from agatestile.results import outcomes
-
-if typing.TYPE_CHECKING:
-    from agatestile.store import port
+from agatestile.store import port
 
 LOG = logging.getLogger(__name__)
 
@@ -49,6 +47,9 @@
 RETRY_PAUSE_SECONDS = 0.5
 """Pause before a failed read is retried."""
 
+SLOW_READ_SECONDS = 0.3
+"""Duration from which a read of service discovery is logged."""
+
 OUTAGE_FAILURE_COUNT = 2
 """Number of consecutive failed reads that count as an outage."""
 
@@ -183,6 +184,7 @@
 
     async def poll(self) -> None:
         """Read once and apply the records."""
+        started = self._now()
         version = self._servers.version
         read_state = self.read_state
         is_listing = read_state.end is None
@@ -193,6 +195,8 @@
                 self._format.servers_topic, read_state.end, 0.0
             )
         now = self._now()
+        if now - started >= SLOW_READ_SECONDS:
+            self._log_slow_read(page, now - started, is_listing)
         if isinstance(page, outcomes.Refusal):
             if page.code == codes.ResultCode.LOG_HISTORY_GONE:
                 read_state.end = None
@@ -211,6 +215,19 @@
         if self._servers.version != version:
             self._on_change()
 
+    def _log_slow_read(
+        self,
+        page: port.Page | outcomes.Refusal,
+        seconds: float,
+        is_listing: bool,
+    ) -> None:
+        fields: dict[str, object] = {"outcome": str(page)}
+        if isinstance(page, port.Page):
+            fields["outcome"] = "listed" if is_listing else "read"
+            fields["records"] = len(page.records)
+            fields["bytes"] = sum(len(one.value) for one in page.records)
+        events.emit("discovery_read", seconds=round(seconds, 3), **fields)
+
     def _apply(self, page: port.Page, now: float) -> None:
         for record in page.records:
             if not record.value:
@@ -299,6 +316,8 @@
             with anyio.CancelScope() as scope:
                 self._scope = scope
                 succeeded = await self.poll()
+            if scope.cancelled_caught:
+                self._log_read("cancelled", None)
             self._is_waiting = False
             if not succeeded:
                 await anyio.sleep(RETRY_PAUSE_SECONDS)
@@ -349,11 +368,13 @@
                 topic, read_state.end, wait, OPERATOR_READ_LIMIT_BYTES
             )
         if isinstance(page, outcomes.Refusal):
+            self._log_read(str(page), None)
             if page.code == codes.ResultCode.LOG_HISTORY_GONE:
                 read_state.end = None
                 return await self.poll()
             read_state.on_failure(page)
             return False
+        self._log_read("listed" if is_listing else "read", page)
         unseen_since = read_state.unseen_since(self._now())
         read_state.on_success(self._now())
         # After a partial page the next read lists the newest record of each
@@ -374,6 +395,26 @@
             self._on_evacuations(evacuated, unseen_since)
         return True
 
+    def _log_read(self, outcome: str, page: port.Page | None) -> None:
+        """Log a read that returned records, failed or was cancelled."""
+        fields: dict[str, object] = {}
+        if page is not None:
+            if not page.records:
+                return
+            fields["records"] = len(page.records)
+            fields["bytes"] = sum(len(one.value) for one in page.records)
+            fields["is_last"] = page.is_last
+            fields["next_offset"] = page.end
+        events.emit(
+            "operator_read",
+            outcome=outcome,
+            offset=self.read_state.end,
+            coordinator_offset=self._coordinator_end,
+            seconds=round(self._now() - self._started, 3),
+            waits=self._is_waiting,
+            **fields,
+        )
+
     def _is_several_behind(self, end: int) -> bool:
         return (
             self._coordinator_end is not None
