Count departures from the last complete directory

Cause: a host allowed requests to an owner for 1.4 s from when it read that the server leaves, and took 1 s as the longest time until then. Without its coordinator it read discovery itself 1 s after the last response, every 0.6 s, with a list over a slow link, and nobody moved the keys. The age of a relayed departure began at the arrival of the response, and an entry that expired and returned as draining began anew.

The directory now knows the last time at which it was certainly complete, also when it is relayed. A departure counts from then, a relayed one from when the report was sent, and lasts until the server restarts. Requests stop 0.4 s before the bound from then on. A host reads discovery itself once what was relayed is older than 0.6 of the bound.

Two tests failed before (leaving since 2.6 instead of 1.0 s, 4.0 instead of 1.0 s).

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -55,20 +55,34 @@
     received : float
         Time at which the report was read, seconds.
     leaving_since : float or None
-        Time at which the server was first seen to be leaving, seconds.
+        Earliest time at which the server may have begun to leave, seconds.
+    is_departing : bool
+        Whether the server itself said that it leaves, which holds until it
+        restarts; False if only its entry is missing.
     """
 
     entry: ServerEntry
     received: float
     leaving_since: float | None
+    is_departing: bool = False
 
 
 class Directory:
     """Servers by identifier, with the rules for stale and missing entries.
 
-    A server that was seen to be leaving remains so until it restarts.
-    Removed servers are kept as leaving until `delete`, because those that
-    own keys still have to hand them over.
+    A server that said that it leaves remains so until it restarts. Removed
+    servers are kept as leaving until `delete`, because those that own keys
+    still have to hand them over.
+
+    Attributes
+    ----------
+    by_id : dict of str to Server
+        Known servers.
+    version : int
+        Number of changes so far.
+    confirmed_at : float
+        Latest time at which the directory was certainly complete, seconds;
+        minus infinity before the first read.
     """
 
     def __init__(self) -> None:
@@ -79,6 +93,7 @@
         self._newest_by_address: dict[tuple[str, int], ServerEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self.version = 0
+        self.confirmed_at = float("-inf")
 
     def of_service(self, service: str) -> list[Server]:
         """Return the servers of a service, including leaving ones."""
@@ -89,20 +104,44 @@
         """Record that reports can be read again after an outage."""
         self._outage_ended_at = now
 
-    def put(self, entry: ServerEntry, now: float) -> bool:
-        """Apply a report; return whether more than its sequence changed."""
+    def confirm(self, time: float) -> None:
+        """Record a time at which the directory was certainly complete."""
+        self.confirmed_at = max(self.confirmed_at, time)
+
+    def put(
+        self,
+        entry: ServerEntry,
+        now: float,
+        unseen_since: float | None = None,
+    ) -> bool:
+        """Apply a report; return whether more than its sequence changed.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            Report of the server.
+        now : float
+            Clock, seconds.
+        unseen_since : float, optional
+            Earliest time at which it may have been written, seconds; now by
+            default.
+        """
         known = self.by_id.get(entry.id)
-        leaving = now if entry.is_draining else None
+        leaving = None
+        is_departing = entry.is_draining
+        if entry.is_draining:
+            leaving = now if unseen_since is None else unseen_since
         if known is not None:
             order = (entry.incarnation, entry.sequence)
             if order < (known.entry.incarnation, known.entry.sequence):
                 return False
             is_same_incarnation = entry.incarnation == known.entry.incarnation
             has_reappeared = entry.id in self._missing_since_by_id
+            is_departing |= is_same_incarnation and known.is_departing
             if (
                 is_same_incarnation
                 and known.leaving_since is not None
-                and not has_reappeared
+                and (known.is_departing or not has_reappeared)
             ):
                 leaving = known.leaving_since
             self._remove_from_index(known.entry)
@@ -110,7 +149,7 @@
         newest = self._newest_by_address.get(entry.address)
         if newest is None or newest.incarnation <= entry.incarnation:
             self._newest_by_address[entry.address] = entry
-        self.by_id[entry.id] = Server(entry, now, leaving)
+        self.by_id[entry.id] = Server(entry, now, leaving, is_departing)
         self._ids_by_service.setdefault(entry.service, {})[entry.id] = None
         changed = known is None or _comparable(known.entry) != _comparable(
             entry
@@ -121,27 +160,42 @@
         return False
 
     def mark_leaving(
-        self, server_id: str, since: float, is_missing: bool
-    ) -> None:
-        """Apply what another host reports about a leaving server.
+        self,
+        instance: tuple[str, int],
+        since: float,
+        is_missing: bool = False,
+    ) -> bool:
+        """Apply that a server leaves; return whether that is new.
 
         Parameters
         ----------
-        server_id : str
-            Identifier of the server.
+        instance : tuple of (str, int)
+            Identifier and incarnation of the server.
         since : float
-            Time at which it was first seen to be leaving, seconds.
+            Earliest time at which it may have begun to leave, seconds.
         is_missing : bool
-            Whether its entry is missing.
+            Whether its entry is missing; otherwise the server said so.
         """
+        server_id, incarnation = instance
         server = self.by_id.get(server_id)
-        if server is None:
-            return
+        if server is None or server.entry.incarnation != incarnation:
+            return False
         if is_missing:
             self._missing_since_by_id.setdefault(server_id, since)
-        if server.leaving_since is None or server.leaving_since > since:
-            self.by_id[server_id] = server._replace(leaving_since=since)
-            self._record_change(server_id)
+        earliest = since
+        if server.leaving_since is not None:
+            earliest = min(since, server.leaving_since)
+        is_departing = server.is_departing or not is_missing
+        if (earliest, is_departing) == (
+            server.leaving_since,
+            server.is_departing,
+        ):
+            return False
+        self.by_id[server_id] = server._replace(
+            leaving_since=earliest, is_departing=is_departing
+        )
+        self._record_change(server_id)
+        return server.leaving_since is None
 
     def changed_after(self, version: int) -> list[Server]:
         """Return the servers that have changed since a version."""
@@ -155,10 +209,18 @@
         """Return whether the entry of a known server is missing."""
         return server_id in self._missing_since_by_id
 
-    def remove(self, server_id: str, now: float) -> None:
-        """Mark an entry as missing; `expire` removes it if it stays so."""
+    def remove(self, server_id: str, since: float) -> None:
+        """Mark an entry as missing; `expire` removes it if it stays so.
+
+        Parameters
+        ----------
+        server_id : str
+            Identifier of the server.
+        since : float
+            Earliest time at which it may have been removed, seconds.
+        """
         if server_id in self.by_id:
-            self._missing_since_by_id.setdefault(server_id, now)
+            self._missing_since_by_id.setdefault(server_id, since)
 
     def expire(self, now: float) -> list[str]:
         """Mark servers with missing entries as leaving; return the new ones.
@@ -170,10 +232,10 @@
         if now < self._outage_ended_at + REAPPEARANCE_SECONDS:
             return []
         expired = []
-        for server_id in self._missing_since_by_id:
+        for server_id, since in self._missing_since_by_id.items():
             server = self.by_id[server_id]
             if server.leaving_since is None:
-                self.by_id[server_id] = server._replace(leaving_since=now)
+                self.by_id[server_id] = server._replace(leaving_since=since)
                 self._record_change(server_id)
                 expired.append(server_id)
         return expired
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -20,9 +20,12 @@
 INITIAL_SERVICE_TIME = 0.12
 """Service time that is assumed before any was measured, seconds."""
 
-DISCOVERY_LAG_SECONDS = 1.0
-"""Longest delay between the store acknowledging that a server leaves and
-this host reading it: the interval of the reads and their duration."""
+DELIVERY_MARGIN_SECONDS = 0.4
+"""Time before the bound at which requests to a leaving server stop, for the
+time that a request takes to reach it."""
+
+EVACUATION_MARGIN_SECONDS = 1.5
+"""The same for the servers of an evacuated failure domain."""
 
 COLD_WINDOW_SECONDS = 1.1
 """Window over which a host counts its share of a cold server's bound;
@@ -196,13 +199,12 @@
         """Return whether an owner may still get requests while it leaves."""
         since = server.leaving_since
         if since is not None:
-            allowed = self.bounds.drain - DISCOVERY_LAG_SECONDS - 0.1
-            if now > since + allowed:
+            if now > since + self.bounds.drain - DELIVERY_MARGIN_SECONDS:
                 return False
         domain = server.entry.failure_domain
         evacuated = self.evacuated_since.get(domain)
         if evacuated is not None:
-            allowed = self.bounds.evacuate - DISCOVERY_LAG_SECONDS - 0.5
+            allowed = self.bounds.evacuate - EVACUATION_MARGIN_SECONDS
             if now > evacuated + allowed:
                 return False
         return True
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from agatestile.assignment import records
@@ -146,6 +148,9 @@
         Key ranges by service, None if the host has the current assignment.
     operator : OperatorState or None
         What the coordinator knows of the operator's records.
+    directory_age : float
+        Time since the coordinator's directory was certainly complete, in
+        seconds.
     """
 
     epoch: int
@@ -158,6 +163,7 @@
     servers: list[RelayedServer]
     services: dict[str, records.ServiceRanges] | None
     operator: OperatorState | None = None
+    directory_age: float = math.inf
 
 
 class SupersedeRequest(msgspec.Struct, array_like=True):
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import signal
 import traceback
@@ -163,7 +164,7 @@
             now,
             self.coordinator.request_plan,
             self._discovery_interval,
-            self.reporter.is_relayed,
+            self.reporter.is_directory_relayed,
         )
         self.server_pool = client.Pool(now, platform.header_format.echo_header)
         handler = handler_module.Handler(
@@ -236,9 +237,8 @@
         """Return whether the load balancer should route callers here."""
         if self._is_stopping or self.fleet.configuration is None:
             return False
-        if self.discovery_watcher.read_state.last_success is None:
-            if not self.reporter.is_relayed():
-                return False
+        if self.fleet.directory.confirmed_at == -math.inf:
+            return False
         if self.view.maps or not self.fleet.services():
             return True
         return self._now() > self._started + ASSIGNMENT_WAIT_SECONDS
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -181,6 +181,7 @@
             ],
             services,
             operator,
+            now - directory.confirmed_at,
         )
 
     def _members(self) -> list[str]:
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -42,6 +42,10 @@
 """Age of the last confirmed response above which a host acts as without a
 coordinator."""
 
+DIRECTORY_RELAY_SHARE = 0.6
+"""Share of the bound on requests to leaving servers above which the age of
+the relayed directory makes a host read service discovery itself."""
+
 
 class Reporter:
     """Reports to the coordinator and applies its responses.
@@ -104,6 +108,7 @@
         self._directory_version = 0
         self._directory_epoch = 0
         self._last_relayed = -math.inf
+        self._directory_relayed_at = -math.inf
         self._operator_end = 0
         self._coordinator_version: int | None = None
         self._lost_coordinator = ""
@@ -157,7 +162,7 @@
                     coordinator=target,
                 )
             self._apply(response)
-            self._apply_servers(response)
+            self._apply_servers(response, started)
             if response.operator is not None:
                 self._coordinator_version = response.operator.version
                 self._relay.apply_relayed(response.operator, started)
@@ -280,6 +285,11 @@
         ):
             self._notify_waiters()
 
+    def is_directory_relayed(self) -> bool:
+        """Return whether the coordinator relays all servers in time."""
+        longest = DIRECTORY_RELAY_SHARE * self._fleet.bounds.drain
+        return self._now() < self._directory_relayed_at + longest
+
     def is_relayed(self) -> bool:
         """Return whether a confirmed coordinator responded recently."""
         return self._now() < self._last_relayed + RELAY_MAX_AGE_SECONDS
@@ -294,15 +304,27 @@
         """
         return self._operator_end if self.is_relayed() else None
 
-    def _apply_servers(self, response: peer_messages.ReportResponse) -> None:
+    def _apply_servers(
+        self, response: peer_messages.ReportResponse, sent_at: float
+    ) -> None:
+        """Apply the relayed servers.
+
+        Ages in the response count from the time at which the report was
+        sent, as the transfer may have taken long.
+        """
         now = self._now()
         directory = self._fleet.directory
         for relayed in response.servers:
-            directory.put(relayed.entry(), now)
-            if relayed.leaving_age is not None:
-                directory.mark_leaving(
-                    relayed.id, now - relayed.leaving_age, relayed.is_missing
-                )
+            if relayed.leaving_age is None:
+                directory.put(relayed.entry(), now)
+                continue
+            since = sent_at - relayed.leaving_age
+            directory.put(relayed.entry(), now, since)
+            directory.mark_leaving(
+                (relayed.id, relayed.incarnation), since, relayed.is_missing
+            )
+        self._directory_relayed_at = sent_at - response.directory_age
+        directory.confirm(self._directory_relayed_at)
         self._directory_version = response.directory_version
         self._directory_epoch = response.epoch
         self._operator_end = response.operator_end
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -21,6 +21,10 @@
 several times a second, so a read that waits for the next record would never
 pause."""
 
+RELAY_CHECK_SECONDS = 0.1
+"""Interval at which a host to which servers are relayed checks that they
+still are."""
+
 SLOW_READ_SECONDS = 0.3
 """Duration from which a read of service discovery is logged."""
 
@@ -136,13 +140,14 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            started = self._now()
             if self._is_relayed():
                 # The last offset will be too old to continue from, so the
                 # next read lists all servers again.
                 self.read_state.end = None
-            else:
-                await self.poll()
+                await anyio.sleep(RELAY_CHECK_SECONDS)
+                continue
+            started = self._now()
+            await self.poll()
             elapsed = self._now() - started
             await anyio.sleep(max(0.05, self._interval() - elapsed))
 
@@ -171,11 +176,18 @@
         if read_state.on_success(now):
             self._servers.on_outage_end(now)
         read_state.end = page.end
-        self._apply(page, now)
+        # Changes in this page may be as old as the previous read.
+        unseen_since = self._servers.confirmed_at
+        self._apply(page, now, unseen_since)
         if is_listing:
-            self._remove_unlisted(page, now)
+            self._remove_unlisted(page, unseen_since)
+        self._servers.confirm(started)
         for server_id in self._servers.expire(now):
-            events.emit("server_gone", server=server_id)
+            events.emit(
+                "server_gone",
+                server=server_id,
+                age=_age(self._servers.by_id[server_id], now),
+            )
         if self._servers.version != version:
             self._on_change()
 
@@ -192,16 +204,16 @@
             fields["bytes"] = sum(len(one.value) for one in page.records)
         events.emit("discovery_read", seconds=round(seconds, 3), **fields)
 
-    def _apply(self, page: port.Page, now: float) -> None:
+    def _apply(self, page: port.Page, now: float, unseen_since: float) -> None:
         for record in page.records:
             if not record.value:
-                self._servers.remove(record.key, now)
+                self._servers.remove(record.key, unseen_since)
                 continue
             entry = self._format.decode_server(record.key, record.value)
             if isinstance(entry, str):
                 self._report_unreadable(record.key, entry)
                 continue
-            if self._servers.put(entry, now):
+            if self._servers.put(entry, now, unseen_since):
                 events.emit(
                     "server_seen",
                     server=entry.id,
@@ -212,15 +224,23 @@
                     sequence=entry.sequence,
                     draining=entry.is_draining,
                     warmup_left=entry.warmup_left,
+                    leaving_age=_age(self._servers.by_id[entry.id], now),
                 )
 
-    def _remove_unlisted(self, page: port.Page, now: float) -> None:
+    def _remove_unlisted(self, page: port.Page, unseen_since: float) -> None:
         listed = {record.key for record in page.records}
         for server_id in list(self._servers.by_id):
             if server_id not in listed:
-                self._servers.remove(server_id, now)
+                self._servers.remove(server_id, unseen_since)
 
     def _report_unreadable(self, key: str, reason: str) -> None:
         if key not in self._unreadable:
             self._unreadable.add(key)
             events.emit("server_unreadable", key=key, reason=reason)
+
+
+def _age(server: directory.Server, now: float) -> float | None:
+    """Return how long a server may have been leaving, for the log."""
+    if server.leaving_since is None:
+        return None
+    return round(min(now - server.leaving_since, 1e6), 3)
--- a/tests/catalog/test_directory.py
+++ b/tests/catalog/test_directory.py
@@ -70,3 +70,30 @@
     servers.put(entry("b", 2), 1.0)
     newest = servers.newest_at(("127.0.0.1", 1))
     assert newest is not None and newest.id == "b"
+
+
+def test_departing_server_whose_entry_returns_is_still_leaving() -> None:
+    """Guards against a bound that starts again when an entry reappears.
+
+    Entries expire in an outage of the store and are written again after it.
+    """
+    servers = directory.Directory()
+    servers.put(entry(is_draining=True), 1.0)
+    servers.remove("a", 2.0)
+    servers.put(entry(sequence=2, is_draining=True), 4.0)
+    assert servers.by_id["a"].leaving_since == 1.0
+    servers.remove("a", 5.0)
+    servers.put(entry(sequence=3), 6.0)
+    assert servers.by_id["a"].leaving_since == 1.0
+    servers.put(entry(incarnation=2), 7.0)
+    assert servers.by_id["a"].leaving_since is None
+
+
+def test_departure_of_an_earlier_incarnation_is_ignored() -> None:
+    servers = directory.Directory()
+    servers.put(entry(incarnation=2), 1.0)
+    assert not servers.mark_leaving(("a", 1), 1.5)
+    assert servers.by_id["a"].leaving_since is None
+    assert servers.mark_leaving(("a", 2), 1.5)
+    assert not servers.mark_leaving(("a", 2), 1.7)
+    assert servers.by_id["a"].leaving_since == 1.5
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -203,3 +203,31 @@
         assert fleet.host_count == 5
 
     support.run(scenario)
+
+
+def test_relayed_departure_counts_from_the_report() -> None:
+    """Guards against departures that the transfer of a response rejuvenates.
+
+    A response over a full link arrives long after it was sent (DRAIN).
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = _service(harness)
+        await harness.coordinator.take_leadership()
+        servers = service._fleet.directory
+        await anyio.sleep(2.0)
+        servers.put(test_directory.entry("a", is_draining=True), 2.0, 1.5)
+        servers.confirm(1.8)
+        sent_at = trio.current_time()
+        response = await service.handle_report(_report("host-2"))
+        servers.delete("a")
+        await anyio.sleep(0.9)
+        service._reporter._apply_servers(response, sent_at)
+        leaving_since = servers.by_id["a"].leaving_since
+        assert leaving_since is not None and leaving_since <= 1.5
+        assert servers.confirmed_at == 1.8
+        assert service._reporter.is_directory_relayed()
+        await anyio.sleep(0.3)
+        assert not service._reporter.is_directory_relayed()
+
+    support.run(scenario)
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -82,3 +82,24 @@
         now[0] = float(second)
         await watcher.poll()
     assert servers.by_id["a"].leaving_since is None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_removed", [True, False])
+async def test_departure_counts_from_the_read_before(is_removed: bool) -> None:
+    """Guards against a grace period that starts when a departure is read.
+
+    It may have begun right after the read before (DRAIN, nkabom-gate-grown).
+    """
+    draining = {**test_adapter.HEARTBEAT, "seq": 2, "state": "draining"}
+    value = b"" if is_removed else json.dumps(draining).encode()
+    watcher, servers, now = _discovery(
+        port.Page([_heartbeat("a")], 4),
+        port.Page([port.Record("a", value)], 5),
+    )
+    now[0] = 1.0
+    await watcher.poll()
+    now[0] = 2.6
+    await watcher.poll()
+    assert servers.by_id["a"].leaving_since == 1.0
+    assert servers.confirmed_at == 2.6
