Heed servers that answer that they leave

Nothing read the header.

A host applies it from responses and probes to the directory's entry of that incarnation, so that one mechanism serves both sources: unkeyed requests stop at once, those to an owner before the bound. It reports the departure with its age; the coordinator moves the keys and relays it to the other hosts. A report that is not delivered is told again. A probe answered by another server at the address says nothing.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -210,8 +210,7 @@
             server_headers = self._handler.header_format.read_response(
                 response
             )
-            load = self._fleet.load_of(entry)
-            load.on_report(self._now(), server_headers.report)
+            self._fleet.on_probe_response(entry, server_headers, self._now())
 
     def _max_wait(self) -> float:
         """Return the longest acceptable time until a response, seconds.
@@ -255,6 +254,8 @@
                 load.on_failure()
             return Attempt(None, None, result)
         server_headers = self._handler.header_format.read_response(result)
+        if not server_headers.is_misdirected:
+            self._fleet.on_server_headers(entry, server_headers, now)
         self._update_load(load, result, server_headers, now, now - sent, wait)
         return Attempt(result, server_headers, None)
 
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -12,9 +12,11 @@
 from agatestile.balancing import choice
 from agatestile.balancing import load
 from agatestile.catalog import directory as directory_module
+from agatestile.observability import events
 
 if typing.TYPE_CHECKING:
     from agatestile.catalog import configuration
+    from agatestile.entry import header_port
     from agatestile.node import settings as node_settings
 
 INITIAL_SERVICE_TIME = 0.12
@@ -86,6 +88,7 @@
         self._loads: dict[Instance, load.ServerLoad] = {}
         self._cold_send_times: dict[Instance, collections.deque[float]] = {}
         self._possibly_cold_since: dict[Instance, float] = {}
+        self._departures: dict[Instance, float] = {}
         self._generator = random.Random()
         self.host_count = INITIAL_HOST_COUNT
         self._host_counts: collections.deque[tuple[float, int]] = (
@@ -178,6 +181,60 @@
         self.load_of(entry).on_unreachable(now)
         self._possibly_cold_since[entry.id, entry.incarnation] = now
 
+    def on_probe_response(
+        self,
+        entry: directory_module.ServerEntry,
+        headers: header_port.ServerHeaders,
+        now: float,
+    ) -> None:
+        """Apply the response to a load probe.
+
+        Another server may answer at an address that is used again.
+        """
+        if headers.server_id not in (None, entry.id):
+            return
+        self.load_of(entry).on_report(now, headers.report)
+        self.on_server_headers(entry, headers, now)
+
+    def on_server_headers(
+        self,
+        entry: directory_module.ServerEntry,
+        headers: header_port.ServerHeaders,
+        now: float,
+    ) -> None:
+        """Apply what a server says of itself in a response."""
+        instance = (entry.id, entry.incarnation)
+        if headers.is_leaving and self.on_departure(instance, now):
+            self._departures[instance] = now
+
+    def on_departure(self, instance: Instance, since: float) -> bool:
+        """Apply that a server said it leaves; return whether that is new."""
+        is_new = self.directory.mark_leaving(instance, since)
+        if is_new:
+            events.emit(
+                "server_leaving",
+                server=instance[0],
+                incarnation=instance[1],
+                age=round(self._now() - since, 3),
+            )
+        return is_new
+
+    def take_departures(self) -> list[tuple[str, int, float]]:
+        """Return servers that told this host that they leave, with ages."""
+        now = self._now()
+        taken = [
+            (*one, now - since) for one, since in self._departures.items()
+        ]
+        self._departures.clear()
+        return taken
+
+    def restore_departures(
+        self, departures: list[tuple[str, int, float]], taken_at: float
+    ) -> None:
+        """Report departures again, as their report was not delivered."""
+        for server_id, incarnation, age in departures:
+            self._departures[server_id, incarnation] = taken_at - age
+
     def merge_samples(self, server_id: str, samples: load.Samples) -> None:
         """Merge the samples of a server that another host measured."""
         server = self.directory.by_id.get(server_id)
--- a/src/agatestile/entry/header_port.py
+++ b/src/agatestile/entry/header_port.py
@@ -40,12 +40,18 @@
         Whether the response is signed, so that it comes from the server.
     report : load.LoadReport or None
         Load that the server reports.
+    is_leaving : bool
+        Whether the server says that it is about to leave.
+    server_id : str or None
+        Server that answers a probe, None if the response does not say.
     """
 
     did_not_run: bool
     is_misdirected: bool
     has_signature: bool
     report: load.LoadReport | None
+    is_leaving: bool = False
+    server_id: str | None = None
 
 
 class HeaderFormat(typing.Protocol):
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -59,6 +59,9 @@
         Samples taken since the last report, by server identifier.
     operator : OperatorState or None
         What the host knows of the operator's records.
+    departures : list of (str, int, float)
+        Identifier and incarnation of servers that told this host that they
+        leave, and the time since then, in seconds.
     """
 
     host: str
@@ -68,6 +71,7 @@
     requests: dict[str, dict[int, int]]
     servers: dict[str, load.Samples]
     operator: OperatorState | None = None
+    departures: list[tuple[str, int, float]] = []
 
 
 class RelayedServer(msgspec.Struct, array_like=True):
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -137,6 +137,7 @@
     async def run(self, is_coordinator: typing.Callable[[], bool]) -> None:
         """Report until cancelled."""
         while True:
+            started = self._now()
             report = self._build_report()
             if is_coordinator() and self._local_service is not None:
                 self.coordinator = self.member
@@ -144,6 +145,7 @@
                 continue
             if not await self._send(report):
                 self._restore_counts(report)
+                self._fleet.restore_departures(report.departures, started)
                 await self._find_coordinator()
                 await anyio.sleep(SEARCH_PAUSE_SECONDS)
 
@@ -341,6 +343,7 @@
             {name: dict(counts) for name, counts in requests.items()},
             self._fleet.take_samples(),
             self._relay.relay_to(self._coordinator_version),
+            self._fleet.take_departures(),
         )
 
     def _known_directory_version(self) -> int:
--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -18,6 +18,8 @@
 _SIGNATURE = b"x-upstream-signature"
 _LOAD = b"x-upstream-load"
 _NOT_EXECUTED = b"x-not-executed"
+_LEAVING = b"server-leaving"
+_ANSWERING_INSTANCE = b"x-upstream-instance"
 _RETRY_AFTER = b"retry-after"
 
 _KEY_COUNT = 65536
@@ -68,6 +70,8 @@
         """Extract the result, the signature and the load of the server."""
         report = None
         has_signature = False
+        is_leaving = False
+        server_id = None
         did_not_run = response.status == _MISDIRECTED_STATUS
         for name, value in response.headers:
             if name == _LOAD:
@@ -76,11 +80,17 @@
                 has_signature = True
             elif name == _NOT_EXECUTED:
                 did_not_run = True
+            elif name == _LEAVING:
+                is_leaving = value == b"1"
+            elif name == _ANSWERING_INSTANCE:
+                server_id = value.decode("latin-1")
         return header_port.ServerHeaders(
             did_not_run,
             response.status == _MISDIRECTED_STATUS,
             has_signature,
             report,
+            is_leaving,
+            server_id,
         )
 
     def refusal_headers(self, retry_after: float | None) -> messages.Headers:
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -8,6 +8,7 @@
 
 from agatestile.catalog import configuration
 from agatestile.entry import exchange
+from agatestile.entry import header_port
 from tests.entry import support
 
 pytestmark = pytest.mark.anyio
@@ -280,3 +281,48 @@
         assert response.header(b"retry-after") is not None
         harness.configuration_confirmed_at = harness.now() - 0.5 * bound
         assert (await harness.send(target=b"/y/1")).status == 404
+
+
+@pytest.mark.parametrize("key", [None, 7])
+async def test_server_that_answers_it_leaves_gets_no_more_requests(
+    key: int | None,
+) -> None:
+    """Guards against requests to a server before discovery says it leaves.
+
+    Its answers say so first, and the host has to heed them on its own (DRAIN).
+    """
+
+    async def respond_leaving(received: support.ReceivedRequest) -> bytes:
+        return support.signed_response(
+            received, extra=b"server-leaving: 1\r\n"
+        )
+
+    async with support.handler_harness() as harness:
+        harness.configure(partitioned=key is not None)
+        await harness.add_server("a", respond_leaving)
+        harness.assign("a")
+        first = await harness.send(key=key)
+        departures = harness.fleet.take_departures()
+        leaving = harness.fleet.directory.by_id["a"]
+        assert (first.status, [one[:2] for one in departures]) == (
+            200,
+            [("a", 1)],
+        )
+        assert leaving.is_departing and leaving.leaving_since is not None
+        end = leaving.leaving_since + harness.fleet.bounds.drain
+        assert not harness.fleet.may_still_receive(leaving, end)
+        if key is None:
+            assert (await harness.send()).status == 503
+
+
+async def test_probe_answered_by_another_server_says_nothing() -> None:
+    """Guards against facts about a server that now has the address."""
+    async with support.handler_harness() as harness:
+        harness.configure()
+        harness.add_to_directory("a", ("127.0.0.1", 1))
+        entry = harness.fleet.directory.by_id["a"].entry
+        other = header_port.ServerHeaders(
+            False, False, False, None, is_leaving=True, server_id="b"
+        )
+        harness.fleet.on_probe_response(entry, other, harness.now())
+        assert harness.fleet.directory.by_id["a"].leaving_since is None
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -231,3 +231,26 @@
         assert not service._reporter.is_directory_relayed()
 
     support.run(scenario)
+
+
+def test_departure_that_one_host_learnt_reaches_the_others() -> None:
+    """Guards against hosts that learn a departure only from discovery."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = _service(harness)
+        service._fleet.directory.put(test_directory.entry("a"), 0.0)
+        await harness.coordinator.take_leadership()
+        first = await service.handle_report(_report("host-3"))
+        report = _report("host-2")
+        report.departures = [("a", 1, 0.5)]
+        await service.handle_report(report)
+        next_report = _report("host-3", 1, first.version)
+        next_report.directory_version = first.directory_version
+        response = await service.handle_report(next_report)
+        assert [(one.id, one.is_missing) for one in response.servers] == [
+            ("a", False)
+        ]
+        leaving_age = response.servers[0].leaving_age
+        assert leaving_age is not None and leaving_age >= 0.5
+
+    support.run(scenario)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -20,6 +20,8 @@
         b"x-upstream-load",
         b"x-upstream-signature",
         b"x-not-executed",
+        b"server-leaving",
+        b"x-upstream-instance",
     ]
 )
 NUMBERS = strategies.floats().map(lambda value: str(value).encode())
@@ -58,3 +60,12 @@
     """Guards against requests that fail on a server's invalid report."""
     response = messages.Response(200, [(b"x-upstream-load", value)], b"")
     assert headers.PlatformHeaders().read_response(response).report is None
+
+
+@pytest.mark.parametrize(
+    ("value", "is_leaving"), [(b"1", True), (b"0", False)]
+)
+def test_leaving_server_is_recognised(value: bytes, is_leaving: bool) -> None:
+    response = messages.Response(200, [(b"server-leaving", value)], b"")
+    facts = headers.PlatformHeaders().read_response(response)
+    assert facts.is_leaving is is_leaving
