Send nothing to servers that ask for a pause

The header was not read.

The pause is kept per incarnation on each host and bounded to 300 s. Paused servers are not chosen and not probed. Requests for keys of a paused owner, or for a service with only paused servers, are refused at once with the remaining time as Retry-After.

--- a/src/agatestile/balancing/choice.py
+++ b/src/agatestile/balancing/choice.py
@@ -54,7 +54,7 @@
 ) -> Candidate | None:
     """Return the candidate with the least expected cost.
 
-    Servers with a full queue and unreachable or unresponsive ones are
+    Servers with a full queue, paused, unreachable and unresponsive ones are
     excluded. Among servers of equal cost the choice is random: hosts that
     all prefer the same one overload it before its load report shows it.
 
@@ -78,6 +78,8 @@
         server_load = candidate.load
         if server_load.is_suspended(now) or server_load.is_unresponsive(now):
             continue
+        if server_load.pause_left(now):
+            continue
         if server_load.occupancy(now) >= server_load.slots + QUEUE_LIMIT:
             continue
         cost = expected_cost(candidate, now, generator)
--- a/src/agatestile/balancing/load.py
+++ b/src/agatestile/balancing/load.py
@@ -24,6 +24,9 @@
 MAX_SUSPENSION_SECONDS = 1.0
 """Longest suspension after a server could not be reached."""
 
+MAX_PAUSE_SECONDS = 300.0
+"""Longest pause that a server may request."""
+
 MAX_SLOWDOWN = 5.0
 """Largest reported momentary slowdown that is accepted."""
 
@@ -109,8 +112,13 @@
         self._slowdown = 1.0
         self._suspended_until = -math.inf
         self._suspension_seconds = 0.0
+        self._paused_until = -math.inf
         self._no_response_since = math.inf
 
+    def pause_left(self, now: float) -> float:
+        """Return for how long the server wants no requests, seconds."""
+        return max(0.0, self._paused_until - now)
+
     def is_suspended(self, now: float) -> bool:
         """Return whether the server is excluded because it was unreachable."""
         return now < self._suspended_until
@@ -209,6 +217,19 @@
         if report.slots > 0:
             self.slots = report.slots
 
+    def on_pause(self, now: float, seconds: float) -> None:
+        """Record that the server wants no requests for some time.
+
+        Parameters
+        ----------
+        now : float
+            Clock of the event loop, seconds.
+        seconds : float
+            Length of the pause, seconds.
+        """
+        until = now + min(seconds, MAX_PAUSE_SECONDS)
+        self._paused_until = max(self._paused_until, until)
+
     def on_failure(self) -> None:
         """Count a failed or rejected request."""
         self._failed += 1
--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -339,7 +339,10 @@
                 _CODES.SERVER_SHED,
                 f"server {server_id} rejected the request with status"
                 f" {response.status}",
-                0.5 * pick.load.expected_wait(self._now()),
+                max(
+                    0.5 * pick.load.expected_wait(self._now()),
+                    server_headers.pause or 0.0,
+                ),
             )
             return None
         self._may_have_run = True
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -204,6 +204,14 @@
     ) -> None:
         """Apply what a server says of itself in a response."""
         instance = (entry.id, entry.incarnation)
+        if headers.pause is not None:
+            self.load_of(entry).on_pause(now, headers.pause)
+            events.emit(
+                "server_paused",
+                server=entry.id,
+                incarnation=entry.incarnation,
+                seconds=headers.pause,
+            )
         if headers.is_leaving and self.on_departure(instance, now):
             self._departures[instance] = now
 
@@ -347,6 +355,7 @@
                 one
                 for one in candidates
                 if not one.load.is_suspended(now)
+                and not one.load.pause_left(now)
                 and not one.load.is_unresponsive(now)
             ),
             key=lambda one: choice.expected_cost(one, now, self._generator),
--- a/src/agatestile/entry/header_port.py
+++ b/src/agatestile/entry/header_port.py
@@ -42,6 +42,8 @@
         Load that the server reports.
     is_leaving : bool
         Whether the server says that it is about to leave.
+    pause : float or None
+        Time for which the server wants no requests, seconds.
     server_id : str or None
         Server that answers a probe, None if the response does not say.
     """
@@ -51,6 +53,7 @@
     has_signature: bool
     report: load.LoadReport | None
     is_leaving: bool = False
+    pause: float | None = None
     server_id: str | None = None
 
 
--- a/src/agatestile/entry/picker.py
+++ b/src/agatestile/entry/picker.py
@@ -147,11 +147,14 @@
                 f"no server of {service} accepts requests",
                 OWNER_RETRY_AFTER,
             )
-        wait = min(one.load.expected_wait(now) for one in candidates)
+        wait = min(
+            max(0.5 * one.load.expected_wait(now), one.load.pause_left(now))
+            for one in candidates
+        )
         return refusals.RequestRefusal(
             _CODES.OVERLOADED,
-            f"all {len(candidates)} servers of {service} are full",
-            0.5 * wait,
+            f"all {len(candidates)} servers of {service} are full or paused",
+            wait,
         )
 
     def _pick_owner(
@@ -186,6 +189,14 @@
                 f"owner {owner.server_id} of key {key} does not respond",
                 OWNER_RETRY_AFTER,
             )
+        pause_left = load.pause_left(now)
+        if pause_left:
+            return refusals.RequestRefusal(
+                _CODES.OVERLOADED,
+                f"owner {owner.server_id} of key {key} wants no requests for"
+                f" {pause_left:.1f} s",
+                pause_left,
+            )
         if self._fleet.is_cold(server, now):
             if not self._fleet.has_cold_quota(server, now):
                 return refusals.RequestRefusal(
--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -71,6 +71,7 @@
         report = None
         has_signature = False
         is_leaving = False
+        pause = None
         server_id = None
         did_not_run = response.status == _MISDIRECTED_STATUS
         for name, value in response.headers:
@@ -82,6 +83,8 @@
                 did_not_run = True
             elif name == _LEAVING:
                 is_leaving = value == b"1"
+            elif name == _RETRY_AFTER and response.status == 503:
+                pause = _parse_number(value)
             elif name == _ANSWERING_INSTANCE:
                 server_id = value.decode("latin-1")
         return header_port.ServerHeaders(
@@ -90,6 +93,7 @@
             has_signature,
             report,
             is_leaving,
+            pause,
             server_id,
         )
 
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -326,3 +326,45 @@
         )
         harness.fleet.on_probe_response(entry, other, harness.now())
         assert harness.fleet.directory.by_id["a"].leaving_since is None
+
+
+@pytest.mark.parametrize("key", [None, 7])
+async def test_server_that_asked_for_a_pause_gets_no_requests(
+    key: int | None,
+) -> None:
+    """Guards against requests to a server that asked for a pause (BUDGET)."""
+
+    async def respond_with_pause(received: support.ReceivedRequest) -> bytes:
+        return support.signed_response(
+            received, 503, b"", b"x-not-executed: 1\r\nretry-after: 0.4\r\n"
+        )
+
+    async with support.handler_harness() as harness:
+        harness.configure(partitioned=key is not None)
+        await harness.add_server("a", respond_with_pause)
+        harness.assign("a")
+        for _ in range(5):
+            response = await harness.send(key=key)
+            assert response.status == 503
+            retry_after = float(response.header(b"retry-after") or b"0")
+            assert 0.2 < retry_after <= 0.4
+        assert len(harness.received_requests) == 1
+        await asyncio.sleep(0.4)
+        await harness.send(key=key)
+        assert len(harness.received_requests) == 2
+
+
+async def test_paused_server_is_replaced_by_another() -> None:
+    async def respond_with_pause(received: support.ReceivedRequest) -> bytes:
+        return support.signed_response(
+            received, 503, b"", b"x-not-executed: 1\r\nretry-after: 9\r\n"
+        )
+
+    async with support.handler_harness() as harness:
+        harness.configure()
+        await harness.add_server("a", respond_with_pause)
+        await harness.add_server("b", _respond)
+        statuses = [(await harness.send()).status for _ in range(20)]
+    assert statuses == [200] * 20
+    served_by = [one.server_id for one in harness.non_probe_requests()]
+    assert served_by.count("a") <= 1
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -22,6 +22,7 @@
         b"x-not-executed",
         b"server-leaving",
         b"x-upstream-instance",
+        b"retry-after",
     ]
 )
 NUMBERS = strategies.floats().map(lambda value: str(value).encode())
@@ -51,6 +52,7 @@
     if facts.report is not None:
         assert facts.report.running >= 0 and facts.report.waiting >= 0
         assert 0.0 <= facts.report.slowdown < math.inf
+    assert facts.pause is None or 0 <= facts.pause < math.inf
 
 
 @pytest.mark.parametrize(
@@ -69,3 +71,19 @@
     response = messages.Response(200, [(b"server-leaving", value)], b"")
     facts = headers.PlatformHeaders().read_response(response)
     assert facts.is_leaving is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause"),
+    [
+        (503, b"1.5", 1.5),
+        (503, b"soon", None),
+        (503, b"-1", None),
+        (429, b"1.5", None),
+    ],
+)
+def test_pause_is_read_from_a_503_only(
+    status: int, value: bytes, pause: float | None
+) -> None:
+    response = messages.Response(status, [(b"retry-after", value)], b"")
+    assert headers.PlatformHeaders().read_response(response).pause == pause
