Give up endless responses within a limit

The parser reports a reason phrase, a header, a chunk extension, trailers and interim responses late or never, so they were collected until the request's deadline; late responses each had the whole limit of a body. Bytes since the last part of a body are limited now, a body counts with the late ones before it, and the incomplete bodies of a pool share 96 MB. This holds for backend servers, the store and other hosts alike.

Of eleven endless answers six failed before (reason phrase, header, interim responses, chunk extension, trailers, late responses), as did the test of the shared limit. Answers that arrive slowly ended by the deadline before too; a test now says so.

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -29,7 +29,11 @@
 """Largest response head, bytes."""
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Largest response body kept in memory, bytes."""
+"""Largest response body kept in memory, bytes. It includes the bodies of late
+responses that precede the expected one."""
+
+MAX_BUFFERED_BYTES = 96 * 1024 * 1024
+"""Limit of the incomplete bodies of all responses of a pool, bytes."""
 
 _LINGER_RESET = struct.pack("ii", 1, 0)
 """SO_LINGER value (on, 0 seconds) that makes a close reset the connection."""
@@ -37,6 +41,13 @@
 Address = tuple[str, int]
 
 
+class BufferedBytes:
+    """Counts the bytes of incomplete responses of several connections."""
+
+    def __init__(self) -> None:
+        self.total = 0
+
+
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time.
 
@@ -45,8 +56,11 @@
     late.
     """
 
-    def __init__(self, echo_header: bytes) -> None:
+    def __init__(
+        self, echo_header: bytes, buffered: BufferedBytes | None = None
+    ) -> None:
         self._echo_header = echo_header
+        self._buffered = buffered or BufferedBytes()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._expected_echo: bytes | None = None
@@ -54,7 +68,8 @@
         self._result: messages.Response | messages.Failure | None = None
         self._headers: messages.Headers = []
         self._body: list[bytes] = []
-        self._size = 0
+        self._body_size = 0
+        self._framing_size = 0
         self._has_head = False
         self._first_data_at: float | None = None
         self._ends_at_close = False
@@ -85,6 +100,8 @@
         self._expected_echo = echo
         self._is_head_request = is_head
         self._result = None
+        self._body_size = 0
+        self._framing_size = 0
         self._first_data_at = None
         self._transport.write(content)
         self._waiter = asyncio.get_running_loop().create_future()
@@ -95,6 +112,8 @@
             raise
         finally:
             self._waiter = None
+            self._buffered.total -= self._body_size
+            self._body = []
         result = self._result
         if result is None:
             return _outcome_unknown("the connection closed before a response")
@@ -152,12 +171,17 @@
             self._first_data_at = _loop_time()
         if self.on_data is not None:
             self.on_data()
+        self._framing_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"malformed HTTP response: {error!r}")
         except httptools.HttpParserUpgrade:
             self._fail("the response upgrades the protocol")
+        if self._framing_size > MAX_HEAD_BYTES:
+            self._fail(
+                f"response has {self._framing_size} bytes without a body"
+            )
 
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
@@ -166,7 +190,6 @@
             return
         self._headers = []
         self._body = []
-        self._size = 0
         self._has_head = False
         self._ends_at_close = False
 
@@ -174,9 +197,6 @@
         """Store a header; trailers are dropped."""
         if self._result is None and not self._has_head:
             self._headers.append((name.lower(), value.strip()))
-            self._size += len(name) + len(value)
-            if self._size > MAX_HEAD_BYTES:
-                self._fail(f"response head exceeds {MAX_HEAD_BYTES} bytes")
 
     def on_headers_complete(self) -> None:
         """Evaluate the status and the headers that frame the body."""
@@ -186,7 +206,6 @@
         if status < 200:
             return
         self._has_head = True
-        self._size = 0
         find = messages.find_header
         if not self._parser.should_keep_alive():
             self.is_usable = False
@@ -206,9 +225,14 @@
             self.is_usable = False
             return
         self._body.append(body)
-        self._size += len(body)
-        if self._size > MAX_BODY_BYTES:
+        # What remains counts toward a head or the framing of a chunk.
+        self._framing_size = 0
+        self._body_size += len(body)
+        self._buffered.total += len(body)
+        if self._body_size > MAX_BODY_BYTES:
             self._fail(f"response body exceeds {MAX_BODY_BYTES} bytes")
+        elif self._buffered.total > MAX_BUFFERED_BYTES:
+            self._fail(f"responses exceed {MAX_BUFFERED_BYTES} bytes in all")
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -272,6 +296,7 @@
     ) -> None:
         self._now = now
         self._echo_header = echo_header
+        self._buffered = BufferedBytes()
         self._idle: dict[typing.Hashable, list[Connection]] = {}
         self.opened = 0
 
@@ -305,7 +330,8 @@
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._echo_header), *address
+                    lambda: Connection(self._echo_header, self._buffered),
+                    *address,
                 )
         except TimeoutError:
             return _not_sent(f"connect timed out after {timeout:g} s")
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -368,3 +369,30 @@
     assert statuses == [200] * 20
     served_by = [one.server_id for one in harness.non_probe_requests()]
     assert served_by.count("a") <= 1
+
+
+@pytest.mark.parametrize("start", [b"HTTP/1.1 200 ", b""])
+async def test_endless_answer_ends_by_the_deadline(start: bytes) -> None:
+    """Guards against callers that wait for a server that never stops."""
+
+    async def dribble(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            received = support.ReceivedRequest("a", head, b"")
+            full = support.signed_response(received, body=b"x" * 10_000)
+            writer.write(start or full[:200])
+            while not writer.is_closing():
+                writer.write(b"x")
+                await writer.drain()
+                await asyncio.sleep(0.01)
+
+    server = await asyncio.start_server(dribble, "127.0.0.1", 0)
+    async with server, support.handler_harness() as harness:
+        harness.configure(attempts=1)
+        harness.add_to_directory("a", server.sockets[0].getsockname())
+        started = harness.now()
+        response = await harness.send(deadline_ms=300)
+        assert response.status == 504
+        assert harness.now() - started < 0.5
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -235,3 +235,93 @@
         assert response.body == b"x" * len(pauses)
     else:
         assert isinstance(response, messages.Failure)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-id: 1\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+LATE = b"HTTP/1.1 200 OK\r\nx-id: 0\r\ncontent-length: 1000\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"HTTP/1.1 200 ", b"O" * 1000),
+        (HEAD + b"x-long: ", b"v" * 1000),
+        (HEAD, b"x-next: v\r\n" * 100),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+        (CHUNKED + b"1;", b"e" * 1000),
+        (CHUNKED + b"0\r\n", b"x-trailer: v\r\n" * 70),
+        (CHUNKED, b"3e8\r\n" + b"b" * 1000 + b"\r\n"),
+        (HEAD + b"\r\n", b"b" * 1000),
+        (HEAD + b"content-length: 999999999999\r\n\r\n", b"b" * 1000),
+        (b"", LATE + b"b" * 1000),
+        (b"", b"\0" * 1000),
+    ],
+    ids=[
+        "reason",
+        "header",
+        "headers",
+        "interim",
+        "chunk extension",
+        "trailers",
+        "chunks",
+        "body until close",
+        "body with length",
+        "late responses",
+        "no response",
+    ],
+)
+async def test_endless_response_is_given_up_within_a_limit(
+    start: bytes, repeated: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against memory that grows until the request's deadline."""
+    limit = 1024 * 1024
+    monkeypatch.setattr(client, "MAX_BODY_BYTES", limit)
+    sent = 0
+
+    async def server(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        while sent < 64 * limit:
+            writer.write(repeated)
+            sent += len(repeated)
+            await writer.drain()
+
+    (result,) = await _exchange(server)
+    assert isinstance(result, messages.Failure)
+    # Socket buffers hold a few megabytes beside the limit.
+    assert sent < 16 * limit
+
+
+async def test_endless_responses_share_a_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against memory that grows with the number of such servers."""
+    monkeypatch.setattr(client, "MAX_BUFFERED_BYTES", 1024 * 1024)
+
+    async def server(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"\r\n" + b"b" * 300_000)
+        await writer.drain()
+        await reader.read()
+
+    async with _serving(server) as address:
+        pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
+
+        async def call() -> messages.Response | messages.Failure:
+            request = messages.Request(b"GET", b"/", [], b"")
+            return await pool.call(address, request, 0.5)
+
+        results = await asyncio.gather(*(call() for _ in range(8)))
+        reasons = [
+            result.reason
+            for result in results
+            if isinstance(result, messages.Failure)
+        ]
+        assert any("in all" in reason for reason in reasons)
+        assert pool._buffered.total == 0
