Read and log limits that servers name

The header is decoded, kept with the directory's entry of the server's incarnation until an answer of that server has none, and logged when it changes. No decision depends on it yet.

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -59,12 +59,19 @@
     is_departing : bool
         Whether the server itself said that it leaves, which holds until it
         restarts; False if only its entry is missing.
+    rate_limit : float or None
+        Requests per second that it takes from all hosts together, None
+        without a limit.
+    rate_limit_known_at : float
+        Time of the newest response that named the limit, or none, seconds.
     """
 
     entry: ServerEntry
     received: float
     leaving_since: float | None
     is_departing: bool = False
+    rate_limit: float | None = None
+    rate_limit_known_at: float = float("-inf")
 
 
 class Directory:
@@ -149,7 +156,13 @@
         newest = self._newest_by_address.get(entry.address)
         if newest is None or newest.incarnation <= entry.incarnation:
             self._newest_by_address[entry.address] = entry
-        self.by_id[entry.id] = Server(entry, now, leaving, is_departing)
+        server = Server(entry, now, leaving, is_departing)
+        if known is not None and known.entry.incarnation == entry.incarnation:
+            server = server._replace(
+                rate_limit=known.rate_limit,
+                rate_limit_known_at=known.rate_limit_known_at,
+            )
+        self.by_id[entry.id] = server
         self._ids_by_service.setdefault(entry.service, {})[entry.id] = None
         changed = known is None or _comparable(known.entry) != _comparable(
             entry
@@ -197,6 +210,33 @@
         self._record_change(server_id)
         return server.leaving_since is None
 
+    def set_rate_limit(
+        self, instance: tuple[str, int], rate: float | None, known_at: float
+    ) -> bool:
+        """Apply a server's limit unless it is outdated; return if it changed.
+
+        Parameters
+        ----------
+        instance : tuple of (str, int)
+            Identifier and incarnation of the server.
+        rate : float or None
+            Requests per second that the server takes, None without a limit.
+        known_at : float
+            Time of the response that says so, seconds.
+        """
+        server = self.by_id.get(instance[0])
+        if server is None or server.entry.incarnation != instance[1]:
+            return False
+        if known_at <= server.rate_limit_known_at:
+            return False
+        self.by_id[instance[0]] = server._replace(
+            rate_limit=rate, rate_limit_known_at=known_at
+        )
+        if rate == server.rate_limit:
+            return False
+        self._record_change(instance[0])
+        return True
+
     def changed_after(self, version: int) -> list[Server]:
         """Return the servers that have changed since a version."""
         return [
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -212,9 +212,27 @@
                 incarnation=entry.incarnation,
                 seconds=headers.pause,
             )
+        self._apply_rate_limit(instance, headers, now)
         if headers.is_leaving and self.on_departure(instance, now):
             self._departures[instance] = now
 
+    def _apply_rate_limit(
+        self,
+        instance: Instance,
+        headers: header_port.ServerHeaders,
+        now: float,
+    ) -> None:
+        if headers.rate_limit is None and not headers.has_signature:
+            # Only a response of the server itself can lift its limit.
+            return
+        if self.directory.set_rate_limit(instance, headers.rate_limit, now):
+            events.emit(
+                "server_rate_limit",
+                server=instance[0],
+                incarnation=instance[1],
+                rate=headers.rate_limit,
+            )
+
     def on_departure(self, instance: Instance, since: float) -> bool:
         """Apply that a server said it leaves; return whether that is new."""
         is_new = self.directory.mark_leaving(instance, since)
--- a/src/agatestile/entry/header_port.py
+++ b/src/agatestile/entry/header_port.py
@@ -44,6 +44,9 @@
         Whether the server says that it is about to leave.
     pause : float or None
         Time for which the server wants no requests, seconds.
+    rate_limit : float or None
+        Requests per second that the server takes from all hosts together,
+        None if it names no limit.
     server_id : str or None
         Server that answers a probe, None if the response does not say.
     """
@@ -54,6 +57,7 @@
     report: load.LoadReport | None
     is_leaving: bool = False
     pause: float | None = None
+    rate_limit: float | None = None
     server_id: str | None = None
 
 
--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -19,6 +19,8 @@
 _LOAD = b"x-upstream-load"
 _NOT_EXECUTED = b"x-not-executed"
 _LEAVING = b"server-leaving"
+# Requests per second, of all hosts together.
+_RATE_LIMIT = b"server-limit"
 _ANSWERING_INSTANCE = b"x-upstream-instance"
 _RETRY_AFTER = b"retry-after"
 
@@ -72,6 +74,7 @@
         has_signature = False
         is_leaving = False
         pause = None
+        rate_limit = None
         server_id = None
         did_not_run = response.status == _MISDIRECTED_STATUS
         for name, value in response.headers:
@@ -85,6 +88,8 @@
                 is_leaving = value == b"1"
             elif name == _RETRY_AFTER and response.status == 503:
                 pause = _parse_number(value)
+            elif name == _RATE_LIMIT:
+                rate_limit = _parse_number(value)
             elif name == _ANSWERING_INSTANCE:
                 server_id = value.decode("latin-1")
         return header_port.ServerHeaders(
@@ -94,6 +99,7 @@
             report,
             is_leaving,
             pause,
+            rate_limit,
             server_id,
         )
 
--- a/tests/catalog/test_directory.py
+++ b/tests/catalog/test_directory.py
@@ -97,3 +97,19 @@
     assert servers.mark_leaving(("a", 2), 1.5)
     assert not servers.mark_leaving(("a", 2), 1.7)
     assert servers.by_id["a"].leaving_since == 1.5
+
+
+def test_rate_limit_lasts_until_it_is_lifted_or_the_server_restarts() -> None:
+    servers = directory.Directory()
+    servers.put(entry(), 0.0)
+    assert servers.set_rate_limit(("a", 1), 2.5, 1.0)
+    servers.put(entry(sequence=2), 2.0)
+    assert servers.by_id["a"].rate_limit == 2.5
+    # A response that another host received earlier arrives late.
+    assert not servers.set_rate_limit(("a", 1), None, 0.5)
+    assert servers.by_id["a"].rate_limit == 2.5
+    assert servers.set_rate_limit(("a", 1), None, 3.0)
+    assert servers.by_id["a"].rate_limit is None
+    servers.set_rate_limit(("a", 1), 4.0, 4.0)
+    servers.put(entry(incarnation=2), 5.0)
+    assert servers.by_id["a"].rate_limit is None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -23,6 +23,7 @@
         b"server-leaving",
         b"x-upstream-instance",
         b"retry-after",
+        b"server-limit",
     ]
 )
 NUMBERS = strategies.floats().map(lambda value: str(value).encode())
@@ -87,3 +88,13 @@
 ) -> None:
     response = messages.Response(status, [(b"retry-after", value)], b"")
     assert headers.PlatformHeaders().read_response(response).pause == pause
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"), [(b"2.6", 2.6), (b"0", 0.0), (b"nan", None)]
+)
+def test_rate_limit_is_a_decimal_number(
+    value: bytes, rate: float | None
+) -> None:
+    response = messages.Response(503, [(b"server-limit", value)], b"")
+    assert headers.PlatformHeaders().read_response(response).rate_limit == rate
