Reserve retries while they wait to be sent

Cause: the budget was checked before a retry and charged when it was sent. Between them a request waits for its key's owner, up to a third of its time. All requests for a range that moved passed the check and were sent together when the assignment came.

A retry is reserved when it is allowed; sending it turns the reservation into a retry, and a request that ends in another way returns it.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -17,6 +17,7 @@
     from agatestile.catalog import directory
     from agatestile.entry import handler as handler_module
     from agatestile.entry import header_port
+    from agatestile.limits import budget
 
 DEFAULT_TIME_LEFT = 30.0
 """Time allowed for a request without a deadline, seconds."""
@@ -122,11 +123,19 @@
         self._tried_ids: set[str] = set()
         self._attempt_count = 0
         self._may_have_run = False
+        self._has_reserved_retry = False
         self._failed_response: messages.Response | None = None
         self._last_refusal: refusals.RequestRefusal | None = None
 
     async def run(self) -> messages.Response:
         """Send attempts until there is a final response."""
+        try:
+            return await self._run()
+        finally:
+            if self._has_reserved_retry:
+                self._budget().release()
+
+    async def _run(self) -> messages.Response:
         while True:
             await self._refresh_loads()
             pick = await self._next_server()
@@ -136,7 +145,7 @@
             response = self._evaluate(pick, attempt)
             if response is not None:
                 return response
-            if not self._may_retry():
+            if not self._may_retry() or not self._reserve_retry():
                 return self._refuse(self._last_refusal)
 
     # Server selection
@@ -236,7 +245,8 @@
             repeat=str(self._attempt_count > 1).lower(),
         )
         if self._attempt_count > 1:
-            self._handler.budget(self._context.service).on_retry(sent)
+            self._budget().on_retry(sent)
+            self._has_reserved_retry = False
         self._tried_ids.add(entry.id)
         self._fleet.on_sent(entry, sent)
         load.on_sent(sent)
@@ -390,8 +400,17 @@
             return False
         if self._attempt_count >= context.route.max_attempts:
             return False
-        budget = self._handler.budget(context.service)
-        return budget.allows(now, self._fleet.host_count)
+        return self._budget().allows(now, self._fleet.host_count)
+
+    def _reserve_retry(self) -> bool:
+        """Reserve a retry, as it may wait before it is sent."""
+        self._has_reserved_retry = self._budget().reserve(
+            self._now(), self._fleet.host_count
+        )
+        return self._has_reserved_retry
+
+    def _budget(self) -> budget.RetryBudget:
+        return self._handler.budget(self._context.service)
 
     def _forward(
         self,
--- a/src/agatestile/limits/budget.py
+++ b/src/agatestile/limits/budget.py
@@ -34,6 +34,11 @@
         Length of the sliding window, seconds.
     floor : int
         Retries that are always allowed within a window.
+
+    Attributes
+    ----------
+    reserved_count : int
+        Retries that were allowed and have not been sent yet.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         self._floor = floor
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
+        self.reserved_count = 0
 
     @classmethod
     def for_host(
@@ -79,10 +85,26 @@
         _drop_before(self._retries, start)
         allowed = self._ratio * len(self._requests)
         allowed += self._slack / max(1, hosts)
-        return len(self._retries) + 1 <= max(allowed, self._floor)
+        count = len(self._retries) + self.reserved_count
+        return count + 1 <= max(allowed, self._floor)
+
+    def reserve(self, now: float, hosts: int = 1) -> bool:
+        """Reserve a retry that may be sent later; return whether it may.
+
+        A reservation ends with `on_retry` or `release`.
+        """
+        if not self.allows(now, hosts):
+            return False
+        self.reserved_count += 1
+        return True
+
+    def release(self) -> None:
+        """Return a reservation whose retry is not sent."""
+        self.reserved_count -= 1
 
     def on_retry(self, now: float) -> None:
-        """Record a retry that is sent."""
+        """Record a reserved retry that is sent."""
+        self.reserved_count -= 1
         self._retries.append(now)
 
     def spend(self, now: float) -> bool:
@@ -93,7 +115,7 @@
         bool
             False if the budget is spent and the retry must not be sent.
         """
-        if not self.allows(now):
+        if not self.reserve(now):
             return False
         self.on_retry(now)
         return True
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -424,3 +424,39 @@
         assert len(refused) == 20 - len(harness.received_requests)
         for response in refused:
             assert float(response.header(b"retry-after") or b"0") > 0.05
+
+
+async def test_retries_that_wait_for_an_owner_stay_within_the_budget() -> None:
+    """Guards against a budget that is checked before a wait and used after it.
+
+    Requests whose owner had changed waited for the assignment, each of them
+    allowed to be retried, and were then sent together (BUDGET,
+    freeze-during-moves on nkabom-gate-grown).
+    """
+
+    async def misdirect(received: support.ReceivedRequest) -> bytes:
+        harness.assign("b", moving_from="a")
+        return support.signed_response(received, 421, b"")
+
+    async with support.handler_harness() as harness:
+        harness.configure(partitioned=True)
+        await harness.add_server("a", misdirect)
+        await harness.add_server("b", _respond)
+        bounds = harness.fleet.bounds
+        count = 5
+        harness.fleet.bounds = bounds._replace(retry_slack=1.0)
+        harness.assign("a")
+        sending = [
+            asyncio.create_task(harness.send(key=7)) for _ in range(count)
+        ]
+        await asyncio.sleep(0.1)
+        harness.assign("b")
+        statuses = [(await one).status for one in sending]
+        retried = [
+            one for one in harness.received_requests if one.server_id == "b"
+        ]
+        allowed = bounds.retry_ratio * count + 1.0
+        assert len(retried) <= allowed
+        assert statuses.count(200) == len(retried) >= 1
+        # A reservation that is not used is returned.
+        assert harness.handler.budget("prices").reserved_count == 0
--- a/tests/limits/test_budget.py
+++ b/tests/limits/test_budget.py
@@ -49,7 +49,7 @@
         now = tick * 0.01
         retry_budget = budgets[tick % hosts]
         retry_budget.on_request(now)
-        if retry_budget.allows(now, hosts):
+        if retry_budget.reserve(now, hosts):
             retry_budget.on_retry(now)
             retries += 1
     assert retries <= 0.2 * 1000 + 62
