Split notices and send times from the fleet

What servers say of themselves, and the times of requests, are modules of their own; no behaviour changes. Gauges show the age of the configuration and of the directory.

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -9,6 +9,10 @@
 before its server is considered removed; the platform documents about 2 s."""
 
 
+Instance = tuple[str, int]
+"""Identifier and incarnation of a server."""
+
+
 class ServerEntry(typing.NamedTuple):
     """Report of a backend server about itself.
 
@@ -73,6 +77,11 @@
     rate_limit: float | None = None
     rate_limit_known_at: float = float("-inf")
 
+    @property
+    def instance(self) -> Instance:
+        """Identifier and incarnation of the server."""
+        return self.entry.id, self.entry.incarnation
+
 
 class Directory:
     """Servers by identifier, with the rules for stale and missing entries.
@@ -176,7 +185,7 @@
 
     def mark_leaving(
         self,
-        instance: tuple[str, int],
+        instance: Instance,
         since: float,
         is_missing: bool = False,
     ) -> bool:
@@ -191,9 +200,9 @@
         is_missing : bool
             Whether its entry is missing; otherwise the server said so.
         """
-        server_id, incarnation = instance
+        server_id = instance[0]
         server = self.by_id.get(server_id)
-        if server is None or server.entry.incarnation != incarnation:
+        if server is None or server.instance != instance:
             return False
         if is_missing:
             self._missing_since_by_id.setdefault(server_id, since)
@@ -213,7 +222,7 @@
         return server.leaving_since is None
 
     def set_rate_limit(
-        self, instance: tuple[str, int], rate: float | None, known_at: float
+        self, instance: Instance, rate: float | None, known_at: float
     ) -> bool:
         """Apply a server's limit unless it is outdated; return if it changed.
 
@@ -227,7 +236,7 @@
             Time of the response that says so, seconds.
         """
         server = self.by_id.get(instance[0])
-        if server is None or server.entry.incarnation != instance[1]:
+        if server is None or server.instance != instance:
             return False
         if known_at <= server.rate_limit_known_at:
             return False
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -13,6 +13,8 @@
 from agatestile.balancing import choice
 from agatestile.balancing import load
 from agatestile.catalog import directory as directory_module
+from agatestile.entry import send_times
+from agatestile.entry import server_notices
 from agatestile.limits import shares
 from agatestile.observability import events
 
@@ -57,9 +59,6 @@
 """Age from which a load report is renewed by a probe; a machine is slow for
 a few hundred milliseconds at a time."""
 
-Instance = tuple[str, int]
-"""Identifier and incarnation of a server."""
-
 
 class Fleet:
     """Servers with their load, and the rules that exclude them.
@@ -87,12 +86,11 @@
         self.configuration: configuration.Configuration | None = None
         self.evacuated_since: dict[str, float] = {}
         self._evacuation_ended: dict[str, float] = {}
-        self._loads: dict[Instance, load.ServerLoad] = {}
-        self._send_times: dict[Instance, collections.deque[float]] = {}
-        self._rate_limit_notices: dict[Instance, float] = {}
+        self._loads: dict[directory_module.Instance, load.ServerLoad] = {}
+        self._send_times = send_times.SendTimes()
+        self.notices = server_notices.ServerNotices(self.directory, now)
         self._demand: collections.Counter[str] = collections.Counter()
-        self._possibly_cold_since: dict[Instance, float] = {}
-        self._departures: dict[Instance, float] = {}
+        self._possibly_cold_since: dict[directory_module.Instance, float] = {}
         self._generator = random.Random()
         self._shares = shares.HostShares(self._generator.getrandbits(32))
         self.host_count = INITIAL_HOST_COUNT
@@ -166,15 +164,9 @@
         for name, since in self.directory.missing_since_by_id().items():
             if now - since > keep_seconds:
                 self.directory.delete(name)
-        known = {
-            (one.entry.id, one.entry.incarnation)
-            for one in self.directory.by_id.values()
-        }
-        for by_instance in (
-            self._loads,
-            self._send_times,
-            self._possibly_cold_since,
-        ):
+        known = {one.instance for one in self.directory.by_id.values()}
+        self._send_times.retain(known)
+        for by_instance in (self._loads, self._possibly_cold_since):
             for instance in list(by_instance):
                 if instance not in known:
                     del by_instance[instance]
@@ -208,7 +200,6 @@
         now: float,
     ) -> None:
         """Apply what a server says of itself in a response."""
-        instance = (entry.id, entry.incarnation)
         if headers.pause is not None:
             self.load_of(entry).on_pause(now, headers.pause)
             events.emit(
@@ -217,86 +208,7 @@
                 incarnation=entry.incarnation,
                 seconds=headers.pause,
             )
-        self._apply_rate_limit(instance, headers, now)
-        if headers.is_leaving and self.on_departure(instance, now):
-            self._departures[instance] = now
-
-    def _apply_rate_limit(
-        self,
-        instance: Instance,
-        headers: header_port.ServerHeaders,
-        now: float,
-    ) -> None:
-        if headers.rate_limit is None and not headers.has_signature:
-            # Only a response of the server itself can lift its limit.
-            return
-        if self.directory.set_rate_limit(instance, headers.rate_limit, now):
-            self._rate_limit_notices[instance] = now
-            events.emit(
-                "server_rate_limit",
-                server=instance[0],
-                incarnation=instance[1],
-                rate=headers.rate_limit,
-            )
-
-    def on_departure(self, instance: Instance, since: float) -> bool:
-        """Apply that a server said it leaves; return whether that is new."""
-        is_new = self.directory.mark_leaving(instance, since)
-        if is_new:
-            events.emit(
-                "server_leaving",
-                server=instance[0],
-                incarnation=instance[1],
-                age=round(self._now() - since, 3),
-            )
-        return is_new
-
-    def take_rate_limits(self) -> list[tuple[str, int, float | None, float]]:
-        """Return the limits that changed in responses to this host.
-
-        Returns
-        -------
-        list of (str, int, float or None, float)
-            Identifier and incarnation of the server, its limit, and the
-            time since the response.
-        """
-        now = self._now()
-        taken = []
-        for (server_id, incarnation), at in self._rate_limit_notices.items():
-            server = self.directory.by_id.get(server_id)
-            if server is not None and server.entry.incarnation == incarnation:
-                taken.append(
-                    (server_id, incarnation, server.rate_limit, now - at)
-                )
-        self._rate_limit_notices.clear()
-        return taken
-
-    def restore_rate_limits(
-        self,
-        limits: list[tuple[str, int, float | None, float]],
-        taken_at: float,
-    ) -> None:
-        """Report limits again, as their report was not delivered."""
-        for server_id, incarnation, _, age in limits:
-            self._rate_limit_notices.setdefault(
-                (server_id, incarnation), taken_at - age
-            )
-
-    def take_departures(self) -> list[tuple[str, int, float]]:
-        """Return servers that told this host that they leave, with ages."""
-        now = self._now()
-        taken = [
-            (*one, now - since) for one, since in self._departures.items()
-        ]
-        self._departures.clear()
-        return taken
-
-    def restore_departures(
-        self, departures: list[tuple[str, int, float]], taken_at: float
-    ) -> None:
-        """Report departures again, as their report was not delivered."""
-        for server_id, incarnation, age in departures:
-            self._departures[server_id, incarnation] = taken_at - age
+        self.notices.on_response((entry.id, entry.incarnation), headers)
 
     def merge_samples(self, server_id: str, samples: load.Samples) -> None:
         """Merge the samples of a server that another host measured."""
@@ -347,9 +259,10 @@
         self, server: directory_module.Server, now: float
     ) -> bool:
         """Return whether this host may send a request to a cold server."""
-        entry = server.entry
-        sent = self._sent_since(entry, now - COLD_WINDOW_SECONDS)
-        return sent < self._cold_quota(entry)
+        sent = self._send_times.count_since(
+            server.instance, now - COLD_WINDOW_SECONDS
+        )
+        return sent < self._cold_quota(server.entry)
 
     def rate_limit_wait(
         self, server: directory_module.Server, now: float
@@ -372,34 +285,15 @@
             now,
         )
         start = now - shares.WINDOW_SECONDS
-        if self._sent_since(entry, start) < quota:
+        if self._send_times.count_since(server.instance, start) < quota:
             return 0.0
         if quota <= 0:
             return shares.WINDOW_SECONDS
-        send_times = self._send_times[entry.id, entry.incarnation]
-        return send_times[-quota] - start
-
-    def _sent_since(
-        self, entry: directory_module.ServerEntry, start: float
-    ) -> int:
-        """Return how many requests were sent to a server since a time."""
-        send_times = self._send_times.get((entry.id, entry.incarnation), ())
-        count = 0
-        for sent in reversed(send_times):
-            if sent < start:
-                break
-            count += 1
-        return count
+        return self._send_times.nth_last(server.instance, quota) - start
 
     def on_sent(self, entry: directory_module.ServerEntry, now: float) -> None:
         """Record a request, as its server may turn out to have a limit."""
-        instance = (entry.id, entry.incarnation)
-        send_times = self._send_times.get(instance)
-        if send_times is None:
-            send_times = self._send_times[instance] = collections.deque()
-        while send_times and send_times[0] < now - shares.WINDOW_SECONDS:
-            send_times.popleft()
-        send_times.append(now)
+        self._send_times.add((entry.id, entry.incarnation), now)
 
     def count_demand(self, service: str) -> None:
         """Count a caller's request for a service."""
@@ -527,7 +421,7 @@
             now - server.received,
         )
 
-    def is_replaced(self, instance: Instance) -> bool:
+    def is_replaced(self, instance: directory_module.Instance) -> bool:
         """Return whether an instance of a server has certainly ended.
 
         A later incarnation of the server, or another server that started
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -347,6 +347,18 @@
             lambda: self.caller_listener.busy_connections,
         )
         gauge("configuration_version", configuration_version)
+        gauge(
+            "configuration_age_seconds",
+            lambda: self._now() - self.operator_watcher.confirmed_at,
+        )
+        gauge(
+            "directory_age_seconds",
+            lambda: self._now() - fleet.directory.confirmed_at,
+        )
+        gauge(
+            "services_with_rate_limits",
+            lambda: len(fleet.directory.services_with_rate_limits()),
+        )
         gauge("servers_known", lambda: len(fleet.directory.by_id))
         gauge("hosts_known", lambda: fleet.host_count)
         gauge("assignment_epoch", lambda: self.view.epoch)
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -146,7 +146,9 @@
             for server_id, samples in report.servers.items():
                 self._fleet.merge_samples(server_id, samples)
         for server_id, incarnation, age in report.departures:
-            self._fleet.on_departure((server_id, incarnation), now - age)
+            self._fleet.notices.on_departure(
+                (server_id, incarnation), now - age
+            )
             self._coordinator.request_plan()
         if report.epoch > self._coordinator.epoch:
             self._coordinator.lose_leadership(
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -11,6 +11,7 @@
 
 from agatestile.assignment import ranges
 from agatestile.assignment import records
+from agatestile.entry import server_notices
 from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
@@ -145,8 +146,12 @@
                 continue
             if not await self._send(report):
                 self._restore_counts(report)
-                self._fleet.restore_departures(report.departures, started)
-                self._fleet.restore_rate_limits(report.rate_limits, started)
+                self._fleet.notices.restore(
+                    server_notices.Notices(
+                        report.departures, report.rate_limits
+                    ),
+                    started,
+                )
                 await self._find_coordinator()
                 await anyio.sleep(SEARCH_PAUSE_SECONDS)
 
@@ -338,6 +343,7 @@
             self._last_relayed = now
 
     def _build_report(self) -> peer_messages.Report:
+        notices = self._fleet.notices.take()
         requests, self._requests = self._requests, {}
         return peer_messages.Report(
             self.member,
@@ -347,8 +353,8 @@
             {name: dict(counts) for name, counts in requests.items()},
             self._fleet.take_samples(),
             self._relay.relay_to(self._coordinator_version),
-            self._fleet.take_departures(),
-            self._fleet.take_rate_limits(),
+            notices.departures,
+            notices.rate_limits,
             self._fleet.take_demand(),
         )
 
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -274,7 +274,7 @@
     entry = host.directory.by_id["a"].entry
     host.on_server_headers(entry, signed, model.now)
     assert host.rate_limit_wait(host.directory.by_id["a"], model.now) == 0.0
-    assert host.take_rate_limits() == [("a", 1, None, 0.0)]
+    assert host.notices.take().rate_limits == [("a", 1, None, 0.0)]
 
 
 def test_server_with_a_rate_limit_is_planned_with_less_capacity() -> None:
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -303,7 +303,7 @@
         await harness.add_server("a", respond_leaving)
         harness.assign("a")
         first = await harness.send(key=key)
-        departures = harness.fleet.take_departures()
+        departures = harness.fleet.notices.take().departures
         leaving = harness.fleet.directory.by_id["a"]
         assert (first.status, [one[:2] for one in departures]) == (
             200,
