Allow retries by requests of the same windows

A retry now belongs to windows that may have started at any time within the last 10 s; it is allowed by the requests that count for the worst of them. Requests are counted in intervals of half a second for that. The windows are in time that includes suspensions, as the requests that other hosts got meanwhile count too; the shares of limits are leased in the same time. Lines of refused requests have the number of attempts.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -245,7 +245,7 @@
             repeat=str(self._attempt_count > 1).lower(),
         )
         if self._attempt_count > 1:
-            self._budget().on_retry(sent)
+            self._budget().on_retry(self._handler.boot_time())
             self._has_reserved_retry = False
         self._tried_ids.add(entry.id)
         self._fleet.on_sent(entry, sent)
@@ -400,12 +400,14 @@
             return False
         if self._attempt_count >= context.route.max_attempts:
             return False
-        return self._budget().allows(now, self._fleet.host_count)
+        return self._budget().allows(
+            self._handler.boot_time(), self._fleet.host_count
+        )
 
     def _reserve_retry(self) -> bool:
         """Reserve a retry, as it may wait before it is sent."""
         self._has_reserved_retry = self._budget().reserve(
-            self._now(), self._fleet.host_count
+            self._handler.boot_time(), self._fleet.host_count
         )
         return self._has_reserved_retry
 
@@ -466,4 +468,5 @@
             context,
             context.started,
             context.deadline - self._now(),
+            attempts=self._attempt_count,
         )
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -71,6 +71,9 @@
         Failure domain of this host.
     now : callable
         Clock of the event loop, seconds.
+    boot_time : callable, optional
+        Clock that includes the time of a suspension, seconds; `now` by
+        default.
     """
 
     def __init__(
@@ -78,7 +81,9 @@
         bounds: node_settings.Bounds,
         failure_domain: str,
         now: typing.Callable[[], float],
+        boot_time: typing.Callable[[], float] | None = None,
     ) -> None:
+        self._boot_time = boot_time or now
         self.bounds = bounds
         self._now = now
         self.failure_domain = failure_domain
@@ -282,7 +287,7 @@
             shares.window_limit(server.rate_limit),
             _rounding_offset(entry.id),
             self.host_count,
-            now,
+            self._boot_time(),
         )
         start = now - shares.WINDOW_SECONDS
         if self._send_times.count_since(server.instance, start) < quota:
@@ -305,7 +310,7 @@
         return demand
 
     def set_shares(
-        self, shares_by_service: dict[str, shares.Share] | None, now: float
+        self, shares_by_service: dict[str, shares.Share] | None
     ) -> None:
         """Apply the shares of this host in the limits of servers.
 
@@ -313,9 +318,8 @@
         ----------
         shares_by_service : dict of str to (float, float) or None
             Shares by service, None to keep the present ones.
-        now : float
-            Clock of the event loop, seconds.
         """
+        now = self._boot_time()
         if shares_by_service is None:
             self._shares.renew(now)
             return
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -53,6 +53,10 @@
     configuration_confirmed_at : callable
         Returns the latest time at which the configuration in force was
         certainly the newest one, seconds.
+    boot_time : callable, optional
+        Clock that includes the time of a suspension, seconds; `now` by
+        default. The window of the retry budget is in time that passes for
+        all hosts.
     """
 
     def __init__(
@@ -67,7 +71,9 @@
         configuration_confirmed_at: typing.Callable[[], float] = lambda: (
             math.inf
         ),
+        boot_time: typing.Callable[[], float] | None = None,
     ) -> None:
+        self.boot_time = boot_time or now
         self.registry = registry
         self._configuration_confirmed_at = configuration_confirmed_at
         self.fleet = fleet
@@ -92,7 +98,7 @@
             return self.refuse(
                 context, caller_headers, None, started, time_left
             )
-        self.budget(context.service).on_request(started)
+        self.budget(context.service).on_request(self.boot_time())
         self.fleet.count_demand(context.service)
         if context.key is not None:
             self.assignments.count(context.service, context.key)
@@ -201,6 +207,7 @@
         context: exchange.RequestContext | None,
         started: float,
         time_left: float,
+        **fields: object,
     ) -> messages.Response:
         """Log a refusal and return its response.
 
@@ -216,6 +223,8 @@
             Clock when the request arrived, seconds.
         time_left : float
             How long the caller still waits for a response, seconds.
+        **fields : object
+            Further fields of the line.
         """
         response = refusals.response(refusal, time_left, self.header_format)
         kind = "request_refused"
@@ -228,6 +237,7 @@
             context,
             started,
             refusal.reason,
+            **fields,
         )
         return response
 
--- a/src/agatestile/limits/budget.py
+++ b/src/agatestile/limits/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 DEFAULT_RATIO = 0.1
 """Retries per request, for a host that shares its budget with no other."""
@@ -17,6 +18,9 @@
 """Fraction of the ratio of all hosts that is used, as the requests of other
 hosts may be counted in another window."""
 
+BUCKETS_PER_WINDOW = 20
+"""Number of intervals of a window in which requests are counted."""
+
 USED_SLACK_FRACTION = 0.7
 """Fraction of the slack of all hosts that is divided among them."""
 
@@ -52,7 +56,10 @@
         self._slack = slack
         self._window = window
         self._floor = floor
-        self._requests: collections.deque[float] = collections.deque()
+        self._bucket_seconds = window / BUCKETS_PER_WINDOW
+        self._requests_by_bucket: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._retries: collections.deque[float] = collections.deque()
         self.reserved_count = 0
 
@@ -67,8 +74,14 @@
 
     def on_request(self, now: float) -> None:
         """Record a request of a caller."""
-        self._requests.append(now)
-        _drop_before(self._requests, now - self._window)
+        bucket = self._bucket(now)
+        if bucket not in self._requests_by_bucket:
+            oldest = bucket - 2 * BUCKETS_PER_WINDOW
+            for old in [
+                one for one in self._requests_by_bucket if one < oldest
+            ]:
+                del self._requests_by_bucket[old]
+        self._requests_by_bucket[bucket] += 1
 
     def allows(self, now: float, hosts: int = 1) -> bool:
         """Return whether a retry may be sent.
@@ -80,14 +93,39 @@
         hosts : int
             Number of hosts that share the slack.
         """
-        start = now - self._window
-        _drop_before(self._requests, start)
-        _drop_before(self._retries, start)
-        allowed = self._ratio * len(self._requests)
+        _drop_before(self._retries, now - self._window)
+        allowed = self._ratio * self._counted_requests(now)
         allowed += self._slack / max(1, hosts)
         count = len(self._retries) + self.reserved_count
         return count + 1 <= max(allowed, self._floor)
 
+    def _counted_requests(self, now: float) -> int:
+        """Return the requests that allow retries now.
+
+        The retries of a window are allowed by the requests in that window, in
+        the one before it, or in the one half a window before it. A retry now
+        belongs to windows that start at any time within the last one, so the
+        start with the fewest requests counts.
+        """
+        last = self._bucket(now)
+        # Starts before the last half window include all requests of the
+        # last window.
+        return min(
+            max(
+                self._count(first - BUCKETS_PER_WINDOW, first),
+                self._count(first - BUCKETS_PER_WINDOW // 2, last),
+            )
+            for first in range(last - BUCKETS_PER_WINDOW // 2 + 1, last + 1)
+        )
+
+    def _count(self, first: int, last: int) -> int:
+        """Return the requests after the bucket `first` up to `last`."""
+        counts = self._requests_by_bucket
+        return sum(counts[bucket] for bucket in range(first + 1, last + 1))
+
+    def _bucket(self, now: float) -> int:
+        return math.floor(now / self._bucket_seconds)
+
     def reserve(self, now: float, hosts: int = 1) -> bool:
         """Reserve a retry that may be sent later; return whether it may.
 
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -113,7 +113,7 @@
         member = f"{settings.peers[0]}:{settings.peers[1]}"
         self.registry = counters.Registry()
         self.fleet = fleet_module.Fleet(
-            settings.bounds, settings.failure_domain, now
+            settings.bounds, settings.failure_domain, now, clock.boot_time
         )
         self.view = view_module.AssignmentView()
         peer_pool = client.Pool(now)
@@ -176,6 +176,7 @@
             now,
             self.registry,
             lambda: self.operator_watcher.confirmed_at,
+            clock.boot_time,
         )
         self.caller_listener = server.Listener(
             handler.handle, self._caller_limits
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -279,7 +279,7 @@
     def _apply(self, response: peer_messages.ReportResponse) -> None:
         self._fleet.update_host_count(response.host_count, self._now())
         self._fleet.host_rank = response.host_rank
-        self._fleet.set_shares(response.shares, self._now())
+        self._fleet.set_shares(response.shares)
         if response.services is None:
             return
         maps: dict[str, ranges.RangeMap] = {}
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -89,7 +89,12 @@
     def __init__(self) -> None:
         now = asyncio.get_running_loop().time
         self.now = now
-        self.fleet = fleet_module.Fleet(BOUNDS, "anna", now)
+        self.boot_time_offset = 0.0
+
+        def boot_time() -> float:
+            return now() + self.boot_time_offset
+
+        self.fleet = fleet_module.Fleet(BOUNDS, "anna", now, boot_time)
         self.view = view_module.AssignmentView()
         self.assignments = FakeAssignments()
         self.received_requests: list[ReceivedRequest] = []
@@ -105,6 +110,7 @@
             now,
             counters.Registry(),
             lambda: self.configuration_confirmed_at,
+            boot_time,
         )
 
     def configure(
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -212,7 +212,7 @@
         self._last_report[rank] = now
         self._allocator.add_demand(str(rank), host.take_demand(), now)
         allocated = self._allocator.shares_of(str(rank), {"prices"}, now)
-        host.set_shares(allocated, now)
+        host.set_shares(allocated)
 
     def most_in_a_window(self) -> int:
         """Return the largest number of requests within 4 s."""
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -413,8 +413,10 @@
         harness.configure(partitioned=True)
         await harness.add_server("a", respond_limited)
         harness.assign("a")
-        for age in (5.0, 0.0):
-            harness.fleet.set_shares({}, harness.now() - age)
+        harness.boot_time_offset = -5.0
+        harness.fleet.set_shares({})
+        harness.boot_time_offset = 0.0
+        harness.fleet.set_shares({})
         started = harness.now()
         responses = [await harness.send(key=7) for _ in range(20)]
         assert harness.now() - started < 0.5
@@ -460,3 +462,22 @@
         assert statuses.count(200) == len(retried) >= 1
         # A reservation that is not used is returned.
         assert harness.handler.budget("prices").reserved_count == 0
+
+
+async def test_retry_budget_counts_the_time_of_a_suspension() -> None:
+    """Guards against requests before a suspension that count as recent.
+
+    Other hosts got the requests meanwhile and count them too, so that all
+    together exceeded the budget (BUDGET, freeze-during-moves).
+    """
+    async with support.handler_harness() as harness:
+        harness.configure()
+        await harness.add_server("a", _respond)
+        for _ in range(20):
+            await harness.send()
+        budget = harness.handler.budget("prices")
+        bounds = harness.fleet.bounds
+        allowed_hosts = 10_000  # leaves no slack to this host
+        assert budget.allows(harness.handler.boot_time(), allowed_hosts)
+        harness.boot_time_offset = bounds.retry_window + 0.1
+        assert not budget.allows(harness.handler.boot_time(), allowed_hosts)
--- a/tests/limits/test_budget.py
+++ b/tests/limits/test_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+
 import pytest
 
 from agatestile.limits import budget
@@ -35,6 +37,39 @@
     assert retry_budget.spend(1.0)
 
 
+def test_retries_after_a_burst_of_requests_stay_within_the_budget() -> None:
+    """Guards against retries that a burst before them allows for too long.
+
+    The rule counts the requests of a window, the one before it and the one
+    half a window before it; the burst lay between them (BUDGET, scale-1 of
+    nkabom-gate-grown with seed 75).
+    """
+    per_second = [9] * 20 + [21, 21] + [13] * 4 + [15] * 4 + [5] * 20
+    retry_budget = budget.RetryBudget(0.2, window=10.0, floor=0)
+    requests: list[float] = []
+    retries: list[float] = []
+    for second, rate in enumerate(per_second):
+        for number in range(100 * rate):
+            now = second + number / (100 * rate)
+            retry_budget.on_request(now)
+            requests.append(now)
+            # Retries begin after the burst.
+            if second >= 23 and retry_budget.spend(now):
+                retries.append(now)
+    for start in (0.1 * step for step in range(150, 400)):
+        counts = [
+            bisect.bisect(requests, first + 10.0)
+            - bisect.bisect(requests, first)
+            for first in (start, start - 5.0, start - 10.0)
+        ]
+        used = bisect.bisect(retries, start + 10.0) - bisect.bisect(
+            retries, start
+        )
+        # Requests are counted in intervals of half a second.
+        assert used <= 0.2 * max(counts) * 1.02
+    assert len(retries) > 2000
+
+
 @pytest.mark.parametrize("hosts", [1, 5, 25])
 def test_repeats_of_all_hosts_stay_within_the_budget(hosts: int) -> None:
     """Guards against hosts that together exceed their common budget.
