Count uploaded chunks before they are sent

test_upload_waits_for_a_slow_server_in_bounded_memory sent 50 kB beyond its content-length: the timeout cancels drain after the write, so the chunk was not counted.

--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -448,9 +448,10 @@
         )
         with anyio.move_on_after(0.5):
             while sent < size:
+                # Counted first, as the timeout ends a drain after the write.
+                sent += 50_000
                 writer.write(bytes(50_000))
                 await writer.drain()
-                sent += 50_000
         # Socket buffers of the test's own ends take a part as well.
         stalled_at = sent
         resume.set()
