--- a/src/agatestile/node/operator_watcher.py
+++ b/src/agatestile/node/operator_watcher.py
@@ -180,6 +180,7 @@
         """Read once and apply the records; return whether it succeeded."""
         self._started = self._now()
         self._is_receiving = False
+        self._wait = 0.0
         self._pause = 0.0
         topic = self._format.operator_topic
         is_listing = self.end is None or self._must_list_all(self.end)
@@ -212,7 +213,8 @@
         if self.end is None or page.end >= self.end:
             self._apply_page(page, is_listing)
         if page.is_last and not page.records:
-            self._confirm(self._started + self._wait)
+            # The store has waited from when it got the request.
+            self._confirm(min(self._started + self._wait, self._now()))
         elif page.is_last:
             self._confirm(self._started)
         return True
--- a/tests/node/test_operator_watcher.py
+++ b/tests/node/test_operator_watcher.py
@@ -426,3 +426,21 @@
 
     trio.run(main, clock=testing.MockClock(autojump_threshold=0))
     assert versions == [2]
+
+
+def test_early_answer_without_records_confirms_no_later_time() -> None:
+    """Guards against records that count as complete in the future."""
+    watcher = _operator(
+        support.ScriptedStore(
+            port.Page([_configuration(5)], 3), port.Page([], 3)
+        ),
+        is_relayed=lambda: True,
+    )
+
+    async def main() -> None:
+        await watcher.poll()
+        await anyio.sleep(1.0)
+        await watcher.poll()
+        assert watcher.confirmed_at == trio.current_time()
+
+    trio.run(main, clock=testing.MockClock(autojump_threshold=0))
