Let patches relay any content, not configurations

The history of configurations and its patches have nothing to do with what the content is. The module moves next to its only user and takes the number of retained versions; no behaviour changes.

--- a/src/agatestile/catalog/configuration_history.py
+++ b/src/agatestile/node/content_history.py
@@ -1,4 +1,4 @@
-"""Newest configurations as stored, for relaying them as differences."""
+"""Recent versions of a content, for relaying it to other hosts as patches."""
 
 from __future__ import annotations
 
@@ -6,34 +6,36 @@
 
 import zstandard
 
-RETAINED_VERSIONS = 4
-"""Number of configurations that are kept as a base for differences."""
-
-MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
-"""Largest configuration that a patch may expand to, bytes."""
+MAX_CONTENT_BYTES = 4 * 1024 * 1024
+"""Largest content that a patch may expand to, bytes."""
 
 COMPRESSION_LEVEL = 3
 
 NO_VERSION = -1
 
 
-class ConfigurationPatch(typing.NamedTuple):
-    """A configuration, compressed against another one.
+class ContentPatch(typing.NamedTuple):
+    """A version of a content, compressed against an earlier one.
 
     Attributes
     ----------
     base_version : int
         Version that the patch applies to, `NO_VERSION` if to none.
     content : bytes
-        Compressed configuration.
+        Compressed content.
     """
 
     base_version: int
     content: bytes
 
 
-class ConfigurationHistory:
-    """Keeps the newest configurations and creates patches between them.
+class ContentHistory:
+    """Keeps the newest versions of a content and creates patches between them.
+
+    Parameters
+    ----------
+    retained_versions : int
+        Number of versions that are kept as bases of patches.
 
     Attributes
     ----------
@@ -41,29 +43,30 @@
         Newest version, `NO_VERSION` before the first.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, retained_versions: int) -> None:
+        self._retained_versions = retained_versions
         self.version = NO_VERSION
         self._content_by_version: dict[int, bytes] = {}
-        self._patches_by_base: dict[int, ConfigurationPatch] = {}
+        self._patches_by_base: dict[int, ContentPatch] = {}
 
     def add(self, version: int, content: bytes) -> None:
-        """Add a configuration that is newer than all others."""
+        """Add a version that is newer than all others."""
         self.version = version
         self._content_by_version[version] = content
         self._patches_by_base.clear()
-        while len(self._content_by_version) > RETAINED_VERSIONS:
+        while len(self._content_by_version) > self._retained_versions:
             del self._content_by_version[min(self._content_by_version)]
 
     def newest_size(self) -> int:
-        """Return the size of the newest configuration, bytes."""
+        """Return the size of the newest version, bytes."""
         return len(self._content_by_version.get(self.version, b""))
 
-    def patch_from(self, base_version: int) -> ConfigurationPatch | None:
-        """Return the newest configuration as a patch for another version.
+    def patch_from(self, base_version: int) -> ContentPatch | None:
+        """Return the newest version as a patch for another one.
 
         Returns
         -------
-        ConfigurationPatch or None
+        ContentPatch or None
             None if that version is not older. The patch needs no base if
             that version is no longer kept.
         """
@@ -77,25 +80,25 @@
             compressor = zstandard.ZstdCompressor(
                 level=COMPRESSION_LEVEL, dict_data=_dictionary(base)
             )
-            patch = ConfigurationPatch(
+            patch = ContentPatch(
                 base_version,
                 compressor.compress(self._content_by_version[self.version]),
             )
             self._patches_by_base[base_version] = patch
         return patch
 
-    def apply(self, patch: ConfigurationPatch) -> bytes | str:
-        """Return the configuration of a patch, or why it can't be read."""
+    def apply(self, patch: ContentPatch) -> bytes | str:
+        """Return the content of a patch, or why it can't be read."""
         base = self._content_by_version.get(patch.base_version)
         if base is None and patch.base_version != NO_VERSION:
             return f"version {patch.base_version} is not known"
         decompressor = zstandard.ZstdDecompressor(dict_data=_dictionary(base))
         try:
             size = zstandard.frame_content_size(patch.content)
-            if size > MAX_CONFIGURATION_BYTES:
-                return f"the configuration of {size} bytes is too large"
+            if size > MAX_CONTENT_BYTES:
+                return f"the content of {size} bytes is too large"
             return decompressor.decompress(
-                patch.content, max_output_size=MAX_CONFIGURATION_BYTES
+                patch.content, max_output_size=MAX_CONTENT_BYTES
             )
         except zstandard.ZstdError as error:
             return str(error)
--- a/src/agatestile/node/operator_watcher.py
+++ b/src/agatestile/node/operator_watcher.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from agatestile.catalog import configuration_history
+from agatestile.node import content_history
 from agatestile.node import messages as peer_messages
 from agatestile.node import watchers
 from agatestile.observability import events
@@ -59,6 +59,9 @@
 RETRY_PAUSE_SECONDS = 0.5
 """Pause before a failed read is retried."""
 
+RETAINED_CONFIGURATIONS = 4
+"""Number of configurations that are kept as bases of patches."""
+
 USED_BOUND_SHARE = 0.8
 """Share of the bound on changes of the configuration within which two reads
 and the pause between them have to end."""
@@ -112,7 +115,7 @@
         self._on_evacuations = on_evacuations
         self._is_relayed = is_relayed
         self._apply_bound = apply_bound
-        self._history = configuration_history.ConfigurationHistory()
+        self._history = content_history.ContentHistory(RETAINED_CONFIGURATIONS)
         self._evacuated: set[str] = set()
         self._scope: anyio.CancelScope | None = None
         self._started = 0.0
@@ -256,7 +259,7 @@
         sent_at : float
             Latest time at which `state.age` was certainly valid, seconds.
         """
-        if state.version == configuration_history.NO_VERSION or (
+        if state.version == content_history.NO_VERSION or (
             self.end is not None and state.end < self.end
         ):
             return
@@ -264,9 +267,7 @@
             if not state.patch:
                 return
             content = self._history.apply(
-                configuration_history.ConfigurationPatch(
-                    state.base_version, state.patch
-                )
+                content_history.ContentPatch(state.base_version, state.patch)
             )
             if isinstance(content, str):
                 events.emit(
--- a/tests/catalog/test_configuration_history.py
+++ b/tests/node/test_content_history.py
@@ -1,10 +1,10 @@
-"""Tests of the patches between configurations."""
+"""Tests of the patches between versions of a content."""
 
 from __future__ import annotations
 
 import random
 
-from agatestile.catalog import configuration_history
+from agatestile.node import content_history
 
 
 def _content(version: int) -> bytes:
@@ -13,8 +13,8 @@
     return f"{version} {' '.join(routes)}".encode()
 
 
-def _history(*versions: int) -> configuration_history.ConfigurationHistory:
-    history = configuration_history.ConfigurationHistory()
+def _history(*versions: int) -> content_history.ContentHistory:
+    history = content_history.ContentHistory(4)
     for version in versions:
         history.add(version, _content(version))
     return history
@@ -30,7 +30,7 @@
 def test_patch_needs_no_base_that_is_not_kept() -> None:
     patch = _history(*range(3, 20)).patch_from(3)
     assert patch is not None
-    assert patch.base_version == configuration_history.NO_VERSION
+    assert patch.base_version == content_history.NO_VERSION
     assert _history(3).apply(patch) == _content(19)
 
 
