Relay assignments of keys between hosts as patches

The coordinator sent all key ranges to each host for each move: 7.7 kB for 330 ranges, to 26 hosts 200 kB, which a link of 10 Mbit/s needs 0.16 s for. Hosts then learn owners, departures and configurations late, as all are in the same response.

A response has the encoded assignment as a patch against the one that the host has (49 bytes for a moved range of 330), from the history that configurations use. It is encoded once for each version instead of once for each host. Servers are listed by incarnation, so that a new one changes no other row. A checksum tells that a patch was applied to another content, as coordinators number their assignments on their own. Hosts of an earlier release get the whole assignment.

--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -62,14 +62,25 @@
     @classmethod
     def from_map(cls, key_map: ranges.RangeMap) -> ServiceRanges:
         """Return the stored form of a range map."""
-        index_by_instance: dict[tuple[str, int], int] = {}
+        owners = {
+            owner
+            for key_range in key_map.ranges
+            for owner in (key_range.owner, key_range.source)
+            if owner != ranges.UNOWNED
+        }
+        instances = sorted(
+            {(owner.server_id, owner.incarnation) for owner in owners},
+            # New servers come last, so that the other indices remain the
+            # same and patches between two maps are small.
+            key=lambda instance: (instance[1], instance[0]),
+        )
+        index_by_instance = {
+            instance: index for index, instance in enumerate(instances)
+        }
 
         def index_of(owner: ranges.Owner) -> int:
-            if owner == ranges.UNOWNED:
-                return -1
-            instance = (owner.server_id, owner.incarnation)
-            return index_by_instance.setdefault(
-                instance, len(index_by_instance)
+            return index_by_instance.get(
+                (owner.server_id, owner.incarnation), -1
             )
 
         rows = [
@@ -82,7 +93,7 @@
             )
             for key_range in key_map.ranges
         ]
-        return cls(list(index_by_instance), rows)
+        return cls(instances, rows)
 
     def to_map(self) -> ranges.RangeMap:
         """Return the range map.
--- a/src/agatestile/node/content_history.py
+++ b/src/agatestile/node/content_history.py
@@ -78,7 +78,9 @@
         patch = self._patches_by_base.get(base_version)
         if patch is None:
             compressor = zstandard.ZstdCompressor(
-                level=COMPRESSION_LEVEL, dict_data=_dictionary(base)
+                level=COMPRESSION_LEVEL,
+                dict_data=_dictionary(base),
+                write_checksum=True,
             )
             patch = ContentPatch(
                 base_version,
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -12,6 +12,7 @@
 from agatestile.assignment import records
 from agatestile.balancing import load
 from agatestile.catalog import directory
+from agatestile.node import content_history
 
 
 class OperatorState(msgspec.Struct, array_like=True):
@@ -68,6 +69,9 @@
         since the response, in seconds.
     demand : dict of str to int
         Requests of callers since the last report, by service.
+    assignment_version : int or None
+        Version of the assignment to which the host can apply a patch, -1 if
+        to none; None if it cannot read patches.
     """
 
     host: str
@@ -80,6 +84,7 @@
     departures: list[tuple[str, int, float]] = []
     rate_limits: list[tuple[str, int, float | None, float]] = []
     demand: dict[str, int] = {}
+    assignment_version: int | None = None
 
 
 class RelayedServer(msgspec.Struct, array_like=True):
@@ -169,7 +174,8 @@
     servers : list of RelayedServer
         Servers that changed after the version that the host reported.
     services : dict or None
-        Key ranges by service, None if the host has the current assignment.
+        Key ranges by service, None if the host has the current assignment or
+        reads patches.
     operator : OperatorState or None
         What the coordinator knows of the operator's records.
     directory_age : float
@@ -178,6 +184,9 @@
     shares : dict of str to (float, float) or None
         Shares of the recipient in the limits of servers, by service; None to
         keep those that it has.
+    assignment : content_history.ContentPatch or None
+        Encoded key ranges by service, None if the host has the current
+        assignment or cannot read patches.
     """
 
     epoch: int
@@ -192,6 +201,7 @@
     operator: OperatorState | None = None
     directory_age: float = math.inf
     shares: dict[str, tuple[float, float]] | None = None
+    assignment: content_history.ContentPatch | None = None
 
 
 class SupersedeRequest(msgspec.Struct, array_like=True):
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -9,6 +9,7 @@
 from agatestile.assignment import ports
 from agatestile.assignment import records
 from agatestile.limits import shares
+from agatestile.node import content_history
 from agatestile.node import messages as peer_messages
 from agatestile.observability import events
 from agatestile.transport import messages
@@ -31,6 +32,9 @@
 SUPERSEDE_TIMEOUT_SECONDS = 0.6
 """Longest wait for the previous leader."""
 
+RETAINED_ASSIGNMENTS = 16
+"""Number of assignments that are kept as bases of patches."""
+
 REPORT_TARGET = b"/report"
 SUPERSEDE_TARGET = b"/supersede"
 
@@ -84,8 +88,14 @@
         self._reporter = reporter
         self._now = now
         self._last_report_by_host: dict[str, float] = {}
-        self._shares = shares.ShareAllocator(now())
-        self._shares_epoch = 0
+        self._epoch = 0
+        self._start_epoch()
+
+    def _start_epoch(self) -> None:
+        self._shares = shares.ShareAllocator(self._now())
+        self._assignments = content_history.ContentHistory(
+            RETAINED_ASSIGNMENTS
+        )
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Respond to a report or to a supersede request."""
@@ -130,9 +140,9 @@
         """
         now = self._now()
         self._last_report_by_host[report.host] = now
-        if self._shares_epoch != self._coordinator.epoch:
-            self._shares_epoch = self._coordinator.epoch
-            self._shares = shares.ShareAllocator(now)
+        if self._epoch != self._coordinator.epoch:
+            self._epoch = self._coordinator.epoch
+            self._start_epoch()
         self._shares.add_demand(report.host, report.demand, now)
         for server_id, incarnation, rate, age in report.rate_limits:
             self._fleet.directory.set_rate_limit(
@@ -165,12 +175,14 @@
     ) -> peer_messages.ReportResponse:
         coordinator = self._coordinator
         reported = (report.epoch, report.version)
-        services = None
+        services = assignment = None
         if reported != (coordinator.epoch, coordinator.version):
-            services = {
-                name: records.ServiceRanges.from_map(state.key_map)
-                for name, state in coordinator.services.items()
-            }
+            if report.assignment_version is None:
+                services = self._service_ranges()
+            else:
+                assignment = self._assignment_patch(
+                    report.epoch, report.assignment_version
+                )
         members = self._members()
         known = report.operator
         operator = self._relay.relay_to(
@@ -201,8 +213,33 @@
             self._shares.shares_of(
                 report.host, directory.services_with_rate_limits(), now
             ),
+            assignment,
         )
 
+    def _service_ranges(self) -> dict[str, records.ServiceRanges]:
+        return {
+            name: records.ServiceRanges.from_map(state.key_map)
+            for name, state in self._coordinator.services.items()
+        }
+
+    def _assignment_patch(
+        self, epoch: int, version: int
+    ) -> content_history.ContentPatch | None:
+        """Return the assignment as a patch for a host that has another one.
+
+        Parameters
+        ----------
+        epoch, version : int
+            Epoch and version of the assignment that the host has.
+        """
+        current = self._coordinator.version
+        if self._assignments.version != current:
+            encoded = msgspec.msgpack.encode(self._service_ranges())
+            self._assignments.add(current, encoded)
+        if epoch != self._coordinator.epoch:
+            version = content_history.NO_VERSION
+        return self._assignments.patch_from(version)
+
     def _members(self) -> list[str]:
         now = self._now()
         for host, last_report in list(self._last_report_by_host.items()):
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -12,6 +12,7 @@
 from agatestile.assignment import ranges
 from agatestile.assignment import records
 from agatestile.entry import server_notices
+from agatestile.node import content_history
 from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
@@ -103,6 +104,7 @@
         self.member = member
         self._seeds = [seed for seed in seeds if seed != member]
         self._local_service: peers.PeerService | None = None
+        self._received_assignment = content_history.ContentHistory(1)
         self._requests: dict[str, collections.Counter[int]] = {}
         self._changed = anyio.Event()
         self._has_coordinator = False
@@ -280,18 +282,30 @@
         self._fleet.update_host_count(response.host_count, self._now())
         self._fleet.host_rank = response.host_rank
         self._fleet.set_shares(response.shares)
-        if response.services is None:
-            return
-        maps: dict[str, ranges.RangeMap] = {}
-        try:
-            for name, stored in response.services.items():
-                maps[name] = stored.to_map()
-        except ValueError as error:
-            events.emit("assignment_unreadable", reason=str(error))
-            return
-        if self._view.update(
+        if response.assignment is not None:
+            self._apply_assignment(response, response.assignment)
+
+    def _apply_assignment(
+        self,
+        response: peer_messages.ReportResponse,
+        patch: content_history.ContentPatch,
+    ) -> None:
+        content = self._received_assignment.apply(patch)
+        maps = _decode_assignment(content)
+        if isinstance(content, str) or isinstance(maps, str):
+            self._received_assignment = content_history.ContentHistory(1)
+            events.emit(
+                "assignment_unreadable",
+                reason=maps,
+                version=response.version,
+                base_version=patch.base_version,
+            )
+        elif self._view.update(
             response.epoch, response.version, maps, self._now()
         ):
+            # Versions of another coordinator may be lower.
+            self._received_assignment = content_history.ContentHistory(1)
+            self._received_assignment.add(response.version, content)
             self._notify_waiters()
 
     def is_directory_relayed(self) -> bool:
@@ -356,8 +370,19 @@
             notices.departures,
             notices.rate_limits,
             self._fleet.take_demand(),
+            self._received_assignment_version(),
         )
 
+    def _received_assignment_version(self) -> int:
+        """Return the version to which a patch can be applied.
+
+        An assignment that was loaded from the store is not one.
+        """
+        received = self._received_assignment.version
+        if received != self._view.version:
+            return content_history.NO_VERSION
+        return received
+
     def _known_directory_version(self) -> int:
         if self._directory_epoch != self._view.epoch:
             return 0
@@ -369,3 +394,24 @@
             kept = self._requests.setdefault(name, collections.Counter())
             if len(kept) < ranges.KEY_COUNT // 16:
                 kept.update(counts)
+
+
+def _decode_assignment(
+    content: bytes | str,
+) -> dict[str, ranges.RangeMap] | str:
+    """Return the range maps by service, or why they can't be read.
+
+    Parameters
+    ----------
+    content : bytes or str
+        Encoded assignment, or why there is none.
+    """
+    if isinstance(content, str):
+        return content
+    try:
+        services = msgspec.msgpack.decode(
+            content, type=dict[str, records.ServiceRanges]
+        )
+        return {name: stored.to_map() for name, stored in services.items()}
+    except (msgspec.DecodeError, ValueError) as error:
+        return str(error)
--- a/tests/node/test_content_history.py
+++ b/tests/node/test_content_history.py
@@ -44,3 +44,15 @@
     patch = _history(3, 4).patch_from(3)
     assert patch is not None
     assert isinstance(_history(1).apply(patch), str)
+
+
+def test_patch_for_another_content_of_the_same_version_is_rejected() -> None:
+    """Guards against a content that no host has sent.
+
+    Two coordinators may give the same number to different assignments.
+    """
+    patch = _history(3, 4).patch_from(3)
+    assert patch is not None
+    other = content_history.ContentHistory(4)
+    other.add(3, _content(3).replace(b"/a", b"/b"))
+    assert isinstance(other.apply(patch), str)
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import random
+
 import anyio
+import msgspec
 import trio
 
 from agatestile.assignment import ranges
+from agatestile.assignment import state as state_module
 from agatestile.balancing import load
 from agatestile.entry import fleet as fleet_module
 from agatestile.entry import view as view_module
 from agatestile.limits import shares
+from agatestile.node import content_history
 from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import operator_watcher
@@ -88,6 +93,150 @@
     support.run(scenario)
 
 
+def _add_assignment(
+    harness: support.CoordinatorHarness, range_count: int
+) -> None:
+    """Add a service whose keys are divided into many ranges."""
+    fences = random.Random(1)
+    width = ranges.KEY_COUNT // range_count
+    key_map = ranges.RangeMap().replace(
+        [
+            ranges.KeyRange(
+                number * width,
+                (number + 1) * width - 1,
+                ranges.Owner(f"i-{number:010x}", 1, fences.getrandbits(40)),
+                ranges.UNOWNED,
+            )
+            for number in range(range_count)
+        ]
+    )
+    harness.coordinator.services["prices"] = state_module.ServiceState(
+        key_map, 0.0
+    )
+    harness.coordinator.publish()
+
+
+def test_moved_range_is_sent_without_all_other_ranges() -> None:
+    """Guards against assignments that fill the coordinator's link.
+
+    It would send all ranges to each host for each move (CONFIG, DRAIN).
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = _service(harness)
+        reporter = service._reporter
+        await harness.coordinator.take_leadership()
+        _add_assignment(harness, 400)
+        first = await service.handle_report(reporter._build_report())
+        reporter._apply(first)
+        assert len(reporter._view.maps["prices"].ranges) == 401
+        moved = ranges.KeyRange(
+            100, 120, ranges.Owner("new", 7, 2**41), ranges.UNOWNED
+        )
+        state = harness.coordinator.services["prices"]
+        state.key_map = state.key_map.replace([moved])
+        harness.coordinator.publish()
+        second = await service.handle_report(reporter._build_report())
+        full_size = len(msgspec.msgpack.encode(first))
+        assert len(msgspec.msgpack.encode(second)) < full_size / 10
+        reporter._apply(second)
+        assert reporter._view.version == harness.coordinator.version
+        assert reporter._view.find("prices", 110) == moved
+
+    support.run(scenario)
+
+
+def test_host_without_the_base_of_a_patch_gets_the_whole_assignment() -> None:
+    """Guards against a host that stays with an old assignment.
+
+    It may have got that one from the store or from another coordinator.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = _service(harness)
+        reporter = service._reporter
+        await harness.coordinator.take_leadership()
+        _add_assignment(harness, 40)
+        reporter._apply(await service.handle_report(reporter._build_report()))
+        reporter._view.load_stored(harness.coordinator.epoch, {})
+        reporter._apply(await service.handle_report(reporter._build_report()))
+        assert len(reporter._view.maps["prices"].ranges) == 41
+        successor = _service(harness)
+        harness.coordinator.publish()
+        reporter._apply(
+            await successor.handle_report(reporter._build_report())
+        )
+        assert reporter._view.version == harness.coordinator.version
+
+    support.run(scenario)
+
+
+def test_assignment_of_a_new_coordinator_with_lower_versions() -> None:
+    """Guards against patches that are applied to another epoch's assignment.
+
+    Each coordinator counts its assignments from the start of its process.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = _service(harness)
+        reporter = service._reporter
+        await harness.coordinator.take_leadership()
+        for range_count in range(30, 40):
+            _add_assignment(harness, range_count)
+        reporter._apply(await service.handle_report(reporter._build_report()))
+        harness.coordinator.lose_leadership("test")
+        await harness.coordinator.take_leadership()
+        harness.coordinator.version = 2
+        _add_assignment(harness, 50)
+        reporter._apply(await service.handle_report(reporter._build_report()))
+        assert (reporter._view.epoch, reporter._view.version) == (2, 3)
+        _add_assignment(harness, 60)
+        response = await service.handle_report(reporter._build_report())
+        assert response.assignment is not None
+        assert response.assignment.base_version == 3
+        reporter._apply(response)
+        assert len(reporter._view.maps["prices"].ranges) == 61
+
+    support.run(scenario)
+
+
+def test_unreadable_patch_of_the_assignment_is_replaced() -> None:
+    """Guards against a host that stays with an old assignment."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = _service(harness)
+        reporter = service._reporter
+        await harness.coordinator.take_leadership()
+        _add_assignment(harness, 40)
+        reporter._apply(await service.handle_report(reporter._build_report()))
+        version = reporter._view.version
+        harness.coordinator.publish()
+        response = await service.handle_report(reporter._build_report())
+        response.assignment = content_history.ContentPatch(version, b"?")
+        reporter._apply(response)
+        assert reporter._view.version == version
+        reporter._apply(await service.handle_report(reporter._build_report()))
+        assert reporter._view.version == harness.coordinator.version
+
+    support.run(scenario)
+
+
+def test_host_of_an_earlier_release_gets_the_whole_assignment() -> None:
+    """Guards against hosts without an assignment during an upgrade."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = _service(harness)
+        await harness.coordinator.take_leadership()
+        _add_assignment(harness, 40)
+        report = _report("host-2")
+        report.assignment_version = None
+        response = await service.handle_report(report)
+        assert response.assignment is None
+        assert response.services is not None
+
+    support.run(scenario)
+
+
 def test_silent_host_remains_a_member_for_a_while() -> None:
     """Guards against larger shares per host while a host is cut off.
 
