Let hosts with fast links campaign first

A campaign waits for the time by which the link of its host would delay the takeover (0.21 s at 10 Mbit/s, 0.01 s at 200), looks the leader up again, and ends if there is one. A host that is alone waits 0.5 s at most, which the hold time of grants covers. The link's rate is in the platform's settings; an unknown one gives no delay. The wait also covers a host that began to stop meanwhile.

The test of a slow and a fast host fails without the delay, as the slow one leads.

--- a/src/agatestile/node/leadership.py
+++ b/src/agatestile/node/leadership.py
@@ -38,6 +38,34 @@
 for another leader."""
 
 
+TAKEOVER_BYTES = 256 * 1024
+"""About what a new leader sends to all hosts: owners of keys, servers and a
+configuration."""
+
+MAX_HEAD_START_SECONDS = 0.5
+"""Longest delay of a campaign in favour of hosts with faster links."""
+
+
+def head_start(link_rate: float | None) -> float:
+    """Return how long a host lets hosts with faster links campaign first.
+
+    It is the time by which its link would delay the takeover.
+
+    Parameters
+    ----------
+    link_rate : float or None
+        Rate of the host's link, bytes per second; None if unknown.
+
+    Returns
+    -------
+    float
+        Delay of its campaigns, seconds.
+    """
+    if not link_rate:
+        return 0.0
+    return min(MAX_HEAD_START_SECONDS, TAKEOVER_BYTES / link_rate)
+
+
 class LeaderElector:
     """Campaigns for the leadership and renews it.
 
@@ -51,6 +79,8 @@
         Peer address of this host.
     now : callable
         Clock that includes the time of a suspension, in seconds.
+    campaign_delay : float
+        Time for which other hosts may take the leadership first, in seconds.
     """
 
     def __init__(
@@ -59,7 +89,9 @@
         coordinator: coordinator_module.Coordinator,
         member: str,
         now: typing.Callable[[], float],
+        campaign_delay: float = 0.0,
     ) -> None:
+        self._campaign_delay = campaign_delay
         self._store = store
         self._coordinator = coordinator
         self._member = member
@@ -84,12 +116,22 @@
     async def run(self) -> None:
         """Join at intervals while this host is leader or candidate."""
         while not self._is_leaving:
-            if not self._coordinator.epoch and not self._is_candidate:
-                await self._campaign_requested.wait()
-            self._campaign_requested = anyio.Event()
+            if not self._coordinator.epoch:
+                if not self._is_candidate:
+                    await self._campaign_requested.wait()
+                self._campaign_requested = anyio.Event()
+                self._is_candidate = await self._is_still_vacant()
+                if not self._is_candidate:
+                    continue
             await self.join_once()
             await anyio.sleep(JOIN_INTERVAL_SECONDS)
 
+    async def _is_still_vacant(self) -> bool:
+        """Let other hosts campaign first; return whether none has won."""
+        await anyio.sleep(self._campaign_delay)
+        leader = await self._store.member_of(GROUP, LEADER_PARTITION)
+        return leader is None and not self._is_leaving
+
     async def join_once(self) -> None:
         """Join the group once and act on the result."""
         started = self._now()
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -126,7 +126,11 @@
             clock.boot_time,
         )
         self.elector = leadership_module.LeaderElector(
-            platform.store, self.coordinator, member, clock.boot_time
+            platform.store,
+            self.coordinator,
+            member,
+            clock.boot_time,
+            leadership_module.head_start(settings.link_rate),
         )
         self.operator_watcher = operator_watcher.OperatorWatcher(
             platform.store,
--- a/src/agatestile/node/settings.py
+++ b/src/agatestile/node/settings.py
@@ -61,6 +61,8 @@
         Bounds agreed with the users.
     metrics : tuple of (str, int) or None
         Address to listen on for metrics, None to serve none.
+    link_rate : float or None
+        Rate of the host's link, in bytes per second; None if unknown.
     """
 
     host: str
@@ -72,3 +74,4 @@
     store: Address
     bounds: Bounds
     metrics: Address | None = None
+    link_rate: float | None = None
--- a/src/agatestile/platform/settings.py
+++ b/src/agatestile/platform/settings.py
@@ -29,6 +29,11 @@
     address: str
 
 
+class _Limits(msgspec.Struct):
+    # Rate of the host's own link, in 10^6 bits per second.
+    linkMbps: float | None = None
+
+
 class _SettingsFile(msgspec.Struct):
     nodeName: str
     ip: str
@@ -41,6 +46,7 @@
     # Bounds of the form NAME=VALUE, as a list or separated by commas.
     bounds: list[str] | str = []
     internalPorts: list[int] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 _FIELDS_BY_BOUND = {
@@ -87,6 +93,7 @@
             store=parse_address(decoded.platform.address),
             bounds=_parse_bounds(decoded.bounds),
             metrics=_metrics_address(decoded.ip),
+            link_rate=_bytes_per_second(decoded.limits.linkMbps),
         )
     except tomllib.TOMLDecodeError as error:
         return outcomes.Refusal(
@@ -117,6 +124,10 @@
     return (ip, int(port)) if port else None
 
 
+def _bytes_per_second(megabits: float | None) -> float | None:
+    return None if megabits is None else megabits * 1e6 / 8
+
+
 def _parse_bounds(texts: list[str] | str) -> node_settings.Bounds:
     if isinstance(texts, str):
         texts = texts.split(",")
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 import trio
 
 from agatestile.node import leadership
@@ -10,11 +11,11 @@
 
 
 def _elector(
-    harness: support.CoordinatorHarness, host: str
+    harness: support.CoordinatorHarness, host: str, delay: float = 0.0
 ) -> tuple[leadership.LeaderElector, support.coordinator_module.Coordinator]:
     coordinator = harness.add_coordinator(host)
     elector = leadership.LeaderElector(
-        harness.store, coordinator, host, trio.current_time
+        harness.store, coordinator, host, trio.current_time, delay
     )
     return elector, coordinator
 
@@ -79,3 +80,40 @@
         assert not leader.is_active
 
     support.run(scenario)
+
+
+def test_host_with_a_slow_link_leads_only_if_no_other_campaigns() -> None:
+    """Guards against moves of keys that wait for the leader's full link."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        delay = leadership.head_start(10e6 / 8)
+        slow, slow_coordinator = _elector(harness, "slow", delay)
+        fast, fast_coordinator = _elector(harness, "fast")
+        async with anyio.create_task_group() as tasks:
+            for elector in (slow, fast):
+                tasks.start_soon(elector.run)
+            slow.campaign()
+            await anyio.sleep(0.1)
+            fast.campaign()
+            await anyio.sleep(2.0)
+            assert fast_coordinator.is_active
+            assert list(harness.store.members) == ["fast"]
+            await fast.leave()
+            slow.campaign()
+            await anyio.sleep(1.0)
+            assert slow_coordinator.is_active
+            tasks.cancel_scope.cancel()
+
+    support.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("link_rate", "seconds"),
+    [(None, 0.0), (0.0, 0.0), (250e6, 0.001), (1.25e6, 0.21), (1.0, 0.5)],
+)
+def test_head_start_is_longer_for_a_slower_link(
+    link_rate: float | None, seconds: float
+) -> None:
+    assert leadership.head_start(link_rate) == pytest.approx(
+        seconds, abs=0.001
+    )
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -28,7 +28,7 @@
     r"X-Upstream-|X-Target-Instance|X-Shard-Key|X-Not-Executed|X-Handover"
     r"|X-Deadline-Ms|X-Request-Id|X-Warmup-Ms|log-append|log-read|log-newest"
     r"|log-join|keyed\.\w|warmupLeftMs|trafficSplit|edgeAddr"
-    r"|pathPrefix|AGATESTILE_BOOT",
+    r"|pathPrefix|AGATESTILE_BOOT|Server-Leaving|Server-Limit|linkMbps",
     re.IGNORECASE,
 )
 
@@ -212,6 +212,9 @@
 control = "10.1.0.1:3"
 [platform]
 address = "10.2.0.1:4"
+[limits]
+cores = 2
+linkMbps = 200.0
 """,
         "file",
     )
@@ -219,6 +222,7 @@
     assert loaded.store == ("10.2.0.1", 4)
     assert loaded.bounds.drain == 2.5
     assert loaded.bounds.grace == 6.0
+    assert loaded.link_rate == 25e6
 
 
 @pytest.mark.parametrize(
