--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -27,12 +27,17 @@
 from agatestile.transport import messages
 from standins import platform_log
 from standins import platform_server
+from standins import server_notices
 
 HOSTS = 3
 KEYED_SERVERS = 4
 PLAIN_SERVERS = 3
 REQUESTS_PER_SECOND = 40
 DEADLINE_MS = 1500
+DRAIN_SECONDS = 2.0
+RECOVERY_SECONDS = 3.0
+"""Time after a disruption for which its host remains excused."""
+
 START_SECONDS = 15.0
 FAULT_PAUSE_SECONDS = (0.5, 2.0)
 SERVED_SHARE = 0.25
@@ -113,7 +118,8 @@
         self._path.write_text(
             f'nodeName = "{self.name}"\nip = "127.0.0.1"\nzone = "anna"\n'
             f"seeds = {seeds}\n"
-            'bounds = ["drainMs=2000", "graceS=3", "retryBudgetRatio=0.2",'
+            f'bounds = ["drainMs={DRAIN_SECONDS * 1000:.0f}", "graceS=3",'
+            ' "retryBudgetRatio=0.2",'
             ' "retryBudgetSlack=60", "warmupOvershoot=1.5",'
             ' "warmupSlack=5"]\n'
             f'[listen]\nedgeAddr = "127.0.0.1:{callers}"\n'
@@ -155,9 +161,15 @@
         Seed of the faults and the load.
     folder : pathlib.Path
         Folder for settings and logs.
+    hosts : int
+        Number of daemons.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, hosts: int = HOSTS
+    ) -> None:
+        self._host_count = hosts
+        self._disruptions: list[server_notices.Disruption] = []
         self._random = random.Random(seed)
         self._folder = folder
         self._log = platform_log.PlatformLog()
@@ -199,10 +211,10 @@
         self._log.put("keyed.op", "config", _configuration())
         for number in range(KEYED_SERVERS + PLAIN_SERVERS):
             self._add_server(number < KEYED_SERVERS)
-        for number in range(HOSTS):
+        for number in range(self._host_count):
             proxy = Proxy(store_port)
             self._proxies.append(proxy)
-            host = Host(f"host-{number}", await proxy.start(), self._folder)
+            host = Host(f"h{number}", await proxy.start(), self._folder)
             self._hosts.append(host)
         for host in self._hosts:
             host.configure(
@@ -215,7 +227,9 @@
         loop = asyncio.get_running_loop()
         limit = loop.time() + START_SECONDS
         pool = client.Pool(loop.time)
-        while not await self._request(pool, 0, "GET", f"start-{loop.time()}"):
+        number = 0
+        while not await self._request(pool, 0, "GET", f"start{number}"):
+            number += 1
             if loop.time() > limit:
                 raise RuntimeError(
                     "host 0 served no request in time after the start"
@@ -245,14 +259,17 @@
 
     async def _send_request(self, pool: client.Pool, number: int) -> None:
         method = self._random.choice(("GET", "GET", "POST"))
-        host = self._random.randrange(HOSTS)
+        host = self._random.randrange(self._host_count)
         self._sent += 1
         if await self._request(pool, host, method, f"r{number}"):
             self._served += 1
 
     async def _request(
-        self, pool: client.Pool, host: int, method: str, name: str
+        self, pool: client.Pool, host: int, method: str, number: str
     ) -> bool:
+        name = f"{self._hosts[host].name}.{number}"
+        now = asyncio.get_running_loop().time()
+        self._checker.sent_at_by_request[name] = now
         target = b"/keyed/1" if method == "GET" else b"/plain/1"
         request = messages.Request(
             method.encode(),
@@ -291,6 +308,8 @@
             self._silence,
             self._crash_server,
             self._drain_server,
+            self._limit_server,
+            self._pause_server,
         )
         running: list[asyncio.Task[None]] = []
         while loop.time() < end - 4.0:
@@ -304,23 +323,37 @@
     def _random_host(self) -> Host:
         return self._random.choice(self._hosts)
 
+    @contextlib.contextmanager
+    def _disrupt(self, host: Host) -> typing.Iterator[None]:
+        now = asyncio.get_running_loop().time
+        start = now()
+        yield
+        self._disruptions.append(
+            server_notices.Disruption(
+                host.name, start, now() + RECOVERY_SECONDS
+            )
+        )
+
     async def _kill(self) -> None:
         host = self._random_host()
-        host.send(signal.SIGKILL)
-        await host.wait()
-        await host.start()
+        with self._disrupt(host):
+            host.send(signal.SIGKILL)
+            await host.wait()
+            await host.start()
 
     async def _restart(self) -> None:
         host = self._random_host()
-        host.send(signal.SIGTERM)
-        await host.wait()
-        await host.start()
+        with self._disrupt(host):
+            host.send(signal.SIGTERM)
+            await host.wait()
+            await host.start()
 
     async def _pause(self) -> None:
         host = self._random_host()
-        host.send(signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(0.5, 5.0))
-        host.send(signal.SIGCONT)
+        with self._disrupt(host):
+            host.send(signal.SIGSTOP)
+            await asyncio.sleep(self._random.uniform(0.5, 5.0))
+            host.send(signal.SIGCONT)
 
     async def _store_down(self) -> None:
         self._log.is_down = True
@@ -333,12 +366,14 @@
         self._log.loses_answers = False
 
     async def _silence(self) -> None:
-        proxy = self._random.choice(self._proxies)
-        proxy.mode = "silent"
-        await asyncio.sleep(self._random.uniform(1.0, 5.0))
-        proxy.mode = "open"
-        if self._random.random() < 0.5:
-            proxy.reset()
+        host = self._random_host()
+        proxy = self._proxies[self._hosts.index(host)]
+        with self._disrupt(host):
+            proxy.mode = "silent"
+            await asyncio.sleep(self._random.uniform(1.0, 5.0))
+            proxy.mode = "open"
+            if self._random.random() < 0.5:
+                proxy.reset()
 
     async def _crash_server(self) -> None:
         name = self._random.choice(list(self._servers))
@@ -354,6 +389,8 @@
         name = self._random.choice(list(self._servers))
         leaving, task = self._servers.pop(name)
         self._add_server(leaving.is_partitioned)
+        leaving.says_it_leaves = True
+        await asyncio.sleep(self._random.uniform(0.0, 2.0))
         leaving.is_draining = True
         await asyncio.sleep(3.0)
         task.cancel()
@@ -361,6 +398,17 @@
             await task
         self._log.put("keyed.servers", name, b"")
 
+    async def _limit_server(self) -> None:
+        _, (limited, _) = self._random.choice(list(self._servers.items()))
+        limited.rate_limit = self._random.uniform(0.5, 2.5)
+        await asyncio.sleep(self._random.uniform(8.0, 14.0))
+        limited.rate_limit = None
+
+    async def _pause_server(self) -> None:
+        _, (paused, _) = self._random.choice(list(self._servers.items()))
+        now = asyncio.get_running_loop().time()
+        paused.paused_until = now + self._random.uniform(1.0, 4.0)
+
     async def _tear_down(self) -> None:
         for host in self._hosts:
             host.send(signal.SIGCONT)
@@ -373,6 +421,9 @@
     def _check(self) -> None:
         runs = self._checker.executions_by_request
         self._violations += self._checker.violations
+        self._violations += server_notices.violations(
+            self._checker.arrivals, self._disruptions, DRAIN_SECONDS
+        )
         for name in self._unsafe_ids:
             if runs[name] > 1:
                 self._violations.append(
@@ -422,10 +473,10 @@
     )
 
 
-def run_soak(seed: int, seconds: float) -> Outcome:
+def run_soak(seed: int, seconds: float, hosts: int = HOSTS) -> Outcome:
     """Run one seed; its logs are kept if an invariant was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="agatestile-soak-"))
-    outcome = asyncio.run(Soak(seed, folder).run(seconds))
+    outcome = asyncio.run(Soak(seed, folder, hosts).run(seconds))
     if outcome.violations:
         click.echo(f"logs kept in {folder}")
         return outcome
@@ -439,11 +490,12 @@
 @click.option("--seed", default=1, help="First seed.")
 @click.option("--runs", default=1, help="Number of seeds.")
 @click.option("--seconds", default=20.0, help="Length of each run.")
-def main(seed: int, runs: int, seconds: float) -> None:
+@click.option("--hosts", default=HOSTS, help="Number of daemons.")
+def main(seed: int, runs: int, seconds: float, hosts: int) -> None:
     """Run the seeds; exit with 1 if an invariant was violated."""
     failed = False
     for number in range(seed, seed + runs):
-        outcome = run_soak(number, seconds)
+        outcome = run_soak(number, seconds, hosts)
         click.echo(
             f"seed {number}: {outcome.served} of {outcome.sent} served, "
             f"{len(outcome.faults)} faults, "
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 import time
 import typing
 
@@ -13,6 +14,7 @@
 from agatestile.transport import messages
 from agatestile.transport import server
 from standins import platform_log
+from standins import server_notices
 
 HEARTBEAT_SECONDS = 0.3
 """Interval between the reports of a server to the store."""
@@ -49,6 +51,8 @@
         Number of executions by request identifier.
     violations : list of str
         Descriptions of the violated invariants.
+    sent_at_by_request : dict of str to float
+        Time at which the caller sent each request, seconds.
     """
 
     def __init__(self) -> None:
@@ -57,6 +61,47 @@
         )
         self.violations: list[str] = []
         self.servers: list[PlatformServer] = []
+        self.sent_at_by_request: dict[str, float] = {}
+        self._arrivals_by_number: dict[int, server_notices.Arrival] = {}
+        self._arrival_count = 0
+
+    @property
+    def arrivals(self) -> list[server_notices.Arrival]:
+        """Requests that arrived at servers, in order of their arrival."""
+        return list(self._arrivals_by_number.values())
+
+    def on_arrived(self, running: PlatformServer, request_id: str) -> int:
+        """Record a request and return its number.
+
+        The identifier of a request starts with the name of the host that
+        gets it from the caller, and a dot.
+        """
+        now = asyncio.get_running_loop().time()
+        self._arrival_count += 1
+        self._arrivals_by_number[self._arrival_count] = server_notices.Arrival(
+            running.id,
+            request_id.partition(".")[0],
+            self.sent_at_by_request.get(request_id, now),
+            now,
+            math.inf,
+        )
+        return self._arrival_count
+
+    def on_answered(self, running: PlatformServer, number: int) -> None:
+        """Record what a response says of its server."""
+        now = asyncio.get_running_loop().time()
+        self._arrivals_by_number[number] = self._arrivals_by_number[
+            number
+        ]._replace(
+            answered_at=now,
+            rate_limit=running.rate_limit,
+            pause=running.pause_left() or None,
+            is_leaving=running.says_it_leaves,
+        )
+
+    def on_misdirected(self, number: int) -> None:
+        """Forget a request for a key that its server does not hold."""
+        del self._arrivals_by_number[number]
 
     def on_started(
         self, running: PlatformServer, key: int, request: str
@@ -93,6 +138,15 @@
         Checker that all servers of a run share.
     service_time : float
         Service time of a request, seconds.
+
+    Attributes
+    ----------
+    rate_limit : float or None
+        Limit that its responses name, requests per second.
+    says_it_leaves : bool
+        Whether its responses say that it leaves.
+    paused_until : float
+        Clock of the event loop until which it wants no requests, seconds.
     """
 
     SLOTS = 2
@@ -109,6 +163,9 @@
         self.id = server_id
         self.is_up = False
         self.is_draining = False
+        self.rate_limit: float | None = None
+        self.says_it_leaves = False
+        self.paused_until = -math.inf
         self._service = service
         self.is_partitioned = is_partitioned
         self._checker = checker
@@ -150,6 +207,10 @@
                 return lease
         return None
 
+    def pause_left(self) -> float:
+        """Return for how long it wants no requests, seconds."""
+        return max(0.0, self.paused_until - asyncio.get_running_loop().time())
+
     def _report(self, log: platform_log.PlatformLog) -> None:
         self._sequence += 1
         fields = {
@@ -174,8 +235,14 @@
         if request.target == b"/release":
             return await self._release(msgspec.json.decode(request.body))
         if request.target == b"/healthz":
-            return messages.Response(200, self._load_headers(), b"")
-        return await self._serve(request)
+            return messages.Response(200, self._notices(), b"")
+        number = self._checker.on_arrived(self, _request_id(request))
+        response = await self._serve(request)
+        if response.status == 421:
+            self._checker.on_misdirected(number)
+        else:
+            self._checker.on_answered(self, number)
+        return response
 
     def _grant(self, order: dict[str, typing.Any]) -> messages.Response:
         first, last, fence = order["from"], order["to"], order["fence"]
@@ -226,7 +293,8 @@
         self._leases = kept
 
     async def _serve(self, request: messages.Request) -> messages.Response:
-        if self._accepted >= self.SLOTS + self.MAX_QUEUE:
+        is_full = self._accepted >= self.SLOTS + self.MAX_QUEUE
+        if is_full or self.pause_left():
             return self._refuse(request, 503)
         key = int(request.header(b"x-shard-key") or b"-1")
         self._accepted += 1
@@ -241,7 +309,7 @@
     async def _execute(
         self, request: messages.Request, key: int
     ) -> messages.Response:
-        request_id = (request.header(b"x-request-id") or b"").decode()
+        request_id = _request_id(request)
         if self.is_partitioned:
             self._checker.on_started(self, key, request_id)
         else:
@@ -254,20 +322,34 @@
         headers = [
             (b"x-request-id", request_id.encode()),
             (b"x-upstream-signature", self.id.encode()),
-            *self._load_headers(),
+            *self._notices(),
         ]
         return messages.Response(200, headers, request_id.encode())
 
-    def _load_headers(self) -> messages.Headers:
+    def _notices(self) -> messages.Headers:
+        """Return what a response says of the server itself."""
         running = min(self._accepted, self.SLOTS)
         load = (running, self._accepted - running, self.SLOTS)
-        return [(b"x-upstream-load", b"%d,%d,%d,100" % load)]
+        headers = [(b"x-upstream-load", b"%d,%d,%d,100" % load)]
+        if self.rate_limit is not None:
+            headers.append((b"server-limit", b"%.2f" % self.rate_limit))
+        if self.says_it_leaves:
+            headers.append((b"server-leaving", b"1"))
+        return headers
 
     def _refuse(
         self, request: messages.Request, status: int
     ) -> messages.Response:
         headers = [(b"x-not-executed", b"1")]
+        if status == 503:
+            headers += self._notices()
+            if self.pause_left():
+                headers.append((b"retry-after", b"%.3f" % self.pause_left()))
         request_id = request.header(b"x-request-id")
         if request_id is not None:
             headers.append((b"x-request-id", request_id))
         return messages.Response(status, headers, b"")
+
+
+def _request_id(request: messages.Request) -> str:
+    return (request.header(b"x-request-id") or b"").decode()
