--- a/src/agatestile/node/leadership.py
+++ b/src/agatestile/node/leadership.py
@@ -38,7 +38,7 @@
 for another leader."""
 
 
-TAKEOVER_BYTES = 256 * 1024
+TAKEOVER_BYTES = 512 * 1024
 """About what a new leader sends to all hosts: owners of keys, servers and a
 configuration."""
 
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -109,7 +109,7 @@
 
 @pytest.mark.parametrize(
     ("link_rate", "seconds"),
-    [(None, 0.0), (0.0, 0.0), (250e6, 0.001), (1.25e6, 0.21), (1.0, 0.5)],
+    [(None, 0.0), (0.0, 0.0), (250e6, 0.002), (1.25e6, 0.42), (1.0, 0.5)],
 )
 def test_head_start_is_longer_for_a_slower_link(
     link_rate: float | None, seconds: float
