Log a host's shares in the limits of servers

A refusal because of a named limit said that the host had sent its share, but no line told how large that is, so that it could not be told from a wrong number of hosts or a coordinator that allocates nothing. No decision changes.

--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -324,7 +324,15 @@
             self._shares.renew(now)
             return
         even = shares.even_share(self.host_rank, self.host_count)
-        self._shares.update(shares_by_service, even, now)
+        if self._shares.update(shares_by_service, even, now):
+            events.emit(
+                "rate_limit_shares",
+                shares={
+                    service: [round(start, 4), round(end, 4)]
+                    for service, (start, end) in shares_by_service.items()
+                },
+                host_count=self.host_count,
+            )
 
     def candidates(
         self,
--- a/src/agatestile/limits/shares.py
+++ b/src/agatestile/limits/shares.py
@@ -119,8 +119,8 @@
 
     def update(
         self, by_service: dict[str, Share], other: Share, now: float
-    ) -> None:
-        """Apply the shares that the coordinator allocated.
+    ) -> bool:
+        """Apply allocated shares; return whether those by service changed.
 
         Parameters
         ----------
@@ -132,6 +132,7 @@
             Clock, seconds.
         """
         held = self._held
+        before = held[-1].by_service if held else {}
         if not self._is_known(now):
             held.clear()
         self._known_at = now
@@ -139,6 +140,7 @@
             held.popleft()
         if not held or held[-1][1:] != (by_service, other):
             held.append(_HeldShares(now, by_service, other))
+        return by_service != before
 
     def renew(self, now: float) -> None:
         """Keep the present shares, unless their lease has expired."""
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -116,7 +116,8 @@
     def quota(now: float) -> int:
         return host.quota("prices", 10.0, 0.5, 5, now)
 
-    host.update({"prices": (0.0, 0.2)}, (0.0, 0.1), 0.0)
+    assert host.update({"prices": (0.0, 0.2)}, (0.0, 0.1), 0.0)
+    assert not host.update({"prices": (0.0, 0.2)}, (0.0, 0.1), 0.1)
     assert quota(0.1) == 0
     assert quota(shares.WINDOW_SECONDS) == 2
     host.update({"prices": (0.0, 0.6)}, (0.0, 0.1), 5.0)
