--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -93,6 +93,20 @@
     support.run(scenario)
 
 
+async def _exchange(
+    reporter: reporter_module.Reporter, service: peers.PeerService
+) -> peer_messages.ReportResponse:
+    """Report to a coordinator and apply its encoded response."""
+    response = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(
+            await service.handle_report(reporter._build_report())
+        ),
+        type=peer_messages.ReportResponse,
+    )
+    reporter._apply(response)
+    return response
+
+
 def _add_assignment(
     harness: support.CoordinatorHarness, range_count: int
 ) -> None:
@@ -127,8 +141,7 @@
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         _add_assignment(harness, 400)
-        first = await service.handle_report(reporter._build_report())
-        reporter._apply(first)
+        first = await _exchange(reporter, service)
         assert len(reporter._view.maps["prices"].ranges) == 401
         moved = ranges.KeyRange(
             100, 120, ranges.Owner("new", 7, 2**41), ranges.UNOWNED
@@ -136,12 +149,9 @@
         state = harness.coordinator.services["prices"]
         state.key_map = state.key_map.replace([moved])
         harness.coordinator.publish()
-        second = await service.handle_report(reporter._build_report())
-        encoded = msgspec.msgpack.encode(second)
-        assert len(encoded) < len(msgspec.msgpack.encode(first)) / 10
-        reporter._apply(
-            msgspec.msgpack.decode(encoded, type=peer_messages.ReportResponse)
-        )
+        second = await _exchange(reporter, service)
+        full_size = len(msgspec.msgpack.encode(first))
+        assert len(msgspec.msgpack.encode(second)) < full_size / 10
         assert reporter._view.version == harness.coordinator.version
         assert reporter._view.find("prices", 110) == moved
 
@@ -159,15 +169,13 @@
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         _add_assignment(harness, 40)
-        reporter._apply(await service.handle_report(reporter._build_report()))
+        await _exchange(reporter, service)
         reporter._view.load_stored(harness.coordinator.epoch, {})
-        reporter._apply(await service.handle_report(reporter._build_report()))
+        await _exchange(reporter, service)
         assert len(reporter._view.maps["prices"].ranges) == 41
         successor = _service(harness)
         harness.coordinator.publish()
-        reporter._apply(
-            await successor.handle_report(reporter._build_report())
-        )
+        await _exchange(reporter, successor)
         assert reporter._view.version == harness.coordinator.version
 
     support.run(scenario)
@@ -185,18 +193,17 @@
         await harness.coordinator.take_leadership()
         for range_count in range(30, 40):
             _add_assignment(harness, range_count)
-        reporter._apply(await service.handle_report(reporter._build_report()))
+        await _exchange(reporter, service)
         harness.coordinator.lose_leadership("test")
         await harness.coordinator.take_leadership()
         harness.coordinator.version = 2
         _add_assignment(harness, 50)
-        reporter._apply(await service.handle_report(reporter._build_report()))
+        await _exchange(reporter, service)
         assert (reporter._view.epoch, reporter._view.version) == (2, 3)
         _add_assignment(harness, 60)
-        response = await service.handle_report(reporter._build_report())
+        response = await _exchange(reporter, service)
         assert response.assignment is not None
         assert response.assignment.base_version == 3
-        reporter._apply(response)
         assert len(reporter._view.maps["prices"].ranges) == 61
 
     support.run(scenario)
@@ -210,14 +217,14 @@
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         _add_assignment(harness, 40)
-        reporter._apply(await service.handle_report(reporter._build_report()))
+        await _exchange(reporter, service)
         version = reporter._view.version
         harness.coordinator.publish()
         response = await service.handle_report(reporter._build_report())
         response.assignment = content_history.ContentPatch(version, b"?")
         reporter._apply(response)
         assert reporter._view.version == version
-        reporter._apply(await service.handle_report(reporter._build_report()))
+        await _exchange(reporter, service)
         assert reporter._view.version == harness.coordinator.version
 
     support.run(scenario)
