Ignore relayed servers older than one's own

What callers saw: requests went to servers whose entries service discovery had removed, and to addresses that no longer answered (DRAIN), where a coordinator was refused by the store, lost or restarted while servers left.

Cause: what the coordinator relays and what a host reads itself were merged without asking which is more recent. A restarted host took over servers that its own newer list lacked, became the coordinator and told all others that they are present. A server that a new coordinator never knew remained in use. After a read of its own a host went on with changes that no longer applied to what it had, and the end of a grace period passed unnoticed on hosts that don't read.

Ruled out: late reads (server_gone is logged 0.3 s after the removal, and requests go there again 0.5 s later).

Now reports say how old the host's directory is, the coordinator sends servers only if its own is more recent, all of them where the changes can't be known, and servers that a complete list lacks are gone.

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -284,6 +284,19 @@
         if server_id in self.by_id:
             self._missing_since_by_id.setdefault(server_id, since)
 
+    def remove_unlisted(self, listed_ids: set[str], since: float) -> None:
+        """Mark all entries as missing that a complete list lacks.
+
+        Parameters
+        ----------
+        listed_ids : set of str
+            Identifiers of all servers.
+        since : float
+            Earliest time at which the others may have been removed, seconds.
+        """
+        for server_id in self.by_id.keys() - listed_ids:
+            self.remove(server_id, since)
+
     def expire(self, now: float) -> list[str]:
         """Mark servers with missing entries as leaving; return the new ones.
 
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -72,6 +72,8 @@
     assignment_version : int or None
         Version of the assignment to which the host can apply a patch, -1 if
         to none; None if it cannot read patches.
+    directory_age : float
+        Time since the host's directory was certainly complete, in seconds.
     """
 
     host: str
@@ -85,6 +87,7 @@
     rate_limits: list[tuple[str, int, float | None, float]] = []
     demand: dict[str, int] = {}
     assignment_version: int | None = None
+    directory_age: float = math.inf
 
 
 class RelayedServer(msgspec.Struct, array_like=True):
@@ -172,7 +175,8 @@
     directory_version : int
         Version of the coordinator's directory.
     servers : list of RelayedServer
-        Servers that changed after the version that the host reported.
+        Servers that changed after the version that the host reported; none
+        if its directory is more recent than the coordinator's.
     services : dict or None
         Key ranges by service, None if the host has the current assignment or
         reads patches.
@@ -187,6 +191,8 @@
     assignment : content_history.ContentPatch or None
         Encoded key ranges by service, None if the host has the current
         assignment or cannot read patches.
+    has_all_servers : bool
+        Whether `servers` are all servers that the coordinator knows.
     """
 
     epoch: int
@@ -202,6 +208,7 @@
     directory_age: float = math.inf
     shares: dict[str, tuple[float, float]] | None = None
     assignment: content_history.ContentPatch | None = None
+    has_all_servers: bool = False
 
 
 class SupersedeRequest(msgspec.Struct, array_like=True):
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -168,10 +168,10 @@
             await self._coordinator.wait_changed(
                 report.version, REPORT_WAIT_SECONDS
             )
-        return self._build_response(report)
+        return self._build_response(report, now)
 
     def _build_response(
-        self, report: peer_messages.Report
+        self, report: peer_messages.Report, received_at: float
     ) -> peer_messages.ReportResponse:
         coordinator = self._coordinator
         reported = (report.epoch, report.version)
@@ -193,6 +193,12 @@
         known_version = report.directory_version
         if report.epoch != coordinator.epoch:
             known_version = 0
+        directory_version = known_version
+        servers = []
+        is_newer = directory.confirmed_at >= received_at - report.directory_age
+        if is_newer:
+            directory_version = directory.version
+            servers = directory.changed_after(known_version)
         return peer_messages.ReportResponse(
             coordinator.epoch,
             coordinator.version,
@@ -200,12 +206,12 @@
             members.index(report.host),
             self._is_confirmed(),
             operator.end,
-            directory.version,
+            directory_version,
             [
                 peer_messages.RelayedServer.from_server(
                     server, directory.is_missing(server.entry.id), now
                 )
-                for server in directory.changed_after(known_version)
+                for server in servers
             ],
             services,
             operator,
@@ -214,6 +220,7 @@
                 report.host, directory.services_with_rate_limits(), now
             ),
             assignment,
+            is_newer and known_version == 0,
         )
 
     def _service_ranges(self) -> dict[str, records.ServiceRanges]:
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -16,6 +16,7 @@
 from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
+from agatestile.node import watchers
 from agatestile.observability import events
 from agatestile.results import outcomes
 from agatestile.transport import messages
@@ -112,6 +113,8 @@
         self._directory_epoch = 0
         self._last_relayed = -math.inf
         self._directory_relayed_at = -math.inf
+        self._reported_directory_at = -math.inf
+        self._directory_merged_at = -math.inf
         self._operator_end = 0
         self._coordinator_version: int | None = None
         self._lost_coordinator = ""
@@ -346,10 +349,25 @@
         """
         now = self._now()
         directory = self._fleet.directory
+        self._operator_end = response.operator_end
+        if response.is_confirmed:
+            self._last_relayed = now
+        unseen_since = self._reported_directory_at
+        if directory.confirmed_at != unseen_since:
+            # This host has read service discovery since its report, so the
+            # coordinator compared its directory with an outdated one.
+            return
         for relayed in response.servers:
             instance = (relayed.id, relayed.incarnation)
             if relayed.leaving_age is None:
-                directory.put(relayed.entry(), now)
+                if directory.put(relayed.entry(), now):
+                    events.emit(
+                        "server_relayed",
+                        server=relayed.id,
+                        incarnation=relayed.incarnation,
+                        sequence=relayed.sequence,
+                        directory_age=round(response.directory_age, 3),
+                    )
             else:
                 since = sent_at - relayed.leaving_age
                 directory.put(relayed.entry(), now, since)
@@ -357,17 +375,21 @@
             directory.set_rate_limit(
                 instance, relayed.rate_limit, sent_at - relayed.rate_limit_age
             )
+        if response.has_all_servers:
+            directory.remove_unlisted(
+                {relayed.id for relayed in response.servers}, unseen_since
+            )
+        watchers.expire_missing(directory, now)
         self._directory_relayed_at = sent_at - response.directory_age
         directory.confirm(self._directory_relayed_at)
+        self._directory_merged_at = directory.confirmed_at
         self._directory_version = response.directory_version
         self._directory_epoch = response.epoch
-        self._operator_end = response.operator_end
-        if response.is_confirmed:
-            self._last_relayed = now
 
     def _build_report(self) -> peer_messages.Report:
         notices = self._fleet.notices.take()
         requests, self._requests = self._requests, {}
+        self._reported_directory_at = self._fleet.directory.confirmed_at
         return peer_messages.Report(
             self.member,
             self._view.epoch,
@@ -380,6 +402,7 @@
             notices.rate_limits,
             self._fleet.take_demand(),
             self._received_assignment_version(),
+            self._now() - self._reported_directory_at,
         )
 
     def _received_assignment_version(self) -> int:
@@ -393,8 +416,14 @@
         return received
 
     def _known_directory_version(self) -> int:
+        """Return the version whose changes are missing here, 0 for all.
+
+        After a read of its own, a host can't tell which changes are missing.
+        """
         if self._directory_epoch != self._view.epoch:
             return 0
+        if self._fleet.directory.confirmed_at != self._directory_merged_at:
+            return 0
         return self._directory_version
 
     def _restore_counts(self, report: peer_messages.Report) -> None:
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -180,14 +180,10 @@
         unseen_since = self._servers.confirmed_at
         self._apply(page, now, unseen_since)
         if is_listing:
-            self._remove_unlisted(page, unseen_since)
+            listed = {record.key for record in page.records}
+            self._servers.remove_unlisted(listed, unseen_since)
         self._servers.confirm(started)
-        for server_id in self._servers.expire(now):
-            events.emit(
-                "server_gone",
-                server=server_id,
-                age=_age(self._servers.by_id[server_id], now),
-            )
+        expire_missing(self._servers, now)
         if self._servers.version != version:
             self._on_change()
 
@@ -227,18 +223,22 @@
                     leaving_age=_age(self._servers.by_id[entry.id], now),
                 )
 
-    def _remove_unlisted(self, page: port.Page, unseen_since: float) -> None:
-        listed = {record.key for record in page.records}
-        for server_id in list(self._servers.by_id):
-            if server_id not in listed:
-                self._servers.remove(server_id, unseen_since)
-
     def _report_unreadable(self, key: str, reason: str) -> None:
         if key not in self._unreadable:
             self._unreadable.add(key)
             events.emit("server_unreadable", key=key, reason=reason)
 
 
+def expire_missing(servers: directory.Directory, now: float) -> None:
+    """Mark servers with missing entries as leaving, and log the new ones."""
+    for server_id in servers.expire(now):
+        events.emit(
+            "server_gone",
+            server=server_id,
+            age=_age(servers.by_id[server_id], now),
+        )
+
+
 def _age(server: directory.Server, now: float) -> float | None:
     """Return how long a server may have been leaving, for the log."""
     if server.leaving_since is None:
