Discard reads that a newer directory overtook

A slow list of all servers that ends after the coordinator relayed a more recent one marked new servers as missing, and as they don't change, nobody tells this host again.

The read is discarded, and the next one lists all servers. The new test in tests/node/test_watchers.py failed before.

--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -175,6 +175,10 @@
             return
         if read_state.on_success(now):
             self._servers.on_outage_end(now)
+        if self._servers.confirmed_at > started:
+            # The coordinator relayed a more recent directory meanwhile.
+            read_state.end = None
+            return
         read_state.end = page.end
         # Changes in this page may be as old as the previous read.
         unseen_since = self._servers.confirmed_at
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -11,6 +11,7 @@
 from agatestile.platform import records
 from agatestile.results import outcomes
 from agatestile.store import port
+from tests.catalog import test_directory
 from tests.node import support
 from tests.platform import test_adapter
 
@@ -103,3 +104,31 @@
     await watcher.poll()
     assert servers.by_id["a"].leaving_since == 1.0
     assert servers.confirmed_at == 2.6
+
+
+@pytest.mark.anyio
+async def test_read_that_the_relay_overtook_removes_no_server() -> None:
+    """Guards against a new server that one host does not know.
+
+    A slow list of all servers may arrive after a more recent one from the
+    coordinator, which sends later only what changes.
+    """
+    watcher, servers, now = _discovery(port.Page([_heartbeat("a")], 4))
+
+    class SlowStore(support.ScriptedStore):
+        async def read_newest(
+            self, topic: str
+        ) -> port.Page | outcomes.Refusal:
+            now[0] = 2.0
+            for server_id in ("a", "new"):
+                servers.put(test_directory.entry(server_id), 2.0)
+            servers.confirm(1.5)
+            return await super().read_newest(topic)
+
+    store = SlowStore(port.Page([_heartbeat("a")], 4))
+    watcher._store = store  # type: ignore[assignment]
+    now[0] = 1.0
+    await watcher.poll()
+    assert not servers.is_missing("new")
+    assert servers.by_id["new"].leaving_since is None
+    assert watcher.read_state.end is None
