Start a grace period only after a real outage

What callers saw: requests to servers whose entries had been removed, for 2.2 s longer than allowed (DRAIN), when the store had refused the coordinator for a second while it served all others.

Cause: after two failed reads of its own, a host waited for entries that might return, as after an outage of the store. Entries can't expire in one while servers reach the store.

The grace period now needs two seconds in which no host got a response from the store, by the operator's records, which hosts relay. A refused host that hears of no other host still waits; so does each host after a real outage. The new test in tests/node/test_watchers.py failed before.

--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -169,6 +169,7 @@
             self.coordinator.request_plan,
             self._discovery_interval,
             self.reporter.is_directory_relayed,
+            lambda: self.operator_watcher.confirmed_at,
         )
         self.server_pool = client.Pool(now, platform.header_format.echo_header)
         handler = handler_module.Handler(
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import typing
 
 import anyio
@@ -31,6 +32,10 @@
 OUTAGE_FAILURE_COUNT = 2
 """Number of consecutive failed reads that count as an outage."""
 
+OUTAGE_SECONDS = 2.0
+"""Time without a read by any host from which entries may have expired because
+servers could not renew them; shorter than three heartbeats."""
+
 
 class ReadState:
     """Progress and failures of the reads of one topic.
@@ -113,6 +118,9 @@
         Returns the interval between reads, in seconds.
     is_relayed : callable
         Returns whether the coordinator relays servers to this host.
+    store_confirmed_at : callable
+        Returns the latest time, in seconds, at which the store responded to
+        any host.
     """
 
     def __init__(
@@ -126,7 +134,10 @@
             DISCOVERY_INTERVAL_SECONDS
         ),
         is_relayed: typing.Callable[[], bool] = lambda: False,
+        store_confirmed_at: typing.Callable[[], float] = lambda: -math.inf,
     ) -> None:
+        self._store_confirmed_at = store_confirmed_at
+        self._longest_outage = 0.0
         self._store = store
         self._format = record_format
         self._servers = servers
@@ -171,10 +182,9 @@
                 read_state.end = None
                 await self.poll()
             else:
-                read_state.on_failure(page)
+                self._on_failure(page, now)
             return
-        if read_state.on_success(now):
-            self._servers.on_outage_end(now)
+        self._on_success(now)
         if self._servers.confirmed_at > started:
             # The coordinator relayed a more recent directory meanwhile.
             read_state.end = None
@@ -191,6 +201,20 @@
         if self._servers.version != version:
             self._on_change()
 
+    def _on_failure(self, refusal: outcomes.Refusal, now: float) -> None:
+        self.read_state.on_failure(refusal)
+        confirmed_at = max(
+            self._servers.confirmed_at, self._store_confirmed_at()
+        )
+        self._longest_outage = max(self._longest_outage, now - confirmed_at)
+
+    def _on_success(self, now: float) -> None:
+        """Start a grace period unless the store refused only this host."""
+        was_outage = self.read_state.on_success(now)
+        if was_outage and self._longest_outage >= OUTAGE_SECONDS:
+            self._servers.on_outage_end(now)
+        self._longest_outage = 0.0
+
     def _log_slow_read(
         self,
         page: port.Page | outcomes.Refusal,
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -85,6 +85,27 @@
     assert servers.by_id["a"].leaving_since is None
 
 
+@pytest.mark.anyio
+async def test_server_that_left_while_the_store_refused_one_host() -> None:
+    """Guards against a grace period without an outage of the store (DRAIN).
+
+    The store refuses the coordinator for a second and serves other hosts, so
+    a missing entry has not expired in an outage.
+    """
+    watcher, servers, now = _discovery(
+        port.Page([_heartbeat("a")], 4),
+        support.UNAVAILABLE,
+        support.UNAVAILABLE,
+        support.UNAVAILABLE,
+        port.Page([port.Record("a", b"")], 5),
+    )
+    watcher._store_confirmed_at = lambda: now[0] - 0.7
+    for step in range(5):
+        now[0] = 0.9 * step
+        await watcher.poll()
+    assert servers.by_id["a"].leaving_since == 0.0
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("is_removed", [True, False])
 async def test_departure_counts_from_the_read_before(is_removed: bool) -> None:
