Keep one host's grace period from the others

Cause: a grace period counted failed reads from before the coordinator had relayed servers again, and a coordinator that waits for an entry told hosts that the server is present, which they had read to be gone.

Ruled out: slow links; edge-warszawa-b-7 logs server_gone at 15.5 s and sends to the server from 17.3 s on, when a new coordinator answers.

Time with relayed servers ends the count of an outage, a server that is missing on both sides stays so, and its return is a change that is relayed. Two new tests, in tests/node/test_peers.py and test_watchers.py, failed before.

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -145,6 +145,7 @@
             default.
         """
         known = self.by_id.get(entry.id)
+        has_reappeared = entry.id in self._missing_since_by_id
         leaving = None
         is_departing = entry.is_draining
         if entry.is_draining:
@@ -154,7 +155,6 @@
             if order < (known.entry.incarnation, known.entry.sequence):
                 return False
             is_same_incarnation = entry.incarnation == known.entry.incarnation
-            has_reappeared = entry.id in self._missing_since_by_id
             is_departing |= is_same_incarnation and known.is_departing
             if (
                 is_same_incarnation
@@ -175,10 +175,12 @@
             )
         self.by_id[entry.id] = server
         self._ids_by_service.setdefault(entry.service, {})[entry.id] = None
-        changed = known is None or _comparable(known.entry) != _comparable(
-            entry
-        )
-        if changed or known is None or known.leaving_since != leaving:
+        if (
+            known is None
+            or has_reappeared
+            or known.leaving_since != leaving
+            or _comparable(known.entry) != _comparable(entry)
+        ):
             self._record_change(entry.id)
             return True
         return False
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -359,7 +359,11 @@
             return
         for relayed in response.servers:
             instance = (relayed.id, relayed.incarnation)
-            if relayed.leaving_age is None:
+            is_absent = relayed.is_missing and directory.is_missing(relayed.id)
+            if is_absent and relayed.leaving_age is None:
+                # The coordinator still waits for the entry to return.
+                pass
+            elif relayed.leaving_age is None:
                 if directory.put(relayed.entry(), now):
                     events.emit(
                         "server_relayed",
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -30,7 +30,7 @@
 """Duration from which a read of service discovery is logged."""
 
 OUTAGE_FAILURE_COUNT = 2
-"""Number of consecutive failed reads that count as an outage."""
+"""Number of consecutive failed reads that are logged as an outage."""
 
 OUTAGE_SECONDS = 2.0
 """Time without a read by any host from which entries may have expired because
@@ -62,10 +62,9 @@
                 "dependency_lost", dependency=self.name, reason=str(refusal)
             )
 
-    def on_success(self, now: float) -> bool:
-        """Record a successful read; return whether it ended an outage."""
-        was_outage = self._failures >= OUTAGE_FAILURE_COUNT
-        if was_outage:
+    def on_success(self, now: float) -> None:
+        """Record a successful read."""
+        if self._failures >= OUTAGE_FAILURE_COUNT:
             events.emit(
                 "dependency_regained",
                 dependency=self.name,
@@ -73,7 +72,6 @@
             )
         self._failures = 0
         self.last_success = now
-        return was_outage
 
 
 class RecordFormat(typing.Protocol):
@@ -155,6 +153,7 @@
                 # The last offset will be too old to continue from, so the
                 # next read lists all servers again.
                 self.read_state.end = None
+                self._longest_outage = 0.0
                 await anyio.sleep(RELAY_CHECK_SECONDS)
                 continue
             started = self._now()
@@ -210,8 +209,8 @@
 
     def _on_success(self, now: float) -> None:
         """Start a grace period unless the store refused only this host."""
-        was_outage = self.read_state.on_success(now)
-        if was_outage and self._longest_outage >= OUTAGE_SECONDS:
+        self.read_state.on_success(now)
+        if self._longest_outage >= OUTAGE_SECONDS:
             self._servers.on_outage_end(now)
         self._longest_outage = 0.0
 
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -620,3 +620,33 @@
         assert servers.by_id["a"].leaving_since is None
 
     support.run(scenario)
+
+
+def test_grace_period_of_the_coordinator_returns_no_server() -> None:
+    """Guards against waiting for a server that this host knows gone (DRAIN).
+
+    The store refused the coordinator for a while, but not this host.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service, host = _service(harness), _service(harness)
+        await harness.coordinator.take_leadership()
+        servers, listed = host._fleet.directory, service._fleet.directory
+        for known in (servers, listed):
+            known.put(test_directory.entry("a"), 0.0)
+        servers.remove("a", 0.0)
+        servers.expire(0.5)
+        servers.confirm(0.5)
+        await anyio.sleep(1.0)
+        listed.on_outage_end(1.0)
+        listed.remove("a", 0.0)
+        listed.confirm(1.0)
+        await _relay_servers(service, host._reporter)
+        assert servers.by_id["a"].leaving_since == 0.0
+        listed.put(test_directory.entry("a", sequence=2), 1.2)
+        await anyio.sleep(1.0)
+        listed.confirm(2.0)
+        await _relay_servers(service, host._reporter)
+        assert servers.by_id["a"].leaving_since is None
+
+    support.run(scenario)
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -5,6 +5,8 @@
 import json
 
 import pytest
+import trio
+from trio import testing
 
 from agatestile.catalog import directory
 from agatestile.node import watchers
@@ -106,6 +108,32 @@
     assert servers.by_id["a"].leaving_since == 0.0
 
 
+def test_refusal_before_the_relay_starts_no_grace_period() -> None:
+    """Guards against a grace period for an outage that is long over (DRAIN).
+
+    The coordinator relayed all servers since this host was refused.
+    """
+
+    async def main() -> None:
+        watcher, servers, _ = _discovery(
+            port.Page([_heartbeat("a")], 4),
+            support.UNAVAILABLE,
+            support.UNAVAILABLE,
+            port.Page([], 9),
+        )
+        watcher._now = trio.current_time
+        watcher._is_relayed = lambda: 2.0 < trio.current_time() < 8.0
+        await watcher.poll()
+        await trio.sleep(3.0 - trio.current_time())
+        await watcher.poll()
+        await watcher.poll()
+        with trio.move_on_after(5.5):
+            await watcher.run()
+        assert servers.by_id["a"].leaving_since == 0.0
+
+    trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("is_removed", [True, False])
 async def test_departure_counts_from_the_read_before(is_removed: bool) -> None:
