--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -16,7 +16,7 @@
 from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
-from agatestile.node import watchers
+from agatestile.node import relayed_directory
 from agatestile.observability import events
 from agatestile.results import outcomes
 from agatestile.transport import messages
@@ -109,12 +109,10 @@
         self._requests: dict[str, collections.Counter[int]] = {}
         self._changed = anyio.Event()
         self._has_coordinator = False
-        self._directory_version = 0
-        self._directory_epoch = 0
         self._last_relayed = -math.inf
-        self._directory_relayed_at = -math.inf
-        self._reported_directory_at = -math.inf
-        self._directory_merged_at = -math.inf
+        self._relayed_directory = relayed_directory.RelayedDirectory(
+            fleet.directory, now
+        )
         self._operator_end = 0
         self._coordinator_version: int | None = None
         self._lost_coordinator = ""
@@ -323,7 +321,7 @@
     def is_directory_relayed(self) -> bool:
         """Return whether the coordinator relays all servers in time."""
         longest = DIRECTORY_RELAY_SHARE * self._fleet.bounds.drain
-        return self._now() < self._directory_relayed_at + longest
+        return self._now() < self._relayed_directory.confirmed_at + longest
 
     def is_relayed(self) -> bool:
         """Return whether a confirmed coordinator responded recently."""
@@ -342,63 +340,19 @@
     def _apply_servers(
         self, response: peer_messages.ReportResponse, sent_at: float
     ) -> None:
-        """Apply the relayed servers.
-
-        Ages in the response count from the time at which the report was
-        sent, as the transfer may have taken long.
-        """
-        now = self._now()
-        directory = self._fleet.directory
         self._operator_end = response.operator_end
         if response.is_confirmed:
-            self._last_relayed = now
-        unseen_since = self._reported_directory_at
-        if directory.confirmed_at != unseen_since:
-            # This host has read service discovery since its report, so the
-            # coordinator compared its directory with an outdated one.
-            return
-        for relayed in response.servers:
-            instance = (relayed.id, relayed.incarnation)
-            is_absent = relayed.is_missing and directory.is_missing(relayed.id)
-            if is_absent and relayed.leaving_age is None:
-                # The coordinator still waits for the entry to return.
-                pass
-            elif relayed.leaving_age is None:
-                if directory.put(relayed.entry(), now):
-                    events.emit(
-                        "server_relayed",
-                        server=relayed.id,
-                        incarnation=relayed.incarnation,
-                        sequence=relayed.sequence,
-                        directory_age=round(response.directory_age, 3),
-                    )
-            else:
-                since = sent_at - relayed.leaving_age
-                directory.put(relayed.entry(), now, since)
-                directory.mark_leaving(instance, since, relayed.is_missing)
-            directory.set_rate_limit(
-                instance, relayed.rate_limit, sent_at - relayed.rate_limit_age
-            )
-        if response.has_all_servers:
-            directory.remove_unlisted(
-                {relayed.id for relayed in response.servers}, unseen_since
-            )
-        watchers.expire_missing(directory, now)
-        self._directory_relayed_at = sent_at - response.directory_age
-        directory.confirm(self._directory_relayed_at)
-        self._directory_merged_at = directory.confirmed_at
-        self._directory_version = response.directory_version
-        self._directory_epoch = response.epoch
+            self._last_relayed = self._now()
+        self._relayed_directory.apply(response, sent_at)
 
     def _build_report(self) -> peer_messages.Report:
         notices = self._fleet.notices.take()
         requests, self._requests = self._requests, {}
-        self._reported_directory_at = self._fleet.directory.confirmed_at
         return peer_messages.Report(
             self.member,
             self._view.epoch,
             self._view.version,
-            self._known_directory_version(),
+            self._relayed_directory.known_version(self._view.epoch),
             {name: dict(counts) for name, counts in requests.items()},
             self._fleet.take_samples(),
             self._relay.relay_to(self._coordinator_version),
@@ -406,7 +360,7 @@
             notices.rate_limits,
             self._fleet.take_demand(),
             self._received_assignment_version(),
-            self._now() - self._reported_directory_at,
+            self._relayed_directory.reported_age(),
         )
 
     def _received_assignment_version(self) -> int:
@@ -419,17 +373,6 @@
             return content_history.NO_VERSION
         return received
 
-    def _known_directory_version(self) -> int:
-        """Return the version whose changes are missing here, 0 for all.
-
-        After a read of its own, a host can't tell which changes are missing.
-        """
-        if self._directory_epoch != self._view.epoch:
-            return 0
-        if self._fleet.directory.confirmed_at != self._directory_merged_at:
-            return 0
-        return self._directory_version
-
     def _restore_counts(self, report: peer_messages.Report) -> None:
         """Add the counts of an undelivered report to the next one."""
         for name, counts in report.requests.items():
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -11,58 +11,15 @@
 from agatestile.assignment import ranges
 from agatestile.assignment import state as state_module
 from agatestile.balancing import load
-from agatestile.catalog import directory
-from agatestile.entry import fleet as fleet_module
 from agatestile.entry import view as view_module
 from agatestile.limits import shares
 from agatestile.node import content_history
-from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
-from agatestile.node import operator_watcher
 from agatestile.node import peers
 from agatestile.node import reporter as reporter_module
-from agatestile.node import settings as node_settings
-from agatestile.platform import records
 from tests.assignment import support
 from tests.catalog import test_directory
-
-
-def _relay() -> operator_watcher.OperatorWatcher:
-    return operator_watcher.OperatorWatcher(
-        None,  # type: ignore[arg-type]
-        records.PlatformRecordFormat(),
-        trio.current_time,
-        lambda configuration: None,
-        lambda domains, since: None,
-    )
-
-
-def _service(harness: support.CoordinatorHarness) -> peers.PeerService:
-    fleet = fleet_module.Fleet(
-        node_settings.Bounds(), "anna", trio.current_time
-    )
-    elector = leadership.LeaderElector(
-        harness.store, harness.coordinator, "host-1", trio.current_time
-    )
-    reporter = reporter_module.Reporter(
-        None,  # type: ignore[arg-type]
-        harness.store,
-        fleet,
-        view_module.AssignmentView(),
-        "host-1",
-        (),
-        elector,
-        _relay(),
-        trio.current_time,
-    )
-    return peers.PeerService(
-        harness.coordinator,
-        fleet,
-        reporter,
-        elector.is_confirmed,
-        _relay(),
-        trio.current_time,
-    )
+from tests.node import support as node_support
 
 
 def _report(
@@ -76,7 +33,7 @@
 
 def test_new_assignment_reaches_a_waiting_host_at_once() -> None:
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         harness.fleet.add("a")
         await harness.coordinator.take_leadership()
         first = await service.handle_report(_report("host-2"))
@@ -138,7 +95,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         _add_assignment(harness, 400)
@@ -166,7 +123,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         _add_assignment(harness, 40)
@@ -174,7 +131,7 @@
         reporter._view.load_stored(harness.coordinator.epoch, {})
         await _exchange(reporter, service)
         assert len(reporter._view.maps["prices"].ranges) == 41
-        successor = _service(harness)
+        successor = node_support.peer_service(harness)
         harness.coordinator.publish()
         await _exchange(reporter, successor)
         assert reporter._view.version == harness.coordinator.version
@@ -189,7 +146,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         for range_count in range(30, 40):
@@ -214,7 +171,7 @@
     """Guards against a host that stays with an old assignment."""
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         _add_assignment(harness, 40)
@@ -238,7 +195,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         reporter = service._reporter
         await harness.coordinator.take_leadership()
         _add_assignment(harness, 40)
@@ -259,7 +216,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         await harness.coordinator.take_leadership()
         for host in ("host-1", "host-2", "host-3"):
             await service.handle_report(_report(host))
@@ -274,7 +231,7 @@
 
 def test_report_of_a_later_epoch_ends_the_leadership() -> None:
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         await harness.coordinator.take_leadership()
         await service.handle_report(_report("host-2", epoch=5))
         assert not harness.coordinator.epoch
@@ -289,7 +246,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         await harness.coordinator.take_leadership()
         servers = service._fleet.directory
         servers.put(test_directory.entry("a", warmup_left=2.0), 0.0)
@@ -331,7 +288,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         entry = test_directory.entry("slow")
         service._fleet.directory.put(entry, 0.0)
         await harness.coordinator.take_leadership()
@@ -355,53 +312,25 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         reporter, fleet = service._reporter, service._fleet
         await harness.coordinator.take_leadership()
         for number in range(2, 6):
             await service.handle_report(_report(f"host-{number}"))
         reporter._apply(await service.handle_report(_report("host-1")))
         assert fleet.host_count == 5
-        successor = _service(harness)
+        successor = node_support.peer_service(harness)
         reporter._apply(await successor.handle_report(_report("host-1")))
         assert fleet.host_count == 5
 
     support.run(scenario)
 
 
-def test_relayed_departure_counts_from_the_report() -> None:
-    """Guards against departures that the transfer of a response rejuvenates.
-
-    A response over a full link arrives long after it was sent (DRAIN).
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        listed = service._fleet.directory
-        await anyio.sleep(2.0)
-        listed.put(test_directory.entry("a", is_draining=True), 2.0, 1.5)
-        listed.confirm(1.8)
-        sent_at = trio.current_time()
-        response = await service.handle_report(_report("host-2"))
-        await anyio.sleep(0.9)
-        host._reporter._apply_servers(response, sent_at)
-        servers = host._fleet.directory
-        leaving_since = servers.by_id["a"].leaving_since
-        assert leaving_since is not None and leaving_since <= 1.5
-        assert servers.confirmed_at == 1.8
-        assert host._reporter.is_directory_relayed()
-        await anyio.sleep(0.3)
-        assert not host._reporter.is_directory_relayed()
-
-    support.run(scenario)
-
-
 def test_departure_that_one_host_learnt_reaches_the_others() -> None:
     """Guards against hosts that learn a departure only from discovery."""
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         service._fleet.directory.put(test_directory.entry("a"), 0.0)
         await harness.coordinator.take_leadership()
         first = await service.handle_report(_report("host-3"))
@@ -427,7 +356,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = _service(harness)
+        service = node_support.peer_service(harness)
         fleet = service._fleet
         fleet.directory.put(test_directory.entry("a"), 0.0)
         await harness.coordinator.take_leadership()
@@ -454,199 +383,3 @@
         assert fleet.directory.by_id["a"].rate_limit == 2.5
 
     support.run(scenario)
-
-
-async def _relay_servers(
-    service: peers.PeerService, reporter: reporter_module.Reporter
-) -> None:
-    """Send a report of a host and apply the servers in the response."""
-    sent_at = trio.current_time()
-    response = await service.handle_report(reporter._build_report())
-    reporter._apply_servers(response, sent_at)
-
-
-def test_older_directory_does_not_return_a_removed_server() -> None:
-    """Guards against a departure that a relayed directory undoes (DRAIN).
-
-    The store refuses the coordinator, while this host has read that the
-    server is gone.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        read_before = service._fleet.directory
-        read_before.put(test_directory.entry("a"), 0.0)
-        read_before.confirm(0.0)
-        servers = host._fleet.directory
-        servers.put(test_directory.entry("a"), 0.0)
-        await anyio.sleep(2.0)
-        servers.remove("a", 0.0)
-        servers.expire(2.0)
-        servers.confirm(2.0)
-        await _relay_servers(service, host._reporter)
-        assert servers.by_id["a"].leaving_since == 0.0
-
-    support.run(scenario)
-
-
-def test_restarted_host_takes_no_servers_from_an_older_directory() -> None:
-    """Guards against a server that nobody removes again (DRAIN).
-
-    Its removal precedes the records that this host will read next, and the
-    other hosts get their servers from this one once it leads.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        read_before = service._fleet.directory
-        read_before.put(test_directory.entry("gone"), 0.0)
-        read_before.confirm(0.0)
-        await anyio.sleep(2.0)
-        servers = host._fleet.directory
-        servers.put(test_directory.entry("present"), 2.0)
-        servers.confirm(2.0)
-        await _relay_servers(service, host._reporter)
-        assert list(servers.by_id) == ["present"]
-        read_before.put(test_directory.entry("present"), 2.0)
-        read_before.delete("gone")
-        read_before.put(test_directory.entry("new"), 2.1)
-        await anyio.sleep(1.0)
-        read_before.confirm(3.0)
-        await _relay_servers(service, host._reporter)
-        assert set(servers.by_id) == {"present", "new"}
-
-    support.run(scenario)
-
-
-def test_server_unknown_to_a_new_coordinator_is_gone() -> None:
-    """Guards against requests to a server with an unrelayed removal (DRAIN).
-
-    It was removed before the new coordinator started.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        servers = host._fleet.directory
-        for server_id in ("gone", "present"):
-            servers.put(test_directory.entry(server_id), 0.0)
-        servers.confirm(0.5)
-        await anyio.sleep(1.0)
-        listed = service._fleet.directory
-        listed.put(test_directory.entry("present"), 1.0)
-        listed.confirm(1.0)
-        await _relay_servers(service, host._reporter)
-        assert servers.by_id["gone"].leaving_since == 0.5
-        assert servers.by_id["present"].leaving_since is None
-
-    support.run(scenario)
-
-
-def test_servers_of_a_response_that_a_read_overtook_are_sent_again() -> None:
-    """Guards against a lost change of a server.
-
-    The coordinator compared its directory with one that this host has
-    replaced since.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        listed = service._fleet.directory
-        listed.put(test_directory.entry("a"), 0.0)
-        listed.confirm(0.0)
-        reporter, servers = host._reporter, host._fleet.directory
-        response = await service.handle_report(reporter._build_report())
-        servers.confirm(1.0)
-        reporter._apply_servers(response, 0.0)
-        assert not servers.by_id
-        listed.confirm(2.0)
-        await anyio.sleep(2.0)
-        await _relay_servers(service, reporter)
-        assert list(servers.by_id) == ["a"]
-
-    support.run(scenario)
-
-
-def test_unknown_server_is_gone_after_an_outage_of_this_host() -> None:
-    """Guards against a grace period that nobody ends (DRAIN).
-
-    It began when this host could read again; since then others read for it.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        servers = host._fleet.directory
-        servers.put(test_directory.entry("gone"), 0.0)
-        servers.confirm(0.5)
-        await anyio.sleep(1.0)
-        servers.on_outage_end(1.0)
-        service._fleet.directory.confirm(1.0)
-        await _relay_servers(service, host._reporter)
-        assert servers.by_id["gone"].leaving_since is None
-        await anyio.sleep(directory.REAPPEARANCE_SECONDS)
-        await _relay_servers(service, host._reporter)
-        assert servers.by_id["gone"].leaving_since == 0.5
-
-    support.run(scenario)
-
-
-def test_server_that_returned_unnoticed_is_not_gone() -> None:
-    """Guards against a server that one host avoids for good.
-
-    The host reads that its entry is missing, and the coordinator later that
-    it is back, which to the coordinator is no change.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        listed = service._fleet.directory
-        listed.put(test_directory.entry("a"), 0.0)
-        listed.confirm(0.0)
-        await _relay_servers(service, host._reporter)
-        servers = host._fleet.directory
-        servers.remove("a", 0.0)
-        servers.expire(1.0)
-        servers.confirm(1.0)
-        assert servers.by_id["a"].leaving_since == 0.0
-        await anyio.sleep(2.0)
-        listed.put(test_directory.entry("a", sequence=2), 2.0)
-        listed.confirm(2.0)
-        await _relay_servers(service, host._reporter)
-        assert servers.by_id["a"].leaving_since is None
-
-    support.run(scenario)
-
-
-def test_grace_period_of_the_coordinator_returns_no_server() -> None:
-    """Guards against waiting for a server that this host knows gone (DRAIN).
-
-    The store refused the coordinator for a while, but not this host.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = _service(harness), _service(harness)
-        await harness.coordinator.take_leadership()
-        servers, listed = host._fleet.directory, service._fleet.directory
-        for known in (servers, listed):
-            known.put(test_directory.entry("a"), 0.0)
-        servers.remove("a", 0.0)
-        servers.expire(0.5)
-        servers.confirm(0.5)
-        await anyio.sleep(1.0)
-        listed.on_outage_end(1.0)
-        listed.remove("a", 0.0)
-        listed.confirm(1.0)
-        await _relay_servers(service, host._reporter)
-        assert servers.by_id["a"].leaving_since == 0.0
-        listed.put(test_directory.entry("a", sequence=2), 1.2)
-        await anyio.sleep(1.0)
-        listed.confirm(2.0)
-        await _relay_servers(service, host._reporter)
-        assert servers.by_id["a"].leaving_since is None
-
-    support.run(scenario)
