List all servers only after changed reads

What callers would see: slow answers of a coordinator with a link of 10 Mbit/s, which sends all servers (26 kB for 333 of them) to each host that reads service discovery itself, up to four times a second.

A read that changed nothing leaves what the host has as the coordinator knows it, so the changes since then suffice. The new test in tests/node/test_relayed_directory.py failed before.

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -96,6 +96,8 @@
         Known servers.
     version : int
         Number of changes so far.
+    read_version : int
+        Value of `version` after the last change by a read of this host.
     confirmed_at : float
         Latest time at which the directory was certainly complete, seconds;
         minus infinity before the first read.
@@ -109,6 +111,7 @@
         self._newest_by_address: dict[tuple[str, int], ServerEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self.version = 0
+        self.read_version = 0
         self._limited_services: set[str] = set()
         self._limited_at_version = 0
         self.confirmed_at = float("-inf")
@@ -283,8 +286,9 @@
         since : float
             Earliest time at which it may have been removed, seconds.
         """
-        if server_id in self.by_id:
-            self._missing_since_by_id.setdefault(server_id, since)
+        if server_id in self.by_id and not self.is_missing(server_id):
+            self._missing_since_by_id[server_id] = since
+            self.version += 1
 
     def remove_unlisted(self, listed_ids: set[str], since: float) -> None:
         """Mark all entries as missing that a complete list lacks.
--- a/src/agatestile/node/relayed_directory.py
+++ b/src/agatestile/node/relayed_directory.py
@@ -40,20 +40,21 @@
         self._version = 0
         self._epoch = 0
         self._reported_at = -math.inf
-        self._merged_at = -math.inf
+        self._merged_version = -1
         self.confirmed_at = -math.inf
 
     def known_version(self, epoch: int) -> int:
         """Return the version whose changes are missing here, 0 for all.
 
-        After a read of its own, a host can't tell which changes are missing.
+        After a read of its own that changed its directory, a host can't tell
+        which changes are missing.
 
         Parameters
         ----------
         epoch : int
             Epoch of the coordinator that the host reports.
         """
-        is_merged = self._directory.confirmed_at == self._merged_at
+        is_merged = self._directory.read_version <= self._merged_version
         return self._version if is_merged and self._epoch == epoch else 0
 
     def reported_age(self) -> float:
@@ -91,7 +92,7 @@
         watchers.expire_missing(directory, self._now())
         self.confirmed_at = sent_at - response.directory_age
         directory.confirm(self.confirmed_at)
-        self._merged_at = directory.confirmed_at
+        self._merged_version = directory.version
         self._version = response.directory_version
         self._epoch = response.epoch
 
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -198,6 +198,7 @@
         self._servers.confirm(started)
         expire_missing(self._servers, now)
         if self._servers.version != version:
+            self._servers.read_version = self._servers.version
             self._on_change()
 
     def _on_failure(self, refusal: outcomes.Refusal, now: float) -> None:
--- a/tests/node/test_relayed_directory.py
+++ b/tests/node/test_relayed_directory.py
@@ -221,6 +221,7 @@
         servers.remove("a", 0.0)
         servers.expire(1.0)
         servers.confirm(1.0)
+        servers.read_version = servers.version
         assert servers.by_id["a"].leaving_since == 0.0
         await anyio.sleep(2.0)
         listed.put(test_directory.entry("a", sequence=2), 2.0)
@@ -262,3 +263,30 @@
         assert servers.by_id["a"].leaving_since is None
 
     support.run(scenario)
+
+
+def test_read_without_changes_asks_for_no_list() -> None:
+    """Guards against links filled with servers that all hosts know.
+
+    A host reads service discovery itself while the coordinator is slow.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        service = node_support.peer_service(harness)
+        host = node_support.peer_service(harness)
+        await harness.coordinator.take_leadership()
+        listed = service._fleet.directory
+        for server_id in ("a", "b"):
+            listed.put(test_directory.entry(server_id), 0.0)
+        listed.confirm(0.0)
+        await _relay_servers(service, host._reporter)
+        host._reporter._view.epoch = service._coordinator.epoch
+        host._fleet.directory.confirm(1.0)
+        await anyio.sleep(2.0)
+        listed.put(test_directory.entry("a", slots=3), 2.0)
+        listed.confirm(2.0)
+        report = host._reporter._build_report()
+        response = await service.handle_report(report)
+        assert [server.id for server in response.servers] == ["a"]
+
+    support.run(scenario)
