Refuse hosts and remove servers in the soak

Arrivals more than the bound after a removal are a violation, unless their host was refused or frozen or the store itself was disrupted when the entry went. The proxy closes its connections at the end; before, their destructors printed traces.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import pathlib
 import random
@@ -54,19 +55,29 @@
 
 
 class Proxy:
-    """Loopback proxy that can stall or reset its connections."""
+    """Loopback proxy that can stall, reset or refuse its connections."""
 
     def __init__(self, port: int) -> None:
         self._target = port
         self.mode = "open"
         self._writers: set[asyncio.StreamWriter] = set()
+        self._listening: asyncio.Server | None = None
 
     async def start(self) -> int:
         """Start to listen and return the port."""
-        listening = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port: int = listening.sockets[0].getsockname()[1]
+        self._listening = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0
+        )
+        port: int = self._listening.sockets[0].getsockname()[1]
         return port
 
+    async def stop(self) -> None:
+        """Close all connections and stop to listen."""
+        self.reset()
+        if self._listening is not None:
+            self._listening.close()
+            await self._listening.wait_closed()
+
     def reset(self) -> None:
         """Close all connections."""
         for writer in list(self._writers):
@@ -75,11 +86,17 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.mode == "refusing":
+            writer.transport.abort()
+            return
+        writers = {writer}
         self._writers.add(writer)
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
                 "127.0.0.1", self._target
             )
+            writers.add(upstream_writer)
+            self._writers.add(upstream_writer)
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._copy(reader, upstream_writer))
                 tasks.create_task(self._copy(upstream_reader, writer))
@@ -87,8 +104,9 @@
             # When one side closes, both connections are closed.
             pass
         finally:
-            self._writers.discard(writer)
-            writer.close()
+            self._writers -= writers
+            for one in writers:
+                one.close()
 
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -186,6 +204,8 @@
         self._refused_ids: set[str] = set()
         self._unsafe_ids: set[str] = set()
         self._violations: list[str] = []
+        self._removed_at_by_server: dict[str, float] = {}
+        self._store_unstable_until = -math.inf
         self._start = 0.0
 
     async def run(self, seconds: float) -> Outcome:
@@ -308,6 +328,8 @@
             self._silence,
             self._crash_server,
             self._drain_server,
+            self._remove_server,
+            self._refuse,
             self._limit_server,
             self._pause_server,
         )
@@ -356,14 +378,40 @@
             host.send(signal.SIGCONT)
 
     async def _store_down(self) -> None:
-        self._log.is_down = True
-        await asyncio.sleep(self._random.uniform(1.0, 4.0))
-        self._log.is_down = False
+        with self._unsettle_store(4.0):
+            self._log.is_down = True
+            await asyncio.sleep(self._random.uniform(1.0, 4.0))
+            self._log.is_down = False
 
     async def _store_loses_answers(self) -> None:
-        self._log.loses_answers = True
-        await asyncio.sleep(self._random.uniform(0.5, 2.0))
-        self._log.loses_answers = False
+        with self._unsettle_store(2.0):
+            self._log.loses_answers = True
+            await asyncio.sleep(self._random.uniform(0.5, 2.0))
+            self._log.loses_answers = False
+
+    @contextlib.contextmanager
+    def _unsettle_store(self, longest: float) -> typing.Iterator[None]:
+        """Excuse removals that happen during a disruption of the store.
+
+        Removals shortly before it are excused too: hosts can't read them.
+        """
+        now = asyncio.get_running_loop().time
+        until = now() + longest + RECOVERY_SECONDS
+        self._store_unstable_until = max(self._store_unstable_until, until)
+        for name, removed_at in list(self._removed_at_by_server.items()):
+            if removed_at > now() - DRAIN_SECONDS:
+                del self._removed_at_by_server[name]
+        yield
+
+    async def _refuse(self) -> None:
+        """Let the store refuse one host and serve the others."""
+        host = self._random_host()
+        proxy = self._proxies[self._hosts.index(host)]
+        with self._disrupt(host):
+            proxy.mode = "refusing"
+            proxy.reset()
+            await asyncio.sleep(self._random.uniform(0.8, 4.0))
+            proxy.mode = "open"
 
     async def _silence(self) -> None:
         host = self._random_host()
@@ -398,6 +446,21 @@
             await task
         self._log.put("keyed.servers", name, b"")
 
+    async def _remove_server(self) -> None:
+        """Let a server leave that says so only by its missing entry."""
+        name = self._random.choice(list(self._servers))
+        leaving, task = self._servers.pop(name)
+        self._add_server(leaving.is_partitioned)
+        leaving.is_registered = False
+        self._log.put("keyed.servers", name, b"")
+        now = asyncio.get_running_loop().time()
+        if now > self._store_unstable_until:
+            self._removed_at_by_server[name] = now
+        await asyncio.sleep(DRAIN_SECONDS + RECOVERY_SECONDS)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
     async def _limit_server(self) -> None:
         _, (limited, _) = self._random.choice(list(self._servers.items()))
         limited.rate_limit = self._random.uniform(0.5, 2.5)
@@ -414,6 +477,8 @@
             host.send(signal.SIGCONT)
             host.send(signal.SIGKILL)
             await host.wait()
+        for proxy in self._proxies:
+            await proxy.stop()
         for _, task in self._servers.values():
             task.cancel()
         self._log.stop()
@@ -422,7 +487,10 @@
         runs = self._checker.executions_by_request
         self._violations += self._checker.violations
         self._violations += server_notices.violations(
-            self._checker.arrivals, self._disruptions, DRAIN_SECONDS
+            self._checker.arrivals,
+            self._disruptions,
+            DRAIN_SECONDS,
+            self._removed_at_by_server,
         )
         for name in self._unsafe_ids:
             if runs[name] > 1:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -163,6 +163,7 @@
         self.id = server_id
         self.is_up = False
         self.is_draining = False
+        self.is_registered = True
         self.rate_limit: float | None = None
         self.says_it_leaves = False
         self.paused_until = -math.inf
@@ -190,7 +191,7 @@
         self.is_up = True
         try:
             while True:
-                if not log.is_down:
+                if self.is_registered and not log.is_down:
                     self._report(log)
                 await asyncio.sleep(HEARTBEAT_SECONDS)
         finally:
--- a/standins/server_notices.py
+++ b/standins/server_notices.py
@@ -70,7 +70,10 @@
 
 
 def violations(
-    arrivals: list[Arrival], disruptions: list[Disruption], drain: float
+    arrivals: list[Arrival],
+    disruptions: list[Disruption],
+    drain: float,
+    removed_at_by_server: dict[str, float] | None = None,
 ) -> list[str]:
     """Return what hosts did not heed.
 
@@ -82,13 +85,20 @@
         Disruptions of hosts.
     drain : float
         Time after which a leaving server gets no requests, seconds.
+    removed_at_by_server : dict of str to float, optional
+        When the entry of a server was removed from service discovery, seconds.
     """
     found = []
+    removed_at_by_server = removed_at_by_server or {}
     by_server = collections.defaultdict(list)
     for arrival in arrivals:
         by_server[arrival.server].append(arrival)
-    for at_server in by_server.values():
+    for server, at_server in by_server.items():
         found += _limit_violations(at_server, disruptions)
+        if server in removed_at_by_server:
+            found += _removal_violations(
+                at_server, disruptions, removed_at_by_server[server] + drain
+            )
         by_host = collections.defaultdict(list)
         for arrival in at_server:
             by_host[arrival.host].append(arrival)
@@ -177,6 +187,20 @@
     return []
 
 
+def _removal_violations(
+    arrivals: list[Arrival], disruptions: list[Disruption], bound: float
+) -> list[str]:
+    for one in arrivals:
+        if one.sent_at > bound and not _is_excused(
+            one.host, one.sent_at, one.arrived_at, disruptions
+        ):
+            return [
+                f"{one.server} got a request from {one.host} that was sent"
+                f" {one.sent_at - bound:.2f} s after the bound on its removal"
+            ]
+    return []
+
+
 def _is_excused(
     host: str, start: float, end: float, disruptions: list[Disruption]
 ) -> bool:
--- a/tests/standins/test_server_notices.py
+++ b/tests/standins/test_server_notices.py
@@ -72,3 +72,16 @@
     assert bool(found) == is_violated
     freeze = server_notices.Disruption("host-0", 0.5, 1.0)
     assert not server_notices.violations(arrivals, [freeze], DRAIN)
+
+
+@pytest.mark.parametrize(("until", "is_violated"), [(2.0, False), (3.0, True)])
+def test_requests_long_after_a_removal_are_a_violation(
+    until: float, is_violated: bool
+) -> None:
+    arrivals = _arrivals(0.1, until)
+    found = server_notices.violations(arrivals, [], DRAIN, {"s1": 0.0})
+    assert bool(found) == is_violated
+    refusal = server_notices.Disruption("host-0", 1.0, 4.0)
+    assert not server_notices.violations(
+        arrivals, [refusal], DRAIN, {"s1": 0.0}
+    )
