Leave cold servers to hosts that know their rank

Cause: hosts that have just restarted assumed that there are 8 of them, and each sent one request to a cold server in addition to the 12 of the others. With a whole domain lost, six restart at once. Found by counting; the new test in tests/entry/test_fleet.py sends 16 before.

--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -102,7 +102,7 @@
         self._host_counts: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
-        self.host_rank = 0
+        self.host_rank: int | None = None
 
     # Updates
 
@@ -320,7 +320,7 @@
             Shares by service, None to keep the present ones.
         """
         now = self._boot_time()
-        if shares_by_service is None:
+        if shares_by_service is None or self.host_rank is None:
             self._shares.renew(now)
             return
         even = shares.even_share(self.host_rank, self.host_count)
@@ -501,8 +501,11 @@
         """Return how many requests this host may send in a window.
 
         If the hosts outnumber the requests of the bound, only some of
-        the hosts may send to a given server.
+        the hosts may send to a given server. A host that does not know its
+        rank may send none: many hosts may have restarted together.
         """
+        if self.host_rank is None:
+            return 0
         bound = int(COLD_BOUND_SHARE * self._cold_bound(entry))
         if self.host_count <= bound:
             return bound // self.host_count
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -98,7 +98,7 @@
         self.view = view_module.AssignmentView()
         self.assignments = FakeAssignments()
         self.received_requests: list[ReceivedRequest] = []
-        self.fleet.host_count = 1
+        self.fleet.host_count, self.fleet.host_rank = 1, 0
         self.configuration_confirmed_at = math.inf
         self._stack = contextlib.AsyncExitStack()
         self.handler = handler_module.Handler(
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -18,7 +18,7 @@
 BOUNDS = node_settings.Bounds(cold_ratio=1.5, cold_slack=5.0)
 
 
-def _fleet(hosts: int, rank: int) -> fleet_module.Fleet:
+def _fleet(hosts: int, rank: int | None) -> fleet_module.Fleet:
     fleet = fleet_module.Fleet(BOUNDS, "anna", lambda: 0.0)
     service = configuration.Service("prices", "/", 9, 3.0, 5.0, False)
     fleet.configuration = configuration.Configuration(
@@ -53,6 +53,25 @@
     assert 0 < total <= 12.5
 
 
+def test_restarted_hosts_leave_cold_servers_to_the_others() -> None:
+    """Guards against hosts that each take a share they don't know (FAILBACK).
+
+    Hosts and servers of a failure domain return together; the restarted
+    hosts have not heard how many hosts there are.
+    """
+    entry = test_directory.entry(warmup_left=5.0)
+    hosts = [_fleet(26, rank) for rank in range(20)]
+    hosts += [_fleet(fleet_module.INITIAL_HOST_COUNT, None) for _ in range(6)]
+    total = 0
+    for fleet in hosts:
+        fleet.directory.put(entry, 0.0)
+        server = fleet.directory.by_id["a"]
+        while fleet.has_cold_quota(server, 0.5):
+            fleet.on_sent(entry, 0.5)
+            total += 1
+    assert 0 < total <= 12.5
+
+
 def test_server_may_be_cold_after_a_failed_connection() -> None:
     """Guards against a full load on a server that restarted unnoticed.
 
