Count a grace period from the start of a read

Cause, by its logs: the host waits 2.2 s for entries that may return, counted from the end of a read of 0.37 s, and looks only at reads and responses, so 2.7 to 3 s after the store was back, when the rule binds.

Ruled out: a server that the relay returned; edge-tema-4 logs no server_relayed, and server_gone as soon as the period ends.

The period counts from the start of the read, when the store was back at the latest, and is checked every 0.1 s. The new test in tests/node/test_watchers.py failed before.

--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -154,6 +154,7 @@
                 # next read lists all servers again.
                 self.read_state.end = None
                 self._longest_outage = 0.0
+                expire_missing(self._servers, self._now())
                 await anyio.sleep(RELAY_CHECK_SECONDS)
                 continue
             started = self._now()
@@ -183,7 +184,7 @@
             else:
                 self._on_failure(page, now)
             return
-        self._on_success(now)
+        self._on_success(started, now)
         if self._servers.confirmed_at > started:
             # The coordinator relayed a more recent directory meanwhile.
             read_state.end = None
@@ -208,11 +209,15 @@
         )
         self._longest_outage = max(self._longest_outage, now - confirmed_at)
 
-    def _on_success(self, now: float) -> None:
-        """Start a grace period unless the store refused only this host."""
+    def _on_success(self, started: float, now: float) -> None:
+        """Start a grace period unless the store refused only this host.
+
+        It counts from the start of the read, when the store was back at the
+        latest.
+        """
         self.read_state.on_success(now)
         if self._longest_outage >= OUTAGE_SECONDS:
-            self._servers.on_outage_end(now)
+            self._servers.on_outage_end(started)
         self._longest_outage = 0.0
 
     def _log_slow_read(
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import typing
 
 import pytest
 import trio
@@ -108,6 +109,40 @@
     assert servers.by_id["a"].leaving_since == 0.0
 
 
+@pytest.mark.anyio
+async def test_grace_period_counts_from_the_start_of_the_read() -> None:
+    """Guards against a grace period that a slow read prolongs (DRAIN).
+
+    The store was back when the read began, so entries return from then on.
+    """
+    watcher, servers, now = _discovery(
+        port.Page([_heartbeat("a")], 4), support.UNAVAILABLE
+    )
+    await watcher.poll()
+    now[0] = 3.0
+    await watcher.poll()
+
+    class SlowStore(support.ScriptedStore):
+        async def read(
+            self,
+            topic: str,
+            start: int,
+            wait: float,
+            limit: int = 0,
+            on_data: typing.Callable[[], None] | None = None,
+        ) -> port.Page | outcomes.Refusal:
+            now[0] += 0.5
+            return await super().read(topic, start, wait, limit, on_data)
+
+    pages = [port.Page([port.Record("a", b"")], 5), port.Page([], 5)]
+    watcher._store = SlowStore(*pages)  # type: ignore[assignment]
+    await watcher.poll()
+    assert servers.by_id["a"].leaving_since is None
+    now[0] = 3.0 + directory.REAPPEARANCE_SECONDS - 0.4
+    await watcher.poll()
+    assert servers.by_id["a"].leaving_since == 0.0
+
+
 def test_refusal_before_the_relay_starts_no_grace_period() -> None:
     """Guards against a grace period for an outage that is long over (DRAIN).
 
