Share set-ups and checks of departures in tests

The checks of departures and of removals differed only in their bound and in what excuses a host, two tests had stores of their own that let time pass during a read, and nine tests built a coordinator and a host alike.

--- a/standins/server_notices.py
+++ b/standins/server_notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 LIMIT_WINDOW_SECONDS = 4.0
@@ -96,7 +97,7 @@
     for server, at_server in by_server.items():
         found += _limit_violations(at_server, disruptions)
         if server in removed_at_by_server:
-            found += _removal_violations(
+            found += _late_requests(
                 at_server, disruptions, removed_at_by_server[server] + drain
             )
         by_host = collections.defaultdict(list)
@@ -176,27 +177,38 @@
     if not told_at:
         return []
     first = min(told_at)
-    for one in arrivals:
-        if one.sent_at > first + drain and not _is_excused(
-            one.host, first, one.arrived_at, disruptions
-        ):
-            return [
-                f"{one.server} got a request from {one.host} that was sent"
-                f" {one.sent_at - first:.2f} s after it said that it leaves"
-            ]
-    return []
+    return _late_requests(arrivals, disruptions, first + drain, first)
 
 
-def _removal_violations(
-    arrivals: list[Arrival], disruptions: list[Disruption], bound: float
+def _late_requests(
+    arrivals: list[Arrival],
+    disruptions: list[Disruption],
+    bound: float,
+    excused_since: float = math.inf,
 ) -> list[str]:
+    """Return the first request that was sent after the bound, if any.
+
+    Parameters
+    ----------
+    arrivals : list of Arrival
+        Requests at one server in order of their arrival.
+    disruptions : list of Disruption
+        Disruptions of hosts.
+    bound : float
+        Time after which the server gets no requests, seconds.
+    excused_since : float, optional
+        Time from which a disruption excuses a host, if that is before the
+        request, seconds.
+    """
     for one in arrivals:
+        start = min(excused_since, one.sent_at)
         if one.sent_at > bound and not _is_excused(
-            one.host, one.sent_at, one.arrived_at, disruptions
+            one.host, start, one.arrived_at, disruptions
         ):
             return [
                 f"{one.server} got a request from {one.host} that was sent"
-                f" {one.sent_at - bound:.2f} s after the bound on its removal"
+                f" {one.sent_at - bound:.2f} s after the bound on its"
+                " departure"
             ]
     return []
 
--- a/tests/node/support.py
+++ b/tests/node/support.py
@@ -24,13 +24,21 @@
 
 
 class ScriptedStore:
-    """Returns the results given by the test, one per call."""
+    """Returns the results given by the test, one per call.
+
+    Attributes
+    ----------
+    during_read : callable
+        Called during each read, for what happens meanwhile.
+    """
 
     def __init__(self, *results: port.Page | outcomes.Refusal) -> None:
         self.results = list(results)
         self.calls: list[str] = []
+        self.during_read: typing.Callable[[], None] = lambda: None
 
     async def read_newest(self, topic: str) -> port.Page | outcomes.Refusal:
+        self.during_read()
         self.calls.append("newest")
         return self.results.pop(0)
 
@@ -42,6 +50,7 @@
         limit: int = 0,
         on_data: typing.Callable[[], None] | None = None,
     ) -> port.Page | outcomes.Refusal:
+        self.during_read()
         self.calls.append(f"read {start}")
         return self.results.pop(0)
 
--- a/tests/node/test_relayed_directory.py
+++ b/tests/node/test_relayed_directory.py
@@ -14,6 +14,17 @@
 from tests.node import support as node_support
 
 
+async def _coordinator_and_host(
+    harness: support.CoordinatorHarness,
+) -> tuple[peers.PeerService, peers.PeerService]:
+    """Return the services of a coordinator and of another host."""
+    await harness.coordinator.take_leadership()
+    return (
+        node_support.peer_service(harness),
+        node_support.peer_service(harness),
+    )
+
+
 async def _relay_servers(
     service: peers.PeerService, reporter: reporter_module.Reporter
 ) -> None:
@@ -30,11 +41,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         listed = service._fleet.directory
         await anyio.sleep(2.0)
         listed.put(test_directory.entry("a", is_draining=True), 2.0, 1.5)
@@ -64,11 +71,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         read_before = service._fleet.directory
         read_before.put(test_directory.entry("a"), 0.0)
         read_before.confirm(0.0)
@@ -92,11 +95,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         read_before = service._fleet.directory
         read_before.put(test_directory.entry("gone"), 0.0)
         read_before.confirm(0.0)
@@ -124,11 +123,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         servers = host._fleet.directory
         for server_id in ("gone", "present"):
             servers.put(test_directory.entry(server_id), 0.0)
@@ -152,11 +147,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         listed = service._fleet.directory
         listed.put(test_directory.entry("a"), 0.0)
         listed.confirm(0.0)
@@ -180,11 +171,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         servers = host._fleet.directory
         servers.put(test_directory.entry("gone"), 0.0)
         servers.confirm(0.5)
@@ -208,11 +195,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         listed = service._fleet.directory
         listed.put(test_directory.entry("a"), 0.0)
         listed.confirm(0.0)
@@ -239,11 +222,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service, host = (
-            node_support.peer_service(harness),
-            node_support.peer_service(harness),
-        )
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         servers, listed = host._fleet.directory, service._fleet.directory
         for known in (servers, listed):
             known.put(test_directory.entry("a"), 0.0)
@@ -272,9 +251,7 @@
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        service = node_support.peer_service(harness)
-        host = node_support.peer_service(harness)
-        await harness.coordinator.take_leadership()
+        service, host = await _coordinator_and_host(harness)
         listed = service._fleet.directory
         for server_id in ("a", "b"):
             listed.put(test_directory.entry(server_id), 0.0)
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import typing
 
 import pytest
 import trio
@@ -122,20 +121,14 @@
     now[0] = 3.0
     await watcher.poll()
 
-    class SlowStore(support.ScriptedStore):
-        async def read(
-            self,
-            topic: str,
-            start: int,
-            wait: float,
-            limit: int = 0,
-            on_data: typing.Callable[[], None] | None = None,
-        ) -> port.Page | outcomes.Refusal:
-            now[0] += 0.5
-            return await super().read(topic, start, wait, limit, on_data)
-
-    pages = [port.Page([port.Record("a", b"")], 5), port.Page([], 5)]
-    watcher._store = SlowStore(*pages)  # type: ignore[assignment]
+    def pass_time() -> None:
+        now[0] += 0.5
+
+    store = support.ScriptedStore(
+        port.Page([port.Record("a", b"")], 5), port.Page([], 5)
+    )
+    store.during_read = pass_time
+    watcher._store = store  # type: ignore[assignment]
     await watcher.poll()
     assert servers.by_id["a"].leaving_since is None
     now[0] = 3.0 + directory.REAPPEARANCE_SECONDS - 0.4
@@ -199,17 +192,14 @@
     """
     watcher, servers, now = _discovery(port.Page([_heartbeat("a")], 4))
 
-    class SlowStore(support.ScriptedStore):
-        async def read_newest(
-            self, topic: str
-        ) -> port.Page | outcomes.Refusal:
-            now[0] = 2.0
-            for server_id in ("a", "new"):
-                servers.put(test_directory.entry(server_id), 2.0)
-            servers.confirm(1.5)
-            return await super().read_newest(topic)
-
-    store = SlowStore(port.Page([_heartbeat("a")], 4))
+    def relay() -> None:
+        now[0] = 2.0
+        for server_id in ("a", "new"):
+            servers.put(test_directory.entry(server_id), 2.0)
+        servers.confirm(1.5)
+
+    store = support.ScriptedStore(port.Page([_heartbeat("a")], 4))
+    store.during_read = relay
     watcher._store = store  # type: ignore[assignment]
     now[0] = 1.0
     await watcher.poll()
