Tell hosts of finished moves in rounds

The end of a move may wait for others within 50 ms now; its start may not, as the source is told to release the keys 30 ms later. Places of hosts change only when hosts come and go, the directory keeps its changes in their order, and renewals find ranges by their owner.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -32,6 +33,10 @@
 STORE_RETRY_DELAY_SECONDS = 1.0
 """Delay before the next append after the store refused one."""
 
+ROUND_SECONDS = 0.05
+"""Interval in which changes that may wait are told to hosts together: each
+answer costs as much as a change, and there is one for each host."""
+
 INITIAL_REGISTRATION_SECONDS = 1.5
 """Time that the first assignment of a service waits for further servers
 after the first one has registered."""
@@ -81,6 +86,8 @@
             self, fleet, self._grant_sender, orders, now
         )
         self._changed = anyio.Event()
+        self._round_ended = anyio.Event()
+        self._round_ends_at = -math.inf
         self._plan_requested = anyio.Event()
         self.epoch = 0
         self.version = 0
@@ -232,6 +239,10 @@
         with anyio.move_on_after(timeout):
             while self.version == version:
                 await self._changed.wait()
+        left = self._round_ends_at - self._now()
+        if left > 0 and self.version != version:
+            with anyio.move_on_after(left):
+                await self._round_ended.wait()
 
     async def run(self) -> None:
         """Renew grants and plan moves until cancelled."""
@@ -244,8 +255,23 @@
                 if self.is_active:
                     await self._plan_all(tasks)
 
-    def publish(self) -> None:
-        """Notify hosts of a changed assignment."""
+    def publish(self, may_wait: bool = False) -> None:
+        """Notify hosts of a changed assignment.
+
+        Parameters
+        ----------
+        may_wait : bool
+            Whether hosts may learn it with the changes of the same round.
+        """
+        now = self._now()
+        if not may_wait:
+            self._round_ends_at = now
+            self._round_ended.set()
+            self._round_ended = anyio.Event()
+        elif now >= self._round_ends_at:
+            # The first change after a quiet round does not wait.
+            is_first = now >= self._round_ends_at + ROUND_SECONDS
+            self._round_ends_at = now if is_first else now + ROUND_SECONDS
         self.version += 1
         self._changed.set()
         self._changed = anyio.Event()
--- a/src/agatestile/assignment/moves.py
+++ b/src/agatestile/assignment/moves.py
@@ -146,7 +146,7 @@
         service_state.key_map = service_state.key_map.replace(
             [change._replace(source=ranges.UNOWNED)]
         )
-        self._leader.publish()
+        self._leader.publish(may_wait=True)
         events.emit(
             "keys_moved",
             service=service,
--- a/src/agatestile/assignment/ranges.py
+++ b/src/agatestile/assignment/ranges.py
@@ -63,11 +63,22 @@
     def __init__(self, ranges: list[KeyRange] | None = None) -> None:
         self.ranges = ranges or [KeyRange(0, KEY_COUNT - 1, UNOWNED)]
         self._firsts = [key_range.first for key_range in self.ranges]
+        self._ranges_by_owner: dict[tuple[str, int], list[KeyRange]] = {}
 
     def find(self, key: int) -> KeyRange:
         """Return the range that contains a key."""
         return self.ranges[bisect.bisect_right(self._firsts, key) - 1]
 
+    def by_owner(self) -> dict[tuple[str, int], list[KeyRange]]:
+        """Return the owned ranges by identifier and incarnation."""
+        if not self._ranges_by_owner:
+            for key_range in self.ranges:
+                if key_range.owner != UNOWNED:
+                    self._ranges_by_owner.setdefault(
+                        key_range.owner[:2], []
+                    ).append(key_range)
+        return self._ranges_by_owner
+
     def replace(self, changes: list[KeyRange]) -> RangeMap:
         """Return a map with the owners of some ranges replaced."""
         result: list[KeyRange] = []
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from agatestile.assignment import ranges
+from agatestile.results import decoding
 from agatestile.store import port
 
 TOPIC = "agatestile"
@@ -164,7 +165,7 @@
                 )
                 name = record.key.removeprefix(SERVICE_PREFIX)
                 maps[name] = stored.to_map()
-        except (msgspec.DecodeError, ValueError) as error:
+        except decoding.DECODE_ERRORS as error:
             return f"record {record.key!r} cannot be decoded: {error}"
     return StoredAssignments(leadership, maps, page.end)
 
--- a/src/agatestile/assignment/renewals.py
+++ b/src/agatestile/assignment/renewals.py
@@ -57,10 +57,7 @@
             now = self._now()
             instances: set[leases.Instance] = set()
             for service, service_state in self._leader.services.items():
-                for key_range in service_state.key_map.ranges:
-                    if key_range.owner == ranges.UNOWNED:
-                        continue
-                    instance = leases.instance_of(key_range.owner)
+                for instance in service_state.key_map.by_owner():
                     if instance in instances:
                         continue
                     instances.add(instance)
@@ -91,11 +88,8 @@
     async def _renew(self, service: str, instance: leases.Instance) -> None:
         epoch = self._leader.epoch
         async with self._grant_sender.lock_of(instance):
-            for key_range in list(
-                self._leader.services[service].key_map.ranges
-            ):
-                if leases.instance_of(key_range.owner) != instance:
-                    continue
+            key_map = self._leader.services[service].key_map
+            for key_range in key_map.by_owner().get(instance, ()):
                 if key_range.source != ranges.UNOWNED:
                     continue
                 server = state.find_server(self._fleet, service, instance)
--- a/src/agatestile/assignment/state.py
+++ b/src/agatestile/assignment/state.py
@@ -94,7 +94,7 @@
     def lose_leadership(self, reason: str) -> None:
         """Stop acting as the leader."""
 
-    def publish(self) -> None:
+    def publish(self, may_wait: bool = False) -> None:
         """Notify hosts of a changed assignment."""
 
     def request_plan(self) -> None:
--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 REAPPEARANCE_SECONDS = 2.2
@@ -266,11 +267,12 @@
 
     def changed_after(self, version: int) -> list[Server]:
         """Return the servers that have changed since a version."""
-        return [
-            self.by_id[server_id]
-            for server_id, changed_version in self._version_by_id.items()
-            if changed_version > version
-        ]
+        # The newest changes are last, and a report misses only a few.
+        changed = itertools.takewhile(
+            lambda item: item[1] > version,
+            reversed(self._version_by_id.items()),
+        )
+        return [self.by_id[server_id] for server_id, _ in changed]
 
     def is_missing(self, server_id: str) -> bool:
         """Return whether the entry of a known server is missing."""
@@ -343,6 +345,7 @@
 
     def _record_change(self, server_id: str) -> None:
         self.version += 1
+        self._version_by_id.pop(server_id, None)
         self._version_by_id[server_id] = self.version
 
     def _remove_from_index(self, entry: ServerEntry) -> None:
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -12,6 +12,7 @@
 from agatestile.node import content_history
 from agatestile.node import messages as peer_messages
 from agatestile.observability import events
+from agatestile.results import decoding
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
@@ -53,6 +54,45 @@
         """Apply what another host knew at `sent_at`."""
 
 
+class Members:
+    """Hosts that reported recently, with their places in sorted order.
+
+    Attributes
+    ----------
+    ranks : dict of str to int
+        Index of each host in the sorted addresses of all.
+    """
+
+    def __init__(self) -> None:
+        # The host that reported longest ago is first.
+        self._last_report_by_host: dict[str, float] = {}
+        self.ranks: dict[str, int] = {}
+
+    def on_report(self, host: str, now: float) -> None:
+        """Record a report of a host."""
+        is_new = self._last_report_by_host.pop(host, None) is None
+        self._last_report_by_host[host] = now
+        if is_new:
+            self._update_ranks()
+
+    def expire(self, now: float) -> list[str]:
+        """Remove and return the hosts that have not reported for long."""
+        expired = []
+        for host, last_report in self._last_report_by_host.items():
+            if now - last_report <= HOST_EXPIRY_SECONDS:
+                break
+            expired.append(host)
+        if expired:
+            for host in expired:
+                del self._last_report_by_host[host]
+            self._update_ranks()
+        return expired
+
+    def _update_ranks(self) -> None:
+        hosts = sorted(self._last_report_by_host)
+        self.ranks = {host: index for index, host in enumerate(hosts)}
+
+
 class PeerService:
     """Serves the requests of other hosts.
 
@@ -87,7 +127,7 @@
         self._fleet = fleet
         self._reporter = reporter
         self._now = now
-        self._last_report_by_host: dict[str, float] = {}
+        self._members = Members()
         self._epoch = 0
         self._start_epoch()
 
@@ -107,7 +147,7 @@
             report = msgspec.msgpack.decode(
                 request.body, type=peer_messages.Report
             )
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             events.emit("report_unreadable", reason=str(error))
             return messages.Response(400, [], b"")
         if not self._coordinator.is_active:
@@ -121,7 +161,7 @@
             supersede = msgspec.msgpack.decode(
                 request.body, type=peer_messages.SupersedeRequest
             )
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             events.emit("report_unreadable", reason=str(error))
             return messages.Response(400, [], b"")
         reply = self._coordinator.supersede(supersede.epoch)
@@ -139,7 +179,9 @@
         once if the epochs differ.
         """
         now = self._now()
-        self._last_report_by_host[report.host] = now
+        self._members.on_report(report.host, now)
+        for host in self._members.expire(now):
+            self._shares.discard(host)
         if self._epoch != self._coordinator.epoch:
             self._epoch = self._coordinator.epoch
             self._start_epoch()
@@ -183,7 +225,6 @@
                 assignment = self._assignment_patch(
                     report.epoch, report.assignment_version
                 )
-        members = self._members()
         known = report.operator
         operator = self._relay.relay_to(
             None if known is None else known.version
@@ -202,8 +243,8 @@
         return peer_messages.ReportResponse(
             coordinator.epoch,
             coordinator.version,
-            len(members),
-            members.index(report.host),
+            len(self._members.ranks),
+            self._members.ranks[report.host],
             self._is_confirmed(),
             operator.end,
             directory_version,
@@ -247,14 +288,6 @@
             version = content_history.NO_VERSION
         return self._assignments.patch_from(version)
 
-    def _members(self) -> list[str]:
-        now = self._now()
-        for host, last_report in list(self._last_report_by_host.items()):
-            if now - last_report > HOST_EXPIRY_SECONDS:
-                del self._last_report_by_host[host]
-                self._shares.discard(host)
-        return sorted(self._last_report_by_host)
-
 
 class PeerClient:
     """Client for the coordinator's calls to other hosts.
@@ -285,7 +318,7 @@
             decoded = msgspec.msgpack.decode(
                 response.body, type=peer_messages.SupersedeResponse
             )
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             events.emit("report_unreadable", reason=str(error))
             return None
         return ports.SupersedeReply(
--- a/tests/catalog/test_directory.py
+++ b/tests/catalog/test_directory.py
@@ -113,3 +113,19 @@
     servers.set_rate_limit(("a", 1), 4.0, 4.0)
     servers.put(entry(incarnation=2), 5.0)
     assert servers.by_id["a"].rate_limit is None
+
+
+def test_changes_after_a_version_are_the_newest_ones() -> None:
+    """Guards against a change of a server that hosts never get."""
+    servers = directory.Directory()
+    for name in "abc":
+        servers.put(entry(name), 0.0)
+    version = servers.version
+    servers.mark_leaving(("a", 1), 1.0)
+    assert [one.entry.id for one in servers.changed_after(version)] == ["a"]
+    servers.mark_leaving(("c", 1), 2.0)
+    assert {one.entry.id for one in servers.changed_after(version)} == {
+        "a",
+        "c",
+    }
+    assert len(servers.changed_after(0)) == 3
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -6,6 +6,7 @@
 
 import anyio
 import msgspec
+import pytest
 import trio
 
 from agatestile.assignment import ranges
@@ -383,3 +384,33 @@
         assert fleet.directory.by_id["a"].rate_limit == 2.5
 
     support.run(scenario)
+
+
+@pytest.mark.parametrize("host_count", [30, 100, 300, 1000])
+def test_places_of_hosts_change_only_when_hosts_come_and_go(
+    host_count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against work on all hosts for each report of one of them."""
+    updates = 0
+    update = peers.Members._update_ranks
+
+    def count_update(members: peers.Members) -> None:
+        nonlocal updates
+        updates += 1
+        update(members)
+
+    monkeypatch.setattr(peers.Members, "_update_ranks", count_update)
+    members = peers.Members()
+    hosts = [f"10.0.0.{number}:80" for number in range(host_count)]
+    for step in range(10):
+        for host in hosts:
+            members.on_report(host, float(step))
+            assert members.expire(float(step)) == []
+    assert updates == host_count
+    assert members.ranks == {
+        host: rank for rank, host in enumerate(sorted(hosts))
+    }
+    later = 10.0 + peers.HOST_EXPIRY_SECONDS
+    members.on_report(hosts[0], later)
+    assert sorted(members.expire(later)) == sorted(hosts[1:])
+    assert members.ranks == {hosts[0]: 0}
