Refuse what a stopping host can not finish

Callers reach a host that is not ready while fewer than half of its failure domain are.

A stopping host ends requests 0.8 s before the kill: their deadlines are limited to that time, and one whose objective does not fit is a 503 at once. Then it stops to listen, answers what it had accepted, and exits. Resigning the leadership may not delay this any longer.

The soak stops hosts in series, with servers that work 0.2 s, and counts requests that reached a server and were cut off. A deadline of 0 ms counted as none; it is refused now.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -35,10 +35,25 @@
 PLAIN_SERVERS = 3
 REQUESTS_PER_SECOND = 40
 DEADLINE_MS = 1500
+SERVICE_SECONDS = 0.02
 DRAIN_SECONDS = 2.0
 RECOVERY_SECONDS = 3.0
 """Time after a disruption for which its host remains excused."""
 
+CUT_SECONDS = 0.2
+"""Time before the deadline from which a caller's own timeout may end a
+request."""
+
+ODD_ENTRIES = (
+    b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
+    b'{"service":"plain","address":"127.0.0.1:70000","zone":"anna","slots":2,'
+    b'"state":"ready","seq":1,"born":1}',
+    b'{"service":"plain","address":"127.0.0.1:80","zone":"anna","slots":2,'
+    b'"state":"ready","seq":1,"born":' + b"9" * 400 + b"}",
+    b"\xff",
+)
+"""Entries of service discovery that another writer left."""
+
 START_SECONDS = 15.0
 FAULT_PAUSE_SECONDS = (0.5, 2.0)
 SERVED_SHARE = 0.25
@@ -181,12 +196,23 @@
         Folder for settings and logs.
     hosts : int
         Number of daemons.
+    faults : list of str, optional
+        Names of the faults to inject, all by default.
+    service_time : float, optional
+        Time that servers work on a request, seconds.
     """
 
     def __init__(
-        self, seed: int, folder: pathlib.Path, hosts: int = HOSTS
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        hosts: int = HOSTS,
+        faults: list[str] | None = None,
+        service_time: float = SERVICE_SECONDS,
     ) -> None:
         self._host_count = hosts
+        self._service_time = service_time
+        self._fault_names = faults
         self._disruptions: list[server_notices.Disruption] = []
         self._random = random.Random(seed)
         self._folder = folder
@@ -203,6 +229,9 @@
         self._faults: list[str] = []
         self._refused_ids: set[str] = set()
         self._unsafe_ids: set[str] = set()
+        self._restarting: set[Host] = set()
+        self._cut_at_by_request: dict[str, float] = {}
+        self._unplanned: list[server_notices.Disruption] = []
         self._violations: list[str] = []
         self._removed_at_by_server: dict[str, float] = {}
         self._store_unstable_until = -math.inf
@@ -260,7 +289,11 @@
         self._started_servers += 1
         name = f"s{self._started_servers}"
         server = platform_server.PlatformServer(
-            name, "keyed" if is_keyed else "plain", is_keyed, self._checker
+            name,
+            "keyed" if is_keyed else "plain",
+            is_keyed,
+            self._checker,
+            self._service_time,
         )
         task = asyncio.create_task(server.run(self._log, free_port()))
         self._servers[name] = (server, task)
@@ -306,6 +339,9 @@
             self._unsafe_ids.add(name)
         response = await pool.call(address, request, DEADLINE_MS / 1000.0)
         if isinstance(response, messages.Failure):
+            ended = asyncio.get_running_loop().time()
+            if ended < now + DEADLINE_MS / 1000.0 - CUT_SECONDS:
+                self._cut_at_by_request[name] = ended
             return False
         if response.status == 503:
             self._refused_ids.add(name)
@@ -332,11 +368,18 @@
             self._refuse,
             self._limit_server,
             self._pause_server,
+            self._stop_all,
+            self._leave_odd_entry,
         )
+        chosen = [
+            fault
+            for fault in faults
+            if self._fault_names is None or fault.__name__ in self._fault_names
+        ]
         running: list[asyncio.Task[None]] = []
         while loop.time() < end - 4.0:
             await asyncio.sleep(self._random.uniform(*FAULT_PAUSE_SECONDS))
-            fault = self._random.choice(faults)
+            fault = self._random.choice(chosen)
             elapsed = loop.time() - self._start
             self._faults.append(f"{elapsed:.1f}{fault.__name__}")
             running.append(asyncio.create_task(fault()))
@@ -356,23 +399,45 @@
             )
         )
 
+    @contextlib.contextmanager
+    def _disrupt_unplanned(self, host: Host) -> typing.Iterator[None]:
+        start = asyncio.get_running_loop().time()
+        with self._disrupt(host):
+            yield
+        self._unplanned.append(self._disruptions[-1]._replace(start=start))
+
     async def _kill(self) -> None:
         host = self._random_host()
-        with self._disrupt(host):
+        with self._disrupt_unplanned(host):
             host.send(signal.SIGKILL)
             await host.wait()
             await host.start()
 
-    async def _restart(self) -> None:
-        host = self._random_host()
+    async def _restart(self, host: Host | None = None) -> None:
+        host = host or self._random_host()
+        if host in self._restarting:
+            return
+        self._restarting.add(host)
         with self._disrupt(host):
             host.send(signal.SIGTERM)
             await host.wait()
             await host.start()
+        self._restarting.discard(host)
+
+    async def _stop_all(self) -> None:
+        """Stop and start the hosts in series, so that it overlaps."""
+        async with asyncio.TaskGroup() as tasks:
+            for host in self._hosts:
+                tasks.create_task(self._restart(host))
+                await asyncio.sleep(self._random.uniform(0.0, 1.0))
+
+    async def _leave_odd_entry(self) -> None:
+        entry = self._random.choice(ODD_ENTRIES)
+        self._log.put("keyed.servers", f"odd{len(self._faults)}", entry)
 
     async def _pause(self) -> None:
         host = self._random_host()
-        with self._disrupt(host):
+        with self._disrupt_unplanned(host):
             host.send(signal.SIGSTOP)
             await asyncio.sleep(self._random.uniform(0.5, 5.0))
             host.send(signal.SIGCONT)
@@ -499,11 +564,27 @@
                 )
             if name in self._refused_ids and runs[name]:
                 self._violations.append(f"{name} was refused but executed")
+        for name, cut_at in self._cut_at_by_request.items():
+            if runs[name] and not self._is_excused(name, cut_at):
+                self._violations.append(
+                    f"{name} reached a server and was cut off at"
+                    f" {cut_at - self._start:.2f} s"
+                )
         if self._served < SERVED_SHARE * self._sent:
             self._violations.append(
                 f"{self._served} of {self._sent} requests were served"
             )
 
+    def _is_excused(self, name: str, ended: float) -> bool:
+        """Return whether an unplanned disruption explains a cut request."""
+        host = name.partition(".")[0]
+        return any(
+            one.host == host
+            and one.start <= ended
+            and self._checker.sent_at_by_request[name] <= one.end
+            for one in self._unplanned
+        )
+
 
 def free_port() -> int:
     """Return a free loopback port."""
@@ -541,10 +622,18 @@
     )
 
 
-def run_soak(seed: int, seconds: float, hosts: int = HOSTS) -> Outcome:
+def run_soak(
+    seed: int,
+    seconds: float,
+    hosts: int = HOSTS,
+    faults: list[str] | None = None,
+    service_time: float = SERVICE_SECONDS,
+) -> Outcome:
     """Run one seed; its logs are kept if an invariant was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="agatestile-soak-"))
-    outcome = asyncio.run(Soak(seed, folder, hosts).run(seconds))
+    outcome = asyncio.run(
+        Soak(seed, folder, hosts, faults, service_time).run(seconds)
+    )
     if outcome.violations:
         click.echo(f"logs kept in {folder}")
         return outcome
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -28,6 +28,10 @@
 """Time before the bound on changes of the configuration from which the one in
 force counts as outdated: the transfer of a report between hosts."""
 
+SHUTDOWN_RETRY_AFTER = 0.2
+"""Retry-after time of a host that stops, seconds: another host can take the
+request, but while many hosts stop the caller may reach this one again."""
+
 _CODES = codes.ResultCode
 
 
@@ -57,6 +61,12 @@
         Clock that includes the time of a suspension, seconds; `now` by
         default. The window of the retry budget is in time that passes for
         all hosts.
+
+    Attributes
+    ----------
+    stops_at : float
+        Clock at which the host stops to process requests, seconds; infinity
+        unless it shuts down.
     """
 
     def __init__(
@@ -82,6 +92,7 @@
         self.pool = pool
         self.header_format = header_format
         self.now = now
+        self.stops_at = math.inf
         self.probe_pool = client.Pool(now)
         self._budgets: dict[str, budget.RetryBudget] = {}
         self._splits_by_targets: dict[
@@ -94,9 +105,12 @@
         caller_headers = self.header_format.read_request(request.headers)
         context = self._create_context(request, caller_headers, started)
         if isinstance(context, refusals.RequestRefusal):
-            time_left = caller_headers.time_left or exchange.DEFAULT_TIME_LEFT
             return self.refuse(
-                context, caller_headers, None, started, time_left
+                context,
+                caller_headers,
+                None,
+                started,
+                _time_left(caller_headers),
             )
         self.budget(context.service).on_request(self.boot_time())
         self.fleet.count_demand(context.service)
@@ -125,7 +139,13 @@
             return self._refusal_without_route(
                 f"{name}{path}", current.version, started
             )
-        time_left = caller_headers.time_left or exchange.DEFAULT_TIME_LEFT
+        deadline = started + min(_time_left(caller_headers), route.timeout)
+        if not self._can_finish(route, deadline, started):
+            return refusals.RequestRefusal(
+                _CODES.SHUTTING_DOWN,
+                f"the host stops in {self.stops_at - started:.1f} s",
+                SHUTDOWN_RETRY_AFTER,
+            )
         service = self._select_service(route)
         key = None
         known = current.services_by_name.get(service)
@@ -148,10 +168,21 @@
             service,
             key,
             started,
-            started + min(time_left, route.timeout),
+            min(deadline, self.stops_at),
             headers,
         )
 
+    def _can_finish(
+        self, route: configuration.Route, deadline: float, now: float
+    ) -> bool:
+        """Return whether a request can be processed before the host stops.
+
+        One whose deadline is later is accepted if the time in which its
+        route aims to respond is left.
+        """
+        objective = route.latency_objective or math.inf
+        return min(deadline, now + objective) <= self.stops_at
+
     def _refusal_without_route(
         self, target: str, version: int, now: float
     ) -> refusals.RequestRefusal:
@@ -290,3 +321,10 @@
             reason=reason,
             **fields,
         )
+
+
+def _time_left(caller_headers: header_port.CallerHeaders) -> float:
+    """Return how long the caller waits for a response, seconds."""
+    if caller_headers.time_left is None:
+        return exchange.DEFAULT_TIME_LEFT
+    return caller_headers.time_left
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -27,6 +27,7 @@
     codes.ResultCode.OVERLOADED: 503,
     codes.ResultCode.SERVER_SHED: 503,
     codes.ResultCode.CONNECT_FAILED: 503,
+    codes.ResultCode.SHUTTING_DOWN: 503,
     codes.ResultCode.DEADLINE_PASSED: 503,
     codes.ResultCode.OUTCOME_UNKNOWN: 502,
     codes.ResultCode.ANSWER_BROKEN: 502,
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -43,6 +43,14 @@
 STOP_MARGIN_SECONDS = 0.5
 """Time before the kill at which a stopping host exits on its own."""
 
+LAST_RESPONSES_SECONDS = 0.3
+"""Time before this exit at which requests in progress end and the host stops
+to listen, so that their responses are delivered."""
+
+ACCEPTED_CONNECTION_SECONDS = 0.1
+"""How long a host that has stopped to listen waits for the first request of
+the connections that it had accepted."""
+
 ASSIGNMENT_WAIT_SECONDS = 4.0
 """How long a starting host waits for an assignment of keys before it reports
 ready without one."""
@@ -172,7 +180,7 @@
             lambda: self.operator_watcher.confirmed_at,
         )
         self.server_pool = client.Pool(now, platform.header_format.echo_header)
-        handler = handler_module.Handler(
+        self.handler = handler_module.Handler(
             self.fleet,
             picker_module.Picker(self.fleet, self.view, random.Random()),
             self.reporter,
@@ -184,7 +192,7 @@
             clock.boot_time,
         )
         self.caller_listener = server.Listener(
-            handler.handle, self._caller_limits
+            self.handler.handle, self._caller_limits
         )
         self.readiness_listener = server.Listener(
             self._on_readiness_check, self._caller_limits
@@ -274,22 +282,35 @@
         await self.reporter.run(lambda: self.coordinator.is_active)
 
     async def _drain(self) -> None:
-        """Fail the readiness check, then wait for the requests in progress."""
+        """Fail the readiness check, then wait for the requests in progress.
+
+        The load balancer may use a host that is not ready while too few
+        others are, so callers come until the host stops to listen.
+        """
         started = self._now()
         self._is_stopping = True
         events.emit(
             "stopping", open_requests=self.caller_listener.busy_connections
         )
         deadline = started + self._settings.bounds.grace - STOP_MARGIN_SECONDS
+        last_responses = deadline - LAST_RESPONSES_SECONDS
+        self.handler.stops_at = last_responses
         self.caller_listener.start_draining()
-        await self.elector.leave()
+        with anyio.move_on_after(READINESS_NOTICE_SECONDS):
+            await self.elector.leave()
         while self._now() < started + READINESS_NOTICE_SECONDS:
             await anyio.sleep(0.05)
+        await self._close_connections(last_responses)
+        self.caller_listener.stop()
+        await anyio.sleep(ACCEPTED_CONNECTION_SECONDS)
+        await self._close_connections(deadline)
+
+    async def _close_connections(self, until: float) -> None:
+        """Close connections as they become idle, until none is left."""
         self.caller_listener.close_idle()
-        while self._now() < deadline and self.caller_listener.connections:
+        while self._now() < until and self.caller_listener.connections:
             await anyio.sleep(0.05)
             self.caller_listener.close_idle()
-        self.caller_listener.stop()
 
     def _reload(self) -> None:
         """Apply the bounds of changed settings; addresses need a restart."""
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -222,13 +222,15 @@
         deadline_ms: int = 1000,
         key: int | None = None,
         target: bytes = b"/x/1",
+        request_id: bytes = b"id-1",
     ) -> messages.Response:
         """Send a request of a caller and return its response."""
         fields = [
             (b"host", b"a.example"),
-            (b"x-request-id", b"id-1"),
             (b"x-deadline-ms", b"%d" % deadline_ms),
         ]
+        if request_id:
+            fields.append((b"x-request-id", request_id))
         if key is not None:
             fields.append((b"x-shard-key", b"%d" % key))
         return await self.handler.handle(
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -481,3 +481,45 @@
         assert budget.allows(harness.handler.boot_time(), allowed_hosts)
         harness.boot_time_offset = bounds.retry_window + 0.1
         assert not budget.allows(harness.handler.boot_time(), allowed_hosts)
+
+
+async def test_host_that_stops_refuses_what_it_can_not_finish() -> None:
+    """Guards against requests that are cut off when the host ends.
+
+    While many hosts stop, callers reach hosts that are not ready (LOST,
+    departures-and-takeovers of nkabom-gate-grown).
+    """
+    async with support.handler_harness() as harness:
+        harness.configure()
+        await harness.add_server("a", _respond)
+        harness.handler.stops_at = harness.now() + 0.3
+        started = harness.now()
+        refused = await harness.send()
+        assert harness.now() - started < 0.05
+        assert refused.status == 503
+        assert refused.header(b"retry-after") is not None
+        assert not harness.non_probe_requests()
+        assert (await harness.send(deadline_ms=200)).status == 200
+
+
+async def test_request_ends_before_the_host_that_stops() -> None:
+    async with support.handler_harness() as harness:
+        harness.configure(timeout=2.0, attempts=1)
+        await harness.add_server("a", _never_respond)
+        started = harness.now()
+        harness.handler.stops_at = started + 0.6
+        response = await harness.send(deadline_ms=2000)
+        assert harness.now() - started < 0.8
+    assert response.status == 504
+    head = harness.non_probe_requests()[0].head
+    assert int(support.header_value(head, b"x-deadline-ms")) <= 600
+
+
+async def test_request_without_time_left_is_not_sent() -> None:
+    """Guards against a deadline of 0 that counts as none."""
+    async with support.handler_harness() as harness:
+        harness.configure()
+        await harness.add_server("a", _respond)
+        response = await harness.send(deadline_ms=0)
+    assert response.status == 503
+    assert not harness.received_requests
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -14,3 +14,17 @@
     outcome = platform_soak.run_soak(seed, 10.0)
     assert outcome.violations == []
     assert outcome.faults
+
+
+@pytest.mark.slow
+@pytest.mark.parametrize("seed", [3])
+def test_planned_stops_cut_no_request_off(seed: int) -> None:
+    """Guards against requests that are cut off while hosts stop in series.
+
+    Callers use all hosts until their processes have ended.
+    """
+    outcome = platform_soak.run_soak(
+        seed, 14.0, faults=["_stop_all"], service_time=0.2
+    )
+    assert outcome.violations == []
+    assert len(outcome.faults) > 2
