Reject odd entries where they are read

A report of another operator: one odd entry among those of the servers ended the machines that read the list, or stopped them following it. It could happen here. A deeply nested entry raised RecursionError and a port such as "10.0.0.1:2" with a superscript digit ValueError in the task that reads service discovery, each time it read; a number beyond 64 bits could not be relayed to other hosts, and one beyond a float ended the coordinator's plans.

All decoders of foreign input now treat these errors as malformed input; numbers, ports, addresses and identifiers are checked.

--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -25,6 +25,7 @@
 _RETRY_AFTER = b"retry-after"
 
 _KEY_COUNT = 65536
+_KEY_DIGITS = 5
 _MISDIRECTED_STATUS = 421
 
 
@@ -46,11 +47,11 @@
             elif name == _DEADLINE:
                 deadline = _parse_number(value)
             elif name == _SHARD_KEY:
-                key = _parse_number(value)
+                key = _parse_key(value)
         return header_port.CallerHeaders(
             request_id,
             None if deadline is None else deadline / 1000.0,
-            int(key) if key is not None and key < _KEY_COUNT else None,
+            key,
         )
 
     def server_headers(
@@ -110,6 +111,13 @@
         return [(_RETRY_AFTER, b"%.3f" % retry_after)]
 
 
+def _parse_key(value: bytes) -> int | None:
+    if not value.isdigit() or len(value) > _KEY_DIGITS:
+        return None
+    key = int(value)
+    return key if key < _KEY_COUNT else None
+
+
 def _parse_number(value: bytes) -> float | None:
     try:
         number = float(value)
--- a/src/agatestile/platform/settings.py
+++ b/src/agatestile/platform/settings.py
@@ -10,6 +10,7 @@
 
 from agatestile.node import settings as node_settings
 from agatestile.results import codes
+from agatestile.results import decoding
 from agatestile.results import outcomes
 
 PATH_VARIABLE = "AGATESTILE_BOOT"
@@ -99,7 +100,7 @@
         return outcomes.Refusal(
             codes.ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}"
         )
-    except (msgspec.ValidationError, ValueError) as error:
+    except decoding.DECODE_ERRORS as error:
         return outcomes.Refusal(
             codes.ResultCode.SETTINGS_WRONG_TYPE, f"{path}: {error}"
         )
@@ -114,8 +115,10 @@
         If the text does not have this form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isascii() or not port.isdigit():
         raise ValueError(f"{text!r} is not of the form IP:PORT")
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} has no port from 1 to 65535")
     return host, int(port)
 
 
--- a/src/agatestile/platform/store.py
+++ b/src/agatestile/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from agatestile.results import codes
+from agatestile.results import decoding
 from agatestile.results import outcomes
 from agatestile.store import port
 from agatestile.transport import client
@@ -90,7 +91,7 @@
                     port.Record(item.key, base64.b64decode(item.value))
                     for item in listing.items
                 ]
-            except (msgspec.DecodeError, ValueError) as error:
+            except decoding.DECODE_ERRORS as error:
                 return _invalid_response(error)
             receive_seconds += response.receive_seconds
             # The pages are not one snapshot, so changes after the first page
@@ -161,7 +162,7 @@
             return _to_refusal(response)
         try:
             return msgspec.json.decode(response.body, type=_Appended).end
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             return outcomes.Refusal(_CODES.LOG_OUTCOME_UNKNOWN, str(error))
 
     async def join(
@@ -182,7 +183,7 @@
             return response
         try:
             joined = msgspec.json.decode(response.body, type=_Joined)
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             return _invalid_response(error)
         partitions = frozenset(partition for _, partition, _ in joined.parts)
         return port.Membership(joined.generation, partitions)
@@ -202,7 +203,7 @@
             return _to_refusal(response)
         try:
             rows = _decode_owner_rows(response.body)
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             return _invalid_response(error)
         for _, owned, member, *_ in rows:
             if owned == partition:
@@ -279,9 +280,13 @@
         (length,) = _RECORD_LENGTH.unpack_from(body, position)
         position += _RECORD_LENGTH.size
         content = body[position : position + length]
-        if len(content) != length or not content:
+        if len(content) != length:
             raise ValueError(f"the record at byte {position} is incomplete")
         position += length
+        if not content:
+            # Counts as a record, but another writer gave it no key.
+            yield port.Record("", b"")
+            continue
         key_end = 1 + content[0]
         yield port.Record(
             content[1:key_end].decode("utf-8", "backslashreplace"),
