Tell late copies from the expected responses

Reports of other operators: a server wrote a response or a refusal once more on a kept connection. Responses were matched by the request identifier, which does not tell three cases apart:

- the retry of a request for a key goes to the same owner, over the same connection and with the same identifier, so a copy of the first refusal stood for the retry that ran (503, 429 and 421);
- a request without an identifier;
- a release of keys: a copy of the response to a grant stood for it, and the keys were granted to another server too early.

A release counts with a handover that is new, else it is repeated over a connection of its own.

--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -96,9 +96,14 @@
         ]
         return cls(instances, rows)
 
-    def to_map(self) -> ranges.RangeMap:
+    def to_map(self, earlier: DecodedRanges | None = None) -> ranges.RangeMap:
         """Return the range map.
 
+        Parameters
+        ----------
+        earlier : DecodedRanges, optional
+            An earlier map of the service, whose unchanged ranges are used.
+
         Raises
         ------
         ValueError
@@ -111,16 +116,30 @@
         if firsts[-1] >= ranges.KEY_COUNT:
             raise ValueError(f"row starts after the last key: {firsts[-1]}")
         lasts = [first - 1 for first in firsts[1:]] + [ranges.KEY_COUNT - 1]
-        return ranges.RangeMap(
-            [
-                ranges.KeyRange(
-                    row[0],
-                    last,
-                    self._owner(row[1], row[2]),
-                    self._owner(row[3], row[4]),
-                )
-                for row, last in zip(self.rows, lasts)
-            ]
+        unchanged: typing.Iterator[
+            tuple[tuple[int, int, int, int, int], ranges.KeyRange]
+        ] = iter(())
+        if earlier is not None and earlier.stored.instances == self.instances:
+            unchanged = zip(earlier.stored.rows, earlier.key_map.ranges)
+        result = []
+        known = next(unchanged, None)
+        for row, last in zip(self.rows, lasts):
+            while known is not None and known[0][0] < row[0]:
+                known = next(unchanged, None)
+            if known is not None and known[0] == row and known[1].last == last:
+                result.append(known[1])
+            else:
+                result.append(self._to_range(row, last))
+        return ranges.RangeMap(result)
+
+    def _to_range(
+        self, row: tuple[int, int, int, int, int], last: int
+    ) -> ranges.KeyRange:
+        return ranges.KeyRange(
+            row[0],
+            last,
+            self._owner(row[1], row[2]),
+            self._owner(row[3], row[4]),
         )
 
     def _owner(self, index: int, fence: int) -> ranges.Owner:
@@ -131,6 +150,13 @@
         return ranges.Owner(*self.instances[index], fence)
 
 
+class DecodedRanges(typing.NamedTuple):
+    """Range map of a service with its stored form."""
+
+    stored: ServiceRanges
+    key_map: ranges.RangeMap
+
+
 class StoredAssignments(typing.NamedTuple):
     """Decoded content of the topic.
 
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -18,6 +18,7 @@
 from agatestile.node import peers
 from agatestile.node import relayed_directory
 from agatestile.observability import events
+from agatestile.results import decoding
 from agatestile.results import outcomes
 from agatestile.transport import messages
 
@@ -106,6 +107,7 @@
         self._seeds = [seed for seed in seeds if seed != member]
         self._local_service: peers.PeerService | None = None
         self._received_assignment = content_history.ContentHistory(1)
+        self._decoded_by_service: dict[str, records.DecodedRanges] = {}
         self._requests: dict[str, collections.Counter[int]] = {}
         self._changed = anyio.Event()
         self._has_coordinator = False
@@ -241,7 +243,7 @@
             redirect = msgspec.msgpack.decode(
                 response.body, type=peer_messages.Redirect
             )
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             return f"{target} sent an invalid response: {error}"
         if redirect.coordinator and redirect.coordinator != target:
             self._seeds.insert(0, redirect.coordinator)
@@ -304,15 +306,20 @@
         content : bytes or str
             The assignment, or why it can't be read.
         """
-        maps = _decode_assignment(content)
-        if isinstance(content, str) or isinstance(maps, str):
+        decoded = _decode_assignment(content, self._decoded_by_service)
+        if isinstance(content, str) or isinstance(decoded, str):
             self._received_assignment = content_history.ContentHistory(1)
             events.emit(
-                "assignment_unreadable", reason=maps, version=response.version
+                "assignment_unreadable",
+                reason=decoded,
+                version=response.version,
             )
-        elif self._view.update(
+            return
+        maps = {name: one.key_map for name, one in decoded.items()}
+        if self._view.update(
             response.epoch, response.version, maps, self._now()
         ):
+            self._decoded_by_service = decoded
             # Versions of another coordinator may be lower.
             self._received_assignment = content_history.ContentHistory(1)
             self._received_assignment.add(response.version, content)
@@ -382,14 +389,16 @@
 
 
 def _decode_assignment(
-    content: bytes | str,
-) -> dict[str, ranges.RangeMap] | str:
+    content: bytes | str, earlier: dict[str, records.DecodedRanges]
+) -> dict[str, records.DecodedRanges] | str:
     """Return the range maps by service, or why they can't be read.
 
     Parameters
     ----------
     content : bytes or str
         Encoded assignment, or why there is none.
+    earlier : dict of str to records.DecodedRanges
+        Range maps whose unchanged ranges are used.
     """
     if isinstance(content, str):
         return content
@@ -397,6 +406,11 @@
         services = msgspec.msgpack.decode(
             content, type=dict[str, records.ServiceRanges]
         )
-        return {name: stored.to_map() for name, stored in services.items()}
-    except (msgspec.DecodeError, ValueError) as error:
+        return {
+            name: records.DecodedRanges(
+                stored, stored.to_map(earlier.get(name))
+            )
+            for name, stored in services.items()
+        }
+    except decoding.DECODE_ERRORS as error:
         return str(error)
--- a/src/agatestile/platform/orders.py
+++ b/src/agatestile/platform/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 import msgspec
@@ -13,6 +14,12 @@
 if typing.TYPE_CHECKING:
     from agatestile.assignment import ranges
 
+RETAINED_HANDOVERS = 16
+"""Number of handovers of a server that are kept to recognise copies."""
+
+RETAINED_PEERS = 10_000
+"""Number of servers whose handovers are kept."""
+
 _INSTANCE = b"x-target-instance"
 _HANDOVER = b"x-handover"
 _REPLIES_BY_STATUS = {200: ports.Reply.DONE, 409: ports.Reply.FENCED}
@@ -33,6 +40,9 @@
 
     def __init__(self, pool: client.Pool) -> None:
         self._pool = pool
+        self._handovers_by_peer: dict[
+            tuple[str, int], collections.deque[str]
+        ] = {}
 
     def is_connected(self, recipient: ports.Recipient) -> bool:
         """Return whether a connection to this incarnation is open."""
@@ -69,11 +79,34 @@
     ) -> ports.OrderResult:
         """Release a key range.
 
-        The server responds once its work on the keys has ended.
+        The server responds once its work on the keys has ended. A late copy
+        of an earlier response must not stand for this one, as the keys would
+        be granted to another server too early. Only a handover that is new
+        tells that it is no copy; without one the order is repeated over a
+        connection of its own.
         """
-        return await self._order(
-            b"/release", recipient, _range_fields(key_range), timeout
-        )
+        fields = _range_fields(key_range)
+        result = await self._order(b"/release", recipient, fields, timeout)
+        if result.reply is not ports.Reply.DONE:
+            return result
+        peer = _pool_key(recipient)
+        known = self._handovers_by_peer.pop(peer, None)
+        if known is None:
+            known = collections.deque(maxlen=RETAINED_HANDOVERS)
+        self._handovers_by_peer[peer] = known
+        if len(self._handovers_by_peer) > RETAINED_PEERS:
+            del self._handovers_by_peer[next(iter(self._handovers_by_peer))]
+        if result.handover is None or result.handover in known:
+            result = await self._order(
+                b"/release",
+                recipient,
+                fields,
+                timeout,
+                needs_new_connection=True,
+            )
+        if result.handover is not None:
+            known.append(result.handover)
+        return result
 
     async def _order(
         self,
@@ -81,6 +114,7 @@
         recipient: ports.Recipient,
         fields: dict[str, object],
         timeout: float,
+        needs_new_connection: bool = False,
     ) -> ports.OrderResult:
         request = messages.Request(
             b"POST",
@@ -93,7 +127,11 @@
             msgspec.json.encode(fields),
         )
         response = await self._pool.call(
-            recipient.address, request, timeout, _pool_key(recipient)
+            recipient.address,
+            request,
+            timeout,
+            _pool_key(recipient),
+            needs_new_connection=needs_new_connection,
         )
         if isinstance(response, messages.Failure):
             reply = _REPLIES_BY_FAILURE[response.kind]
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -301,23 +301,40 @@
         self.opened = 0
 
     def acquire_idle(
-        self, peer: typing.Hashable, max_idle: float
+        self,
+        peer: typing.Hashable,
+        max_idle: float,
+        excluded: typing.Collection[Connection] = (),
     ) -> Connection | None:
         """Return the most recently used idle connection.
 
-        Returns None if there is none, or if it has been idle for
-        `max_idle` seconds or longer.
+        Parameters
+        ----------
+        peer : hashable
+            Key of the connections.
+        max_idle : float
+            Idle time from which a connection is not used, seconds.
+        excluded : collection of Connection, optional
+            Connections that are not used.
+
+        Returns
+        -------
+        Connection or None
+            None if there is none.
         """
-        idle = self._idle.get(peer)
+        idle = self._idle.get(peer, [])
         now = self._now()
-        while idle:
-            connection = idle.pop()
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
+            if connection in excluded:
+                continue
             age = now - connection.idle_since
             if connection.is_usable and age < connection.idle_timeout:
-                if age < max_idle:
-                    return connection
-                idle.append(connection)
-                return None
+                if age >= max_idle:
+                    return None
+                del idle[index]
+                return connection
+            del idle[index]
             connection.abort()
         return None
 
@@ -384,6 +401,7 @@
         connect_timeout: float = CONNECT_TIMEOUT,
         data_timeout: float | None = None,
         on_data: typing.Callable[[], None] | None = None,
+        needs_new_connection: bool = False,
     ) -> messages.Response | messages.Failure:
         """Send a request that this program originates.
 
@@ -405,6 +423,9 @@
             seconds.
         on_data : callable, optional
             Called with each part of the response that arrives.
+        needs_new_connection : bool, optional
+            Whether the request is sent over a connection of its own, on
+            which no copy of an earlier response can arrive.
 
         Returns
         -------
@@ -415,7 +436,9 @@
         content = encode_request(request, address)
         try:
             async with asyncio.timeout(timeout) as scope:
-                connection = self.acquire_idle(peer, DEFAULT_IDLE_TIMEOUT)
+                connection = None
+                if not needs_new_connection:
+                    connection = self.acquire_idle(peer, DEFAULT_IDLE_TIMEOUT)
                 if connection is None:
                     opened = await self.open(address, connect_timeout)
                     if isinstance(opened, messages.Failure):
@@ -430,7 +453,10 @@
                     connection.on_data = None
         except TimeoutError:
             return _outcome_unknown(f"no response within {timeout:g} s")
-        self.release(peer, connection)
+        if needs_new_connection:
+            connection.abort()
+        else:
+            self.release(peer, connection)
         return result
 
 
--- a/tests/assignment/test_records.py
+++ b/tests/assignment/test_records.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from agatestile.assignment import ranges
 from agatestile.assignment import records
@@ -48,3 +49,35 @@
     except ValueError:
         return
     raise AssertionError("a map without keys 0 to 4 was accepted")
+
+
+@pytest.mark.parametrize("range_count", [30, 300, 1000])
+def test_unchanged_ranges_are_not_built_again(range_count: int) -> None:
+    """Guards against work on all ranges for each range that moves."""
+    width = ranges.KEY_COUNT // range_count
+    owners = [ranges.Owner(f"s{index % 50}", 1, index) for index in range(990)]
+    key_map = ranges.RangeMap().replace(
+        [
+            ranges.KeyRange(
+                index * width, (index + 1) * width - 1, owners[index % 990]
+            )
+            for index in range(range_count)
+        ]
+    )
+    stored = records.ServiceRanges.from_map(key_map)
+    earlier = records.DecodedRanges(stored, stored.to_map())
+    moved = ranges.KeyRange(width, 2 * width - 2, owners[7], owners[1])
+    changed = records.ServiceRanges.from_map(key_map.replace([moved]))
+    decoded = changed.to_map(earlier)
+    assert decoded.ranges == changed.to_map().ranges
+    known = {id(one) for one in earlier.key_map.ranges}
+    built = [one for one in decoded.ranges if id(one) not in known]
+    assert len(built) <= 3
+
+
+def test_ranges_of_other_servers_are_not_taken_for_unchanged_ones() -> None:
+    """Guards against owners that are looked up in another list of servers."""
+    first = records.ServiceRanges([("a", 1)], [(0, 0, 5, -1, 0)])
+    second = records.ServiceRanges([("b", 1)], [(0, 0, 5, -1, 0)])
+    earlier = records.DecodedRanges(first, first.to_map())
+    assert second.to_map(earlier).find(3).owner.server_id == "b"
