Use few servers near a host while they suffice

A host now takes six servers of its own domain, evenly over all hosts, as long as one of them is expected to respond in half of the time; all servers otherwise. A server whose response is in time even on a slow machine is not probed.

--- a/src/agatestile/assignment/planner.py
+++ b/src/agatestile/assignment/planner.py
@@ -248,19 +248,28 @@
         return moves
 
     def _is_overloaded(self, source: OwnerCandidate) -> bool:
-        """Return whether a server certainly has more than its part.
+        """Return whether a server has more than its part.
 
-        A range that becomes hot shows in the recent requests, a part that is
-        a little too large only in those of a longer time.
+        That has to be certain, unless the server can't bear it although
+        others can. A range that becomes hot shows in the recent requests, a
+        part that is a little too large only in those of a longer time.
         """
+        name, capacity = source.id, source.capacity
+        mean = self._recent_mean_utilisation
+        if (
+            mean < FULL_UTILISATION
+            and self._recent_rate_by_server[name]
+            > max(FULL_UTILISATION, mean * OVERLOAD_RATIO) * capacity
+        ):
+            return True
         return _exceeds(
-            self._recent_rate_by_server[source.id],
-            source.capacity,
+            self._recent_rate_by_server[name],
+            capacity,
             self._recent_mean_utilisation,
             key_load.RECENT_VARIANCE,
         ) or _exceeds(
-            self._usual_rate_by_server[source.id],
-            source.capacity,
+            self._usual_rate_by_server[name],
+            capacity,
             self._usual_mean_utilisation,
             key_load.USUAL_VARIANCE,
         )
@@ -445,8 +454,6 @@
 ) -> bool:
     """Return whether a rate exceeds the mean by more than chance.
 
-    One that the server can't bear counts without this certainty.
-
     Parameters
     ----------
     rate, capacity : float
@@ -459,8 +466,6 @@
     limit = max(MIN_UTILISATION, mean_utilisation * OVERLOAD_RATIO)
     if rate < limit * max(capacity, 1e-6):
         return False
-    if rate > FULL_UTILISATION * capacity:
-        return True
     part = mean_utilisation * capacity
     deviation = math.sqrt(variance * max(part, 0.0))
     return rate - part > SIGNIFICANT_DEVIATIONS * deviation
--- a/src/agatestile/balancing/choice.py
+++ b/src/agatestile/balancing/choice.py
@@ -75,12 +75,7 @@
     best = None
     best_cost = float("inf")
     for candidate in candidates:
-        server_load = candidate.load
-        if server_load.is_suspended(now) or server_load.is_unresponsive(now):
-            continue
-        if server_load.pause_left(now):
-            continue
-        if server_load.occupancy(now) >= server_load.slots + QUEUE_LIMIT:
+        if not is_available(candidate, now):
             continue
         cost = expected_cost(candidate, now, generator)
         if cost < best_cost:
@@ -88,6 +83,16 @@
     return best
 
 
+def is_available(candidate: Candidate, now: float) -> bool:
+    """Return whether a server may get a request now."""
+    server_load = candidate.load
+    if server_load.is_suspended(now) or server_load.is_unresponsive(now):
+        return False
+    if server_load.pause_left(now):
+        return False
+    return server_load.occupancy(now) < server_load.slots + QUEUE_LIMIT
+
+
 def expected_cost(
     candidate: Candidate, now: float, generator: random.Random
 ) -> float:
--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -121,6 +121,7 @@
         self._now = handler.now
         self._fleet = handler.fleet
         self._tried_ids: set[str] = set()
+        self._used_connections: list[client.Connection] = []
         self._attempt_count = 0
         self._may_have_run = False
         self._has_reserved_retry = False
@@ -168,7 +169,7 @@
                 context.service,
                 context.key,
                 now,
-                min(time_left, self._max_wait()),
+                self._acceptable_wait(now),
                 self._tried_ids,
                 len(context.request.body),
             )
@@ -193,7 +194,11 @@
             return
         now = self._now()
         entries = self._fleet.servers_to_probe(
-            context.service, now, self._tried_ids, len(context.request.body)
+            context.service,
+            now,
+            self._acceptable_wait(now),
+            self._tried_ids,
+            len(context.request.body),
         )
         service = self._handler.service(context.service)
         if len(entries) < 2 or service is None or not service.health_path:
@@ -221,14 +226,17 @@
             )
             self._fleet.on_probe_response(entry, server_headers, self._now())
 
-    def _max_wait(self) -> float:
+    def _acceptable_wait(self, now: float) -> float:
         """Return the longest acceptable time until a response, seconds.
 
         A response later than the objective is worth little, and a longer
         queue delays all later requests without raising the throughput.
         """
+        time_left = self._context.deadline - now
         objective = self._context.route.latency_objective
-        return objective * MAX_WAIT_RATIO if objective else DEFAULT_TIME_LEFT
+        if not objective:
+            return min(time_left, DEFAULT_TIME_LEFT)
+        return min(time_left, objective * MAX_WAIT_RATIO)
 
     # Sending
 
@@ -289,7 +297,12 @@
     async def _transfer(
         self, entry: directory.ServerEntry
     ) -> messages.Response | messages.Failure:
-        """Send over an idle or a new connection, until the deadline."""
+        """Send over an idle or a new connection, until the deadline.
+
+        An idle connection may still carry a late copy of an earlier
+        response. The request identifier tells it from the expected one,
+        unless the request has none or was sent over this connection before.
+        """
         context = self._context
         pool = self._handler.pool
         peer = (entry.id, entry.incarnation)
@@ -302,12 +315,17 @@
         expected_echo = context.caller_headers.request_id or None
         try:
             async with asyncio.timeout_at(context.deadline):
-                connection = pool.acquire_idle(peer, max_idle)
+                connection = None
+                if expected_echo is not None:
+                    connection = pool.acquire_idle(
+                        peer, max_idle, self._used_connections
+                    )
                 if connection is None:
                     opened = await pool.open(entry.address)
                     if isinstance(opened, messages.Failure):
                         return opened
                     connection = opened
+                self._used_connections.append(connection)
                 result = await connection.exchange(
                     self._encode(entry),
                     expected_echo,
@@ -317,7 +335,10 @@
             return messages.Failure(
                 _KIND.UNKNOWN, "no response before the deadline"
             )
-        pool.release(peer, connection)
+        if expected_echo is None:
+            connection.abort()
+        else:
+            pool.release(peer, connection)
         return result
 
     def _encode(self, entry: directory.ServerEntry) -> bytes:
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -15,6 +15,7 @@
 from agatestile.catalog import directory as directory_module
 from agatestile.entry import send_times
 from agatestile.entry import server_notices
+from agatestile.entry import subsets
 from agatestile.limits import shares
 from agatestile.observability import events
 
@@ -59,6 +60,11 @@
 """Age from which a load report is renewed by a probe; a machine is slow for
 a few hundred milliseconds at a time."""
 
+NEAR_TIME_SHARE = 0.5
+"""Share of the time left in which a server near this host has to be expected
+to respond for others to be left out: traffic between failure domains is
+billed, and a response within its objective is as good as a faster one."""
+
 
 class Fleet:
     """Servers with their load, and the rules that exclude them.
@@ -88,6 +94,7 @@
         self._now = now
         self.failure_domain = failure_domain
         self.directory = directory_module.Directory()
+        self._subsets = subsets.ServerSubsets(self.directory, failure_domain)
         self.configuration: configuration.Configuration | None = None
         self.evacuated_since: dict[str, float] = {}
         self._evacuation_ended: dict[str, float] = {}
@@ -354,8 +361,59 @@
         body_size : int
             Bytes of the request's body.
         """
+        servers = self.directory.of_service(service)
+        return self._candidates_of(servers, now, excluded_ids, body_size)
+
+    def sufficient_candidates(
+        self,
+        service: str,
+        now: float,
+        time_left: float,
+        excluded_ids: set[str],
+        body_size: int = 0,
+    ) -> list[choice.Candidate]:
+        """Return the candidates to choose from, near ones if they suffice.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        now : float
+            Clock of the event loop, seconds.
+        time_left : float
+            Time until the response is due, seconds.
+        excluded_ids : set of str
+            Servers that are excluded.
+        body_size : int
+            Bytes of the request's body.
+        """
+        by_id = self.directory.by_id
+        ids = self._subsets.of_service(service, self.host_rank)
+        near = self._candidates_of(
+            [by_id[server_id] for server_id in ids],
+            now,
+            excluded_ids,
+            body_size,
+        )
+        limit = NEAR_TIME_SHARE * time_left
+        if any(
+            choice.is_available(one, now)
+            and one.load.expected_time(now) <= limit
+            and one.load.failure_share <= choice.FAILURE_SHARE_LIMIT
+            for one in near
+        ):
+            return near
+        return self.candidates(service, now, excluded_ids, body_size)
+
+    def _candidates_of(
+        self,
+        servers: list[directory_module.Server],
+        now: float,
+        excluded_ids: set[str],
+        body_size: int,
+    ) -> list[choice.Candidate]:
         found = []
-        for server in self.directory.of_service(service):
+        for server in servers:
             entry = server.entry
             if entry.id in excluded_ids or self.is_leaving(server):
                 continue
@@ -371,19 +429,28 @@
         return found
 
     def servers_to_probe(
-        self, service: str, now: float, excluded_ids: set[str], body_size: int
+        self,
+        service: str,
+        now: float,
+        time_left: float,
+        excluded_ids: set[str],
+        body_size: int,
     ) -> list[directory_module.ServerEntry]:
-        """Return the likely choices whose load report is out of date."""
-        candidates = self.candidates(service, now, excluded_ids, body_size)
+        """Return the likely choices whose load report is out of date.
+
+        A server whose response is in time even if its machine is slow now
+        needs no probe.
+        """
+        candidates = self.sufficient_candidates(
+            service, now, time_left, excluded_ids, body_size
+        )
         likely = heapq.nsmallest(
             PROBE_COUNT,
             (
                 one
                 for one in candidates
-                if not one.load.is_suspended(now)
-                and not one.load.pause_left(now)
+                if choice.is_available(one, now)
                 and self.directory.by_id[one.id].rate_limit is None
-                and not one.load.is_unresponsive(now)
             ),
             key=lambda one: choice.expected_cost(one, now, self._generator),
         )
@@ -391,6 +458,7 @@
             self.directory.by_id[one.id].entry
             for one in likely
             if one.load.report_age(now) > MAX_REPORT_AGE_SECONDS
+            and one.load.expected_time(now) * load.MAX_SLOWDOWN > time_left
         ]
 
     # Implementation of state.Fleet
--- a/src/agatestile/entry/picker.py
+++ b/src/agatestile/entry/picker.py
@@ -126,7 +126,9 @@
         tried_ids: set[str],
         body_size: int,
     ) -> Pick | refusals.RequestRefusal:
-        candidates = self._fleet.candidates(service, now, tried_ids, body_size)
+        candidates = self._fleet.sufficient_candidates(
+            service, now, time_left, tried_ids, body_size
+        )
         chosen = choice.choose(candidates, now, self._generator)
         if chosen is None:
             return self._refusal_without_server(service, candidates, now)
