Rely on relayed records of the operator

Each host waited at the store for the operator's next record, although the coordinator relays it: with 78 hosts a change cost 78 calls, a storm of them hundreds. Hosts now rely on the relay while it is younger than 1 s and they are not behind it, as hosts on slow links did before, and the coordinator answers waiting hosts at once when a record arrives. A read that gets no answer while the host is behind is given up and repeated over a new connection.

--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -6,7 +6,6 @@
 import math
 import random
 import signal
-import traceback
 import typing
 
 import anyio
@@ -22,6 +21,7 @@
 from agatestile.node import operator_watcher
 from agatestile.node import peers
 from agatestile.node import reporter as reporter_module
+from agatestile.node import supervision
 from agatestile.node import watchers
 from agatestile.observability import counters
 from agatestile.observability import events
@@ -55,9 +55,6 @@
 """How long a starting host waits for an assignment of keys before it reports
 ready without one."""
 
-RESTART_DELAY_SECONDS = 0.5
-"""Pause before a failed component is restarted."""
-
 HOUSEKEEPING_INTERVAL_SECONDS = 0.25
 """Interval between flushes of events and closing of idle connections."""
 
@@ -138,7 +135,9 @@
             self.coordinator,
             member,
             clock.boot_time,
-            leadership_module.head_start(settings.link_rate),
+            lambda: leadership_module.head_start(
+                settings.link_rate, self.fleet.host_count
+            ),
         )
         self.operator_watcher = operator_watcher.OperatorWatcher(
             platform.store,
@@ -234,11 +233,19 @@
                 ("housekeeping", self._run_housekeeping),
                 ("operator's records", self.operator_watcher.run),
                 ("service discovery", self.discovery_watcher.run),
-                ("coordinator", self.coordinator.run),
                 ("leadership", self.elector.run),
                 ("reports", self._run_reporter),
             ):
-                tasks.start_soon(self._supervise, name, component)
+                tasks.start_soon(
+                    supervision.supervise, name, component, self.registry
+                )
+            tasks.start_soon(
+                supervision.supervise,
+                "coordinator",
+                self.coordinator.run,
+                self.registry,
+                self._on_coordinator_failure,
+            )
             await stop.wait()
             await self._drain()
             tasks.cancel_scope.cancel()
@@ -257,26 +264,8 @@
             return True
         return self._now() > self._started + ASSIGNMENT_WAIT_SECONDS
 
-    async def _supervise(
-        self, name: str, component: typing.Callable[[], typing.Awaitable[None]]
-    ) -> None:
-        """Run a component and restart it whenever it fails."""
-        while True:
-            try:
-                await component()
-                return
-            except Exception as error:
-                # The other components still serve; exiting would abort their
-                # requests.
-                events.emit(
-                    "error",
-                    part=name,
-                    reason=repr(error),
-                    trace=traceback.format_exc(limit=-4),
-                )
-                if component == self.coordinator.run:
-                    self.coordinator.lose_leadership("the coordinator failed")
-            await anyio.sleep(RESTART_DELAY_SECONDS)
+    def _on_coordinator_failure(self) -> None:
+        self.coordinator.lose_leadership("the coordinator failed")
 
     async def _run_reporter(self) -> None:
         await self.reporter.run(lambda: self.coordinator.is_active)
@@ -352,10 +341,12 @@
     def _on_configuration(self, new: configuration.Configuration) -> None:
         self.fleet.configuration = new
         self.coordinator.request_plan()
+        self.coordinator.publish()
 
     def _on_evacuations(self, domains: set[str], since: float) -> None:
         if self.fleet.set_evacuated_domains(domains, self._now(), since):
             self.coordinator.request_plan()
+            self.coordinator.publish()
 
     def _add_gauges(self) -> None:
         gauge = self.registry.gauge
--- a/src/agatestile/node/operator_watcher.py
+++ b/src/agatestile/node/operator_watcher.py
@@ -18,13 +18,10 @@
     from agatestile.catalog import configuration
     from agatestile.store import port
 
-OPERATOR_WAIT_SECONDS = 28.0
-"""How long a read of the operator's records waits for a new one while the
-coordinator reports records that the read misses."""
-
-OPERATOR_UNRELAYED_WAIT_SECONDS = 0.5
-"""The same wait without the coordinator. It is short because only its end
-shows that the records are complete and the connection has not gone silent."""
+OPERATOR_WAIT_SECONDS = 0.5
+"""How long a read of the operator's records waits for a new one. It is short
+because only its end shows that the records are complete and the connection
+has not gone silent."""
 
 OPERATOR_READ_LIMIT_BYTES = 256 * 1024
 """Size of the operator's records after which a read ends: the largest size of
@@ -39,16 +36,16 @@
 quick succession, which leaves bandwidth of a slow link to requests."""
 
 SLOW_PAGE_SECONDS = 0.1
-"""Time to receive a large page from which this host relies on other hosts to
-relay changes."""
+"""Time to receive a large page from which a read does not wait."""
 
 RELAY_MAX_AGE_SECONDS = 1.0
-"""Age of what is known from other hosts above which such a host reads the
-store itself."""
+"""Age of what the coordinator relays above which a host reads the store
+itself. Calls to the store are billed, and one host suffices to notice a
+change."""
 
 UNRELAYED_MAX_AGE_SECONDS = 0.4
-"""The same for the coordinator, from which the other hosts know it, and for
-a host that it does not reach."""
+"""The same for hosts whose reads are slow, while the coordinator does not
+relay to them: changes arrive in their reports."""
 
 RELAY_CHECK_SECONDS = 0.05
 """Interval at which a host that relies on others checks this age."""
@@ -123,6 +120,7 @@
         self._wait = 0.0
         self._is_receiving = False
         self._skip_wait = False
+        self._unanswered_reads = 0
         self._must_list = False
         self._coordinator_end: int | None = None
         self._pause = 0.0
@@ -162,8 +160,7 @@
         elapsed = self._now() - self._started
         if coordinator_end is None:
             is_late = (
-                elapsed
-                > OPERATOR_UNRELAYED_WAIT_SECONDS + UNANSWERED_MARGIN_SECONDS
+                elapsed > OPERATOR_WAIT_SECONDS + UNANSWERED_MARGIN_SECONDS
             )
         else:
             was_behind = self._is_behind
@@ -173,12 +170,28 @@
             # At one check only, the record may still be in transit.
             is_late = was_behind and self._is_behind
         is_waiting = self._wait > 0.0 and not self._is_receiving
+        if self._is_behind and self._is_unanswered(elapsed):
+            self._unanswered_reads += 1
+            is_waiting = True
         if is_late and is_waiting and self._scope is not None:
             # The next read does not wait and so is not cancelled: while new
             # records arrive, a slow read would otherwise never complete.
             self._skip_wait = True
             self._scope.cancel()
 
+    def _is_unanswered(self, elapsed: float) -> bool:
+        """Return whether a read that does not wait may have gone silent.
+
+        Each read is given twice the time of the one before it.
+        """
+        longest = UNANSWERED_MARGIN_SECONDS * 2**self._unanswered_reads
+        return (
+            not self._wait
+            and not self._is_receiving
+            and not self._has_slow_reads()
+            and elapsed > longest
+        )
+
     async def poll(self) -> bool:
         """Read once and apply the records; return whether it succeeded."""
         self._started = self._now()
@@ -211,6 +224,7 @@
         # key, which replaces all records in between.
         self._must_list = not page.is_last
         self._skip_wait = False
+        self._unanswered_reads = 0
         self._measure(page)
         # Another host may have relayed later records meanwhile.
         if self.end is None or page.end >= self.end:
@@ -291,12 +305,10 @@
             self._scope.cancel()
 
     def _relies_on_relay(self) -> bool:
-        if not self._has_slow_reads():
-            return False
-        longest = UNRELAYED_MAX_AGE_SECONDS
+        age = self._now() - self.confirmed_at
         if self._is_relayed():
-            longest = RELAY_MAX_AGE_SECONDS
-        return self._now() - self.confirmed_at < longest
+            return not self._is_behind and age < RELAY_MAX_AGE_SECONDS
+        return self._has_slow_reads() and age < UNRELAYED_MAX_AGE_SECONDS
 
     def _has_slow_reads(self) -> bool:
         return (
@@ -353,11 +365,7 @@
         return self._must_list or is_several_behind
 
     def _wait_seconds(self) -> float:
-        if self._has_slow_reads():
-            return 0.0
-        if self._is_relayed():
-            return OPERATOR_WAIT_SECONDS
-        return OPERATOR_UNRELAYED_WAIT_SECONDS
+        return 0.0 if self._has_slow_reads() else OPERATOR_WAIT_SECONDS
 
     # Records
 
