Assign the keys of restarted servers again

Found by reading: the planner looked up the owner of a range by its identifier alone. The keys of a server that started again under its identifier stayed with the earlier incarnation, whose grants are not renewed and to which hosts send nothing, until some other move took them along. Ranges of an earlier incarnation are assigned like those of a server that is gone; the later incarnation proves that the earlier one holds nothing.

--- a/src/agatestile/assignment/planner.py
+++ b/src/agatestile/assignment/planner.py
@@ -142,7 +142,7 @@
             is_frozen = frozen(key_range)
             if is_frozen:
                 self._immovable.add((key_range.first, key_range.last))
-            elif candidate is None or candidate.must_release_keys:
+            elif candidate is None or _must_release(candidate, key_range):
                 self._orphans.append(key_range)
                 continue
             if candidate is not None:
@@ -449,6 +449,17 @@
         )
 
 
+def _must_release(
+    candidate: OwnerCandidate, key_range: ranges.KeyRange
+) -> bool:
+    """Return whether a server has to give a range up, or lost it.
+
+    A later incarnation of its owner holds no keys.
+    """
+    has_restarted = candidate.incarnation > key_range.owner.incarnation
+    return candidate.must_release_keys or has_restarted
+
+
 def _exceeds(
     rate: float, capacity: float, mean_utilisation: float, variance: float
 ) -> bool:
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -213,6 +213,30 @@
     support.run(scenario)
 
 
+def test_keys_of_a_restarted_server_get_an_owner_again() -> None:
+    """Guards against keys that nobody serves after a restart of their owner.
+
+    A server that starts again under its identifier holds no keys. They stayed
+    with its earlier incarnation, whose grants are not renewed.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        await _assign_keys(harness, "a", "b")
+        earlier = harness.fleet.by_id["a"]
+        harness.fleet.by_id["a"] = earlier._replace(
+            candidate=earlier.candidate._replace(incarnation=2)
+        )
+        harness.fleet.replaced.add(("a", 1))
+        harness.coordinator.request_plan()
+        await _sleep(harness, 1.0)
+        key_map = harness.coordinator.services[support.SERVICE].key_map
+        assert all(one.source.server_id == "" for one in key_map.ranges)
+        owners = {one.owner[:2] for one in key_map.ranges}
+        assert owners <= {("a", 2), ("b", 1)}
+
+    support.run(scenario)
+
+
 def test_renewal_over_a_new_connection_waits_for_a_heartbeat() -> None:
     """Guards against fencing tokens that pass to a later incarnation.
 
