Keep the retry budget in parts of its window

In a model of callers that move between four hosts the earlier budget exceeds what is allowed by up to 10%: a host may retry by the requests of the last 10 s, and the same callers have since made theirs at another host.

--- a/src/agatestile/limits/budget.py
+++ b/src/agatestile/limits/budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import math
 
@@ -21,6 +22,10 @@
 BUCKETS_PER_WINDOW = 20
 """Number of intervals of a window in which requests are counted."""
 
+PARTS = 4
+"""Number of parts of a window in which a host that shares a budget keeps it
+as well."""
+
 USED_SLACK_FRACTION = 0.7
 """Fraction of the slack of all hosts that is divided among them."""
 
@@ -56,6 +61,7 @@
         self._slack = slack
         self._window = window
         self._floor = floor
+        self._is_shared = False
         self._bucket_seconds = window / BUCKETS_PER_WINDOW
         self._requests_by_bucket: collections.Counter[int] = (
             collections.Counter()
@@ -68,9 +74,11 @@
         cls, ratio: float, slack: float, window: float
     ) -> RetryBudget:
         """Return the share of one host in a budget of all hosts."""
-        return cls(
+        share = cls(
             ratio * USED_RATIO_FRACTION, slack * USED_SLACK_FRACTION, window, 0
         )
+        share._is_shared = True
+        return share
 
     def on_request(self, now: float) -> None:
         """Record a request of a caller."""
@@ -94,10 +102,25 @@
             Number of hosts that share the slack.
         """
         _drop_before(self._retries, now - self._window)
-        allowed = self._ratio * self._counted_requests(now)
-        allowed += self._slack / max(1, hosts)
+        slack = self._slack / max(1, hosts)
+        allowed = self._ratio * self._counted_requests(now) + slack
         count = len(self._retries) + self.reserved_count
-        return count + 1 <= max(allowed, self._floor)
+        if count + 1 > max(allowed, self._floor):
+            return False
+        return not self._is_shared or self._allows_part(now, slack / PARTS)
+
+    def _allows_part(self, now: float, slack: float) -> bool:
+        """Return whether the last part of the window allows a retry alone.
+
+        Callers may move from one host to another, which must not both use
+        the requests that they made at the first.
+        """
+        last = self._bucket(now)
+        requests = self._count(last - BUCKETS_PER_WINDOW // PARTS, last)
+        start = now - self._window / PARTS
+        recent = len(self._retries) - bisect.bisect_left(self._retries, start)
+        count = recent + self.reserved_count
+        return count + 1 <= self._ratio * requests + slack
 
     def _counted_requests(self, now: float) -> int:
         """Return the requests that allow retries now.
--- a/tests/limits/test_budget.py
+++ b/tests/limits/test_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import random
 
 import pytest
 
@@ -89,3 +90,46 @@
             retries += 1
     assert retries <= 0.2 * 1000 + 62
     assert retries > 0.15 * 1000
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_callers_that_move_between_hosts_allow_no_more_retries(
+    seed: int,
+) -> None:
+    """Guards against callers that count at two hosts.
+
+    Four hosts were stopped in turn, and their callers went to the others
+    (BUDGET, 516 retries of 475, crashes-and-stops on further).
+    """
+    generator = random.Random(seed)
+    host_count, ratio, slack, window = 4, 0.2, 60.0, 10.0
+    budgets = [
+        budget.RetryBudget.for_host(ratio, slack, window)
+        for _ in range(host_count)
+    ]
+    requests: list[float] = []
+    retries: list[float] = []
+    used = 0
+    for step in range(1200):
+        now = step * 0.05
+        if step % 50 == 0:
+            used = generator.randrange(host_count)
+        for _ in range(10):
+            budgets[used].on_request(now)
+            requests.append(now)
+            while budgets[used].reserve(now, host_count):
+                budgets[used].on_retry(now)
+                retries.append(now)
+
+    def count(times: list[float], start: float) -> int:
+        end = bisect.bisect_left(times, start + window)
+        return end - bisect.bisect_left(times, start)
+
+    for tenth in range(0, 500):
+        start = tenth / 10
+        counted = max(
+            count(requests, start),
+            count(requests, start - window),
+            count(requests, start - window / 2),
+        )
+        assert count(retries, start) <= ratio * counted + slack
