Judge a coordinator's link by answered orders

Two faults of the check that a coordinator makes of its own link, found by reading: with two failure domains, the loss of one makes half of the orders time out, which counted as a slow link, so that lost servers kept their keys until service discovery dropped them; and a coordinator that is cut off with its failure domain resigned, after which nobody there renewed grants. The median is that of answered orders now, and a coordinator that the store does not confirm does not resign. The tests fail on the earlier code.

--- a/src/agatestile/assignment/link_health.py
+++ b/src/agatestile/assignment/link_health.py
@@ -13,8 +13,8 @@
 """Number of results below which nothing is concluded."""
 
 SLOW_SECONDS = 0.25
-"""Median time of an answered order above which the delay is this host's: one
-server may be slow, but half of them are not at the same time."""
+"""Median time of the answered orders above which the delay is this host's:
+lost servers don't slow the others down."""
 
 TIMEOUT_SECONDS = 0.45
 """Time from which an order without an answer counts as timed out; a refused
@@ -30,7 +30,8 @@
 class LinkHealth:
     """Compares the orders to all servers.
 
-    If most of them are late, a timeout says nothing about its server.
+    If those that answer are late, or hardly any answers, a timeout says
+    nothing about its server.
     """
 
     def __init__(self) -> None:
@@ -60,4 +61,7 @@
         ]
         if len(recent) < MIN_RESULTS:
             return False
-        return statistics.median(one.seconds for one in recent) > SLOW_SECONDS
+        answered = [one.seconds for one in recent if one.is_answered]
+        if len(answered) < MIN_RESULTS // 2:
+            return True
+        return statistics.median(answered) > SLOW_SECONDS
--- a/src/agatestile/node/leadership.py
+++ b/src/agatestile/node/leadership.py
@@ -180,8 +180,12 @@
             await self._store.leave(GROUP, self._member)
 
     def _must_yield(self) -> bool:
-        """Return whether this leader has been slow for too long."""
-        if not self._coordinator.is_link_slow:
+        """Return whether this leader has been slow for too long.
+
+        One that the store does not confirm may be cut off with its failure
+        domain, where nobody else could renew grants.
+        """
+        if not self._coordinator.is_link_slow or not self.is_confirmed():
             self._slow_since = None
             return False
         now = self._now()
--- a/tests/assignment/test_link_health.py
+++ b/tests/assignment/test_link_health.py
@@ -19,11 +19,14 @@
     assert not health.is_slow(1.0 + 2 * link_health.WINDOW_SECONDS)
 
 
-@pytest.mark.parametrize("lost", [1, 10, 30])
+@pytest.mark.parametrize("lost", [1, 10, 50, 90])
 def test_lost_servers_among_quick_ones_are_no_delay_of_this_host(
     lost: int,
 ) -> None:
-    """Guards against lost servers that keep their keys: a zone is a third."""
+    """Guards against lost servers that keep their keys.
+
+    With two failure domains, half of the servers may be lost together.
+    """
     health = link_health.LinkHealth()
     for number in range(100):
         is_lost = number < lost
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -157,3 +157,30 @@
             tasks.cancel_scope.cancel()
 
     support.run(scenario)
+
+
+def test_leader_that_is_cut_off_renews_grants_as_long_as_it_may(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a cut failure domain whose leader resigns.
+
+    The servers beyond the cut do not answer, and no other host can take over
+    before the cut ends.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        elector, coordinator = _elector(harness, "first")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(elector.run)
+            elector.campaign()
+            await anyio.sleep(1.0)
+            harness.store.is_down = True
+            await anyio.sleep(1.0)
+            monkeypatch.setattr(
+                coordinator._grant_sender, "is_link_slow", lambda: True
+            )
+            await anyio.sleep(4.0)
+            assert coordinator.is_active
+            tasks.cancel_scope.cancel()
+
+    support.run(scenario)
