Construct shared retry budgets in one step

The share of a budget set a private attribute after its construction, a clock was read twice for one failure, and three tests of orders repeated their set-up.

--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -180,10 +180,8 @@
         finally:
             if result is None or result.reply is not ports.Reply.UNSENT:
                 self.key_leases.record_grant(instance, self._now())
-        is_answered = result.reply is not ports.Reply.SILENT and (
-            result.reply is not ports.Reply.UNSENT
-        )
-        self._record_time(started, is_answered)
+        unanswered = (ports.Reply.SILENT, ports.Reply.UNSENT)
+        self._record_time(started, result.reply not in unanswered)
         self._record_result(instance, result, started)
         return result
 
@@ -249,6 +247,6 @@
             return
         previous = self._failures_by_instance.get(instance)
         count = 1 if previous is None else previous.failure_count + 1
-        self._failures_by_instance[instance] = Failures(count, self._now())
+        self._failures_by_instance[instance] = Failures(count, now)
         if count == UNRESPONSIVE_FAILURES:
             events.emit("server_silent", server=instance[0], reason=reason)
--- a/src/agatestile/limits/budget.py
+++ b/src/agatestile/limits/budget.py
@@ -43,6 +43,9 @@
         Length of the sliding window, seconds.
     floor : int
         Retries that are always allowed within a window.
+    is_shared : bool
+        Whether other hosts share the budget, so that it is kept in parts of
+        the window as well.
 
     Attributes
     ----------
@@ -56,12 +59,13 @@
         slack: float = 0.0,
         window: float = DEFAULT_WINDOW_SECONDS,
         floor: int = DEFAULT_FLOOR,
+        is_shared: bool = False,
     ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window = window
         self._floor = floor
-        self._is_shared = False
+        self._is_shared = is_shared
         self._bucket_seconds = window / BUCKETS_PER_WINDOW
         self._requests_by_bucket: collections.Counter[int] = (
             collections.Counter()
@@ -74,11 +78,13 @@
         cls, ratio: float, slack: float, window: float
     ) -> RetryBudget:
         """Return the share of one host in a budget of all hosts."""
-        share = cls(
-            ratio * USED_RATIO_FRACTION, slack * USED_SLACK_FRACTION, window, 0
+        return cls(
+            ratio * USED_RATIO_FRACTION,
+            slack * USED_SLACK_FRACTION,
+            window,
+            0,
+            is_shared=True,
         )
-        share._is_shared = True
-        return share
 
     def on_request(self, now: float) -> None:
         """Record a request of a caller."""
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import typing
 
 import pytest
 
@@ -18,6 +20,16 @@
 HANDOVER = b"HTTP/1.1 200 OK\r\nx-handover: h1\r\ncontent-length: 0\r\n\r\n"
 
 
+@contextlib.asynccontextmanager
+async def _sending_to(
+    serve: support.Serve,
+) -> typing.AsyncIterator[tuple[orders.PlatformOrders, ports.Recipient]]:
+    async with support.serving(serve) as address:
+        now = asyncio.get_running_loop().time
+        sender = orders.PlatformOrders(client.Pool(now))
+        yield sender, ports.Recipient("a", 1, address)
+
+
 async def test_late_copy_of_a_response_is_not_taken_for_a_release() -> None:
     """Guards against keys that two servers hold.
 
@@ -35,11 +47,7 @@
             writer.write(OK)
         await reader.read()
 
-    async with support.serving(serve) as address:
-        sender = orders.PlatformOrders(
-            client.Pool(asyncio.get_running_loop().time)
-        )
-        recipient = ports.Recipient("a", 1, address)
+    async with _sending_to(serve) as (sender, recipient):
         granted = await sender.grant(recipient, KEY_RANGE, 3.5, None, 1.0)
         released = await sender.release(recipient, KEY_RANGE, 0.2)
     assert granted.reply is ports.Reply.DONE
@@ -59,11 +67,7 @@
             writer.write(HANDOVER)
         await reader.read()
 
-    async with support.serving(serve) as address:
-        sender = orders.PlatformOrders(
-            client.Pool(asyncio.get_running_loop().time)
-        )
-        recipient = ports.Recipient("a", 1, address)
+    async with _sending_to(serve) as (sender, recipient):
         first = await sender.release(recipient, KEY_RANGE, 1.0)
         other = KEY_RANGE._replace(first=10, last=19)
         second = await sender.release(recipient, other, 0.2)
@@ -85,10 +89,6 @@
             await reader.readuntil(b"}")
             writer.write(OK)
 
-    async with support.serving(serve) as address:
-        sender = orders.PlatformOrders(
-            client.Pool(asyncio.get_running_loop().time)
-        )
-        recipient = ports.Recipient("a", 1, address)
+    async with _sending_to(serve) as (sender, recipient):
         released = await sender.release(recipient, KEY_RANGE, 1.0)
     assert released.reply is ports.Reply.DONE
