--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,11 @@
 SECONDS ?= 600
 RUNS ?= 1
 WHY ?= a single day
+DAYS ?= 40
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup demo test check platform-day platform-soak soak measure binary lock generate clean
+.PHONY: setup demo test check platform-day platform-hunt platform-soak soak measure binary lock generate clean
 
 setup: $(VENV)/.ready
 
@@ -33,6 +34,12 @@
 platform-day:
 	$(FLEETBENCH) run $(SITE) $(DAY) --jobs 1 --why "$(WHY)"
 
+platform-hunt:
+	for site in $(SITES); do \
+		$(FLEETBENCH) hunt $$site --days $(DAYS) --jobs 3 --why "$(WHY)" \
+			|| exit 1; \
+	done
+
 soak: setup
 	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
