Stop hosts one after the other in a case

The hosts of review/5 got SIGTERM together, more at a time than the small site has. They now stop 1 s apart, beside requests and work as the site file describes them.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,29 +1,57 @@
-"""Two of three machines of a zone are stopped while clients send requests."""
+"""Two of three machines of a zone are stopped, one after the other."""
 
 from __future__ import annotations
 
 import asyncio
+import math
 import pathlib
 import random
 import signal
 import sys
 import time
+import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import harness  # noqa: E402
 
 GRACE_SECONDS = 6.0
-ROUTE_TIMEOUT_SECONDS = 2.5
+SHORTEST_LIMIT_SECONDS = 2.0
 LATE_SECONDS = 3.0
 """Time after a SIGTERM up to which the rule excuses a request whose upstream
 is still at work in the last sixth of the grace time."""
 
-REQUESTS_PER_SECOND = 90
-ROUNDS = 5
+GAP_SECONDS = 1.0
+REQUESTS_PER_SECOND = 240
+"""80 for each machine, as on the site at its usual load."""
+
+UPLOAD_SHARE = 0.3
+ROUNDS = 8
+
+
+class SiteUpstream(harness.Upstream):
+    """Works as long as the site file says.
+
+    Sharded upstreams do so as for `job-lookup`, the others as for
+    `site-photo`: mean, spread and longest time in seconds.
+    """
+
+    LOOKUP = (0.090, 0.5, 0.540)
+    PHOTO = (0.110, 0.8, 0.810)
+    SPEEDS = (0.5, 1.0, 1.0, 1.5)
+    has_noise = True
+    speed = 1.0
+
+    def draw_work(self) -> float:
+        mean, spread, longest = self.LOOKUP if self.is_sharded else self.PHOTO
+        median = mean * math.exp(-(spread**2) / 2)
+        drawn = random.lognormvariate(math.log(median), spread)
+        return min(drawn, longest) / self.speed
 
 
 class StopCase(harness.Case):
-    """Sends unsafe requests as the platform's balancer forwards them."""
+    """Sends requests as the platform's balancer forwards them."""
+
+    upstream_type = SiteUpstream
 
     def __init__(self, folder: pathlib.Path) -> None:
         super().__init__(folder)
@@ -35,6 +63,11 @@
         super().on_dropped(upstream, name)
         self._dropped_at[name] = time.monotonic()
 
+    def manifest(self) -> dict[str, typing.Any]:
+        manifest = super().manifest()
+        manifest["listeners"][0]["rules"][1]["routeType"] = "upload"
+        return manifest
+
     async def check_readiness(self) -> None:
         while True:
             await asyncio.gather(*(self._check(one) for one in self.machines))
@@ -61,6 +94,16 @@
             ready = self.machines
         return random.choice(ready)
 
+    async def restart(self, machine: harness.Machine) -> None:
+        """Stop a machine as the platform does, and start it again."""
+        self.stopped_at[machine.name] = time.monotonic()
+        machine.send(signal.SIGTERM)
+        async with asyncio.timeout(GRACE_SECONDS):
+            await machine.wait()
+        self.record.write(f"{machine.name} ended: {machine.exit_status}")
+        del self.stopped_at[machine.name]
+        await machine.start(self.seeds())
+
     async def load(self) -> None:
         sent: set[asyncio.Task[None]] = set()
         while True:
@@ -73,9 +116,15 @@
         machine = self._choose()
         stopped = self.stopped_at.get(machine.name)
         sent = time.monotonic()
-        name, answer = await self.named_request(
-            machine, "POST", "/ledger/1", {}, 2.5
-        )
+        if random.random() < UPLOAD_SHARE:
+            name, answer = await self.named_request(
+                machine, "POST", "/ledger/1", {}, 2.5
+            )
+        else:
+            key = {"X-Shard-Key": str(random.randrange(65536))}
+            name, answer = await self.named_request(
+                machine, "GET", "/sheets/1", key, 2.0
+            )
         ended = time.monotonic()
         is_upstreams = (
             isinstance(answer, harness.Answer)
@@ -86,7 +135,7 @@
         dropped = self._dropped_at.get(name)
         if is_upstreams or stopped is None or dropped is None:
             return
-        if ended - sent >= ROUTE_TIMEOUT_SECONDS - 0.1:
+        if ended - sent >= SHORTEST_LIMIT_SECONDS - 0.1:
             return
         last_sixth = stopped + GRACE_SECONDS * 5 / 6
         if sent <= stopped + LATE_SECONDS and dropped >= last_sixth:
@@ -101,27 +150,22 @@
 
 async def scenario(case: harness.Case, has_trouble: bool) -> None:
     assert isinstance(case, StopCase)
-    await case.start(machines=3, sharded=2, plain=16)
-    for one in case.upstreams:
-        if not one.is_sharded:
-            one.work, one.has_noise = 0.2, True
+    await case.start(machines=3, sharded=12, plain=16)
+    for number, one in enumerate(case.upstreams):
+        assert isinstance(one, SiteUpstream)
+        one.speed = one.SPEEDS[number % len(one.SPEEDS)]
     case.background(case.check_readiness())
     case.background(case.load())
     await asyncio.sleep(4.0)
     for _ in range(ROUNDS):
         if has_trouble:
             stopping = random.sample(case.machines, 2)
-            for one in stopping:
-                case.stopped_at[one.name] = time.monotonic()
-                one.send(signal.SIGTERM)
-            async with asyncio.timeout(GRACE_SECONDS):
-                for one in stopping:
-                    await one.wait()
-            for one in stopping:
-                case.record.write(f"{one.name} ended: {one.exit_status}")
-                del case.stopped_at[one.name]
-                await one.start(case.seeds())
+            first = asyncio.ensure_future(case.restart(stopping[0]))
+            await asyncio.sleep(GAP_SECONDS)
+            await asyncio.gather(first, case.restart(stopping[1]))
         await asyncio.sleep(5.0)
+        if case.record.broken:
+            return
 
 
 harness.main(__file__, scenario, StopCase)
