--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 
 
 async def scenario(case: harness.Case, has_trouble: bool) -> None:
-    await case.start()
+    await case.start(sharded=5)
     case.start_load(30)
     await asyncio.sleep(4.0)
     one = case.sharded()[0]
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,7 +18,7 @@
 
 
 async def scenario(case: harness.Case, has_trouble: bool) -> None:
-    await case.start(machines=3, sharded=6)
+    await case.start(machines=3, sharded=8)
     case.start_load(30)
     await asyncio.sleep(5.0)
     one = case.sharded()[0]
