Send a fencing token to one incarnation only

Grants name the identifier of a server only, so that any incarnation takes them. The coordinator repeated grants over new connections: renewals once the newest report was older than 2.5 s or had merely been listed again, resumed moves and unanswered grants of moves without any check. It took a later incarnation as proof that nothing is held, which is wrong for what that incarnation took itself.

- A grant may be sent if its token is new, or over a connection that can't lead to a later incarnation (GrantSender).
A new leader replaces all tokens in memory, a move whose grant is not answered gets a new one, and so does a renewal whose lease is about to end without a report.
- A server holds nothing once the leases of its identifier, whichever incarnation, have expired, once it has released the keys, whichever incarnation answers, or once another server has its address.

As tokens now change in memory, a stored plan no longer replaces the assignment by the one that it started from; moves that had ended meanwhile came back by this and were executed again.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -141,7 +141,9 @@
         self._grant_sender.start_epoch()
         self._moves.start_epoch()
         self.services = {
-            name: state_module.ServiceState(key_map, now)
+            name: state_module.ServiceState(
+                self._with_new_fences(key_map), now
+            )
             for name, key_map in stored.maps.items()
         }
         self.epoch = leadership.epoch
@@ -182,6 +184,54 @@
             return leases.Predecessor(reply.remaining_leases, 0.0)
         return ended
 
+    def _with_new_fences(self, key_map: ranges.RangeMap) -> ranges.RangeMap:
+        """Return a map with new fencing tokens for all owners.
+
+        Which incarnations have taken the tokens of an earlier leader is not
+        known to this one. The new tokens need not be stored, as a successor
+        replaces them too.
+        """
+        return ranges.RangeMap(
+            [
+                self._with_new_fence(one)
+                if one.owner != ranges.UNOWNED
+                else one
+                for one in key_map.ranges
+            ]
+        )
+
+    def _with_new_fence(self, key_range: ranges.KeyRange) -> ranges.KeyRange:
+        fence = self._fencing_tokens.next()
+        return key_range._replace(owner=key_range.owner._replace(fence=fence))
+
+    def renew_fence(
+        self, service: str, key_range: ranges.KeyRange
+    ) -> ranges.KeyRange | None:
+        """Replace the fencing token of a range by one that was never sent.
+
+        Returns
+        -------
+        ranges.KeyRange or None
+            None if the range has changed or is about to: a token that is
+            newer than that of a move must not reach the source.
+        """
+        state = self.services[service]
+        if not state.is_owned(key_range) or state.is_being_changed(key_range):
+            return None
+        renewed = self._with_new_fence(key_range)
+        state.key_map = state.key_map.replace([renewed])
+        events.emit(
+            "fence_renewed",
+            service=service,
+            server=renewed.owner.server_id,
+            incarnation=renewed.owner.incarnation,
+            first=renewed.first,
+            last=renewed.last,
+            fence=renewed.owner.fence,
+            earlier=key_range.owner.fence,
+        )
+        return renewed
+
     async def _mark_settled(
         self, leadership: records.Leadership
     ) -> outcomes.Refusal | None:
@@ -197,10 +247,9 @@
         return ports.SupersedeReply(True, self._remaining_leases())
 
     def _remaining_leases(self) -> list[tuple[str, int, float]]:
+        mapped = {leases.instance_of(one) for one in self._mapped_owners()}
         return self._grant_sender.key_leases.remaining(
-            self._mapped_instances(),
-            self._grant_sender.busy_instances(),
-            self._now(),
+            mapped, self._grant_sender.busy_servers(), self._now()
         )
 
     def lose_leadership(self, reason: str) -> None:
@@ -292,14 +341,14 @@
 
     # Planning
 
-    def _mapped_instances(self) -> set[leases.Instance]:
-        instances: set[leases.Instance] = set()
+    def _mapped_owners(self) -> set[ranges.Owner]:
+        owners: set[ranges.Owner] = set()
         for state in self.services.values():
             for key_range in state.key_map.ranges:
-                instances.add(leases.instance_of(key_range.owner))
-                instances.add(leases.instance_of(key_range.source))
-        instances.discard(leases.instance_of(ranges.UNOWNED))
-        return instances
+                owners.add(key_range.owner)
+                owners.add(key_range.source)
+        owners.discard(ranges.UNOWNED)
+        return owners
 
     def _registered_instances(self) -> set[leases.Instance]:
         return {
@@ -317,7 +366,7 @@
                 self.services[service] = state
             await self._plan(service, state, tasks)
         self._grant_sender.discard_unused(
-            self._mapped_instances(), self._registered_instances()
+            self._mapped_owners(), self._registered_instances()
         )
 
     async def _plan(
@@ -396,10 +445,17 @@
             changes.append(
                 ranges.KeyRange(move.first, move.last, owner, source)
             )
-        key_map = state.key_map.replace(changes)
-        if not await self._persist(service, key_map):
+        state.changes_being_stored = changes
+        try:
+            is_stored = await self._persist(
+                service, state.key_map.replace(changes)
+            )
+        finally:
+            state.changes_being_stored = []
+        if not is_stored:
             return
-        state.key_map = key_map
+        # Other ranges may have changed meanwhile.
+        state.key_map = state.key_map.replace(changes)
         self.publish()
         for change in changes:
             self._moves.start(service, change, tasks)
--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -13,6 +14,7 @@
 
 if typing.TYPE_CHECKING:
     from agatestile.assignment import ranges
+    from agatestile.assignment import state
 
 UNRESPONSIVE_FAILURES = 2
 """Consecutive failed grants or connections after which the keys of a server
@@ -22,9 +24,10 @@
 """Time for which an unresponsive server gets no new keys: longer than service
 discovery takes to drop a lost server."""
 
-DISCOVERY_AWAY_SECONDS = 2.5
-"""Age of the newest report of a server from which service discovery is
-considered unavailable; servers report about once a second."""
+RENEWAL_RESERVE_SECONDS = 1.6
+"""Remaining key lease from which a grant is renewed with a new fencing token
+instead of waiting for a report: two renewal intervals less the slack of the
+lease."""
 
 
 class Failures(typing.NamedTuple):
@@ -45,6 +48,12 @@
 class GrantSender:
     """Sends grants while the leader lease of this host is valid.
 
+    A fencing token belongs to the first incarnation of a server that takes
+    it. Orders name the identifier of the server only, so a grant is repeated
+    only over a connection that can't reach a later incarnation: one that was
+    open when the token was first sent, or when the incarnation that owns the
+    keys was certainly running. Any connection will do for a new token.
+
     Parameters
     ----------
     orders : ports.Orders
@@ -65,9 +74,9 @@
     ) -> None:
         self._orders = orders
         self._now = now
-        self._locks_by_instance: dict[leases.Instance, anyio.Lock] = {}
+        self._locks_by_server: dict[str, anyio.Lock] = {}
         self._failures_by_instance: dict[leases.Instance, Failures] = {}
-        self._disconnected_since_by_instance: dict[leases.Instance, float] = {}
+        self._first_sent_by_fence: dict[int, float] = {}
         self._link_health = link_health.LinkHealth()
         self.leader_lease = leases.LeaderLease()
         self.key_leases = leases.KeyLeases()
@@ -76,41 +85,45 @@
         """Reset the failures that were counted in an earlier epoch."""
         self._failures_by_instance.clear()
 
-    def lock_of(self, instance: leases.Instance) -> anyio.Lock:
-        """Return the lock that serialises the orders to an instance."""
-        return self._locks_by_instance.setdefault(instance, anyio.Lock())
+    def lock_of(self, server_id: str) -> anyio.Lock:
+        """Return the lock that serialises the grants to a server."""
+        return self._locks_by_server.setdefault(server_id, anyio.Lock())
 
-    def busy_instances(self) -> set[leases.Instance]:
-        """Return the instances to which an order is in progress."""
+    def busy_servers(self) -> set[str]:
+        """Return the servers to which a grant is in progress."""
         return {
-            instance
-            for instance, lock in self._locks_by_instance.items()
+            server_id
+            for server_id, lock in self._locks_by_server.items()
             if lock.locked()
         }
 
     def discard_unused(
-        self, mapped: set[leases.Instance], registered: set[leases.Instance]
+        self,
+        mapped: set[ranges.Owner],
+        registered: set[leases.Instance],
     ) -> None:
-        """Drop the state of instances that are no longer needed.
+        """Drop the state of servers that are no longer needed.
 
         Parameters
         ----------
-        mapped : set of (str, int)
-            Instances in the range maps.
+        mapped : set of ranges.Owner
+            Owners and sources in the range maps.
         registered : set of (str, int)
             Instances that may get keys.
         """
-        self.key_leases.retain(mapped)
-        busy = self.busy_instances()
-        for by_instance in (
-            self._locks_by_instance,
-            self._disconnected_since_by_instance,
-        ):
-            for instance in list(by_instance):
-                if instance not in mapped and instance not in busy:
-                    del by_instance[instance]
+        mapped_ids = {owner.server_id for owner in mapped}
+        self.key_leases.retain(mapped_ids)
+        needed_ids = mapped_ids | self.busy_servers()
+        for server_id in list(self._locks_by_server):
+            if server_id not in needed_ids:
+                del self._locks_by_server[server_id]
+        fences = {owner.fence for owner in mapped}
+        for fence in list(self._first_sent_by_fence):
+            if fence not in fences:
+                del self._first_sent_by_fence[fence]
+        mapped_instances = {leases.instance_of(owner) for owner in mapped}
         for instance in list(self._failures_by_instance):
-            if instance not in mapped and instance not in registered:
+            if instance not in mapped_instances | registered:
                 del self._failures_by_instance[instance]
 
     def is_unresponsive(self, instance: leases.Instance) -> bool:
@@ -129,62 +142,87 @@
             if self.is_unresponsive(instance)
         }
 
-    def is_same_instance(
-        self, recipient: ports.Recipient, report_age: float
+    def may_send(
+        self, server: state.RegisteredServer, key_range: ranges.KeyRange
     ) -> bool:
-        """Return whether a server has certainly not restarted unnoticed.
-
-        After its connection was lost, a server must report the same
-        incarnation to service discovery before its grants are renewed: a
-        later incarnation holds no keys and must not get the fencing tokens
-        of an earlier one.
+        """Return whether a grant can reach no later incarnation.
 
         Parameters
         ----------
-        recipient : ports.Recipient
-            Instance that is expected at the address.
-        report_age : float
-            Age of its newest report to service discovery, seconds.
+        server : state.RegisteredServer
+            The instance that owns the keys.
+        key_range : ranges.KeyRange
+            The keys and the fencing token.
         """
-        instance = (recipient.server_id, recipient.incarnation)
-        if self._orders.is_connected(recipient):
-            self._disconnected_since_by_instance.pop(instance, None)
+        if key_range.owner.fence not in self._first_sent_by_fence:
             return True
-        now = self._now()
-        since = self._disconnected_since_by_instance.setdefault(instance, now)
-        if report_age < now - since:
-            return True
-        # A report this old means that service discovery is unavailable.
-        return report_age > DISCOVERY_AWAY_SECONDS
+        return self._orders.is_connected(
+            server.recipient, self._newest_connection(server, key_range)
+        )
+
+    def needs_new_fence(self, server_id: str) -> bool:
+        """Return whether a server's lease ends before it reports in time."""
+        left = self.key_leases.granted_until(server_id) - self._now()
+        return left < RENEWAL_RESERVE_SECONDS
 
     async def grant(
         self,
-        recipient: ports.Recipient,
+        server: state.RegisteredServer,
         key_range: ranges.KeyRange,
         handover: str | None,
     ) -> ports.OrderResult | None:
         """Send a grant; return None if the leader lease has expired."""
         if not self.leader_lease.is_valid(self._now()):
             return None
-        instance = (recipient.server_id, recipient.incarnation)
+        recipient = server.recipient
         started = self._now()
         result = None
         try:
-            result = await self._orders.grant(
-                recipient,
-                key_range,
-                leases.KEY_LEASE_SECONDS,
-                handover,
-                leases.GRANT_TIMEOUT_SECONDS,
-            )
+            result = await self._send(server, key_range, handover)
         finally:
             if result is None or result.reply is not ports.Reply.UNSENT:
-                self.key_leases.record_grant(instance, self._now())
+                self.key_leases.record_grant(recipient.server_id, self._now())
         unanswered = (ports.Reply.SILENT, ports.Reply.UNSENT)
         self._record_time(started, result.reply not in unanswered)
-        self._record_result(instance, result, started)
+        self._record_result(recipient[:2], result, started)
         return result
 
+    async def _send(
+        self,
+        server: state.RegisteredServer,
+        key_range: ranges.KeyRange,
+        handover: str | None,
+    ) -> ports.OrderResult:
+        recipient = server.recipient
+        fence = key_range.owner.fence
+        is_new = fence not in self._first_sent_by_fence
+        if is_new and not self._orders.is_connected(recipient, math.inf):
+            reason = await self._orders.connect(recipient)
+            if not reason and not self.leader_lease.is_valid(self._now()):
+                reason = "the leader lease has expired"
+            if reason:
+                return ports.OrderResult(ports.Reply.UNSENT, None, reason)
+        if is_new:
+            self._first_sent_by_fence[fence] = self._orders.now()
+        result = await self._orders.grant(
+            recipient,
+            key_range,
+            leases.KEY_LEASE_SECONDS,
+            handover,
+            leases.GRANT_TIMEOUT_SECONDS,
+            self._newest_connection(server, key_range),
+        )
+        if is_new and result.reply is ports.Reply.UNSENT:
+            self._first_sent_by_fence.pop(fence, None)
+        return result
+
+    def _newest_connection(
+        self, server: state.RegisteredServer, key_range: ranges.KeyRange
+    ) -> float:
+        """Return up to when a connection must be open for a repeated grant."""
+        first_sent = self._first_sent_by_fence[key_range.owner.fence]
+        return max(first_sent, server.alive_at)
+
     def is_link_slow(self) -> bool:
         """Return whether this host delays its orders itself."""
         return self._link_health.is_slow(self._now())
@@ -200,7 +238,7 @@
         again, so its loss would otherwise be noticed late.
         """
         started = self._now()
-        reason = await self._orders.unreachable_reason(recipient)
+        reason = await self._orders.connect(recipient)
         self._record_time(started, not reason)
         if reason:
             instance = (recipient.server_id, recipient.incarnation)
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -55,14 +55,18 @@
 
 
 class KeyLeases:
-    """Latest time until which each server instance may hold keys.
+    """Latest time until which each server may hold keys.
+
+    Grants name the identifier of a server only. One that was meant for an
+    earlier incarnation may have been taken by a later one, so the leases of
+    all incarnations are one.
 
     Every server in a map that was taken over from another leader is assumed
     to be renewed until the lease of that leader has expired.
     """
 
     def __init__(self) -> None:
-        self._until_by_instance: dict[Instance, float] = {}
+        self._until_by_server: dict[str, float] = {}
         self._unlisted_until = -math.inf
 
     def take_over(self, now: float, predecessor: Predecessor) -> None:
@@ -76,7 +80,7 @@
         predecessor : Predecessor
             What is known of the previous leader.
         """
-        self._until_by_instance.clear()
+        self._until_by_server.clear()
         self._unlisted_until = -math.inf
         if predecessor.remaining_leases is None:
             self._unlisted_until = (
@@ -86,11 +90,11 @@
                 + _longest_key_lease()
             )
             return
-        for server_id, incarnation, left in predecessor.remaining_leases:
-            self._until_by_instance[server_id, incarnation] = now + left
+        for server_id, _, left in predecessor.remaining_leases:
+            self._extend(server_id, now + left)
 
     def remaining(
-        self, instances: set[Instance], busy: set[Instance], now: float
+        self, instances: set[Instance], busy: set[str], now: float
     ) -> list[tuple[str, int, float]]:
         """Return for how much longer instances may hold keys, seconds.
 
@@ -100,42 +104,47 @@
         ----------
         instances : set of (str, int)
             Instances in the range maps.
-        busy : set of (str, int)
-            Instances to which an order is in progress.
+        busy : set of str
+            Servers to which an order is in progress.
         now : float
             Current time, seconds.
         """
         result = []
         for instance in instances:
-            until = self.until(instance)
-            if instance in busy:
+            until = self.until(instance[0])
+            if instance[0] in busy:
                 call = GRANT_TIMEOUT_SECONDS + ARRIVAL_SLACK_SECONDS
                 until = max(until, now + call + _longest_key_lease())
             if until > now:
                 result.append((*instance, until - now))
         return result
 
-    def record_grant(self, instance: Instance, now: float) -> None:
+    def record_grant(self, server_id: str, now: float) -> None:
         """Extend the lease for a grant that may have arrived until now."""
         until = now + ARRIVAL_SLACK_SECONDS + _longest_key_lease()
-        self._until_by_instance[instance] = max(self.until(instance), until)
+        self._extend(server_id, until)
+
+    def until(self, server_id: str) -> float:
+        """Return the time from which a server certainly holds no keys."""
+        return max(self.granted_until(server_id), self._unlisted_until)
 
-    def until(self, instance: Instance) -> float:
-        """Return the time from which an instance certainly holds no keys."""
-        return max(
-            self._until_by_instance.get(instance, -math.inf),
-            self._unlisted_until,
-        )
+    def granted_until(self, server_id: str) -> float:
+        """Return until when the known grants of a server may last, seconds."""
+        return self._until_by_server.get(server_id, -math.inf)
 
     def unlisted_remaining(self, now: float) -> float:
         """Return for how long unlisted instances may hold keys, seconds."""
         return max(0.0, self._unlisted_until - now)
 
-    def retain(self, instances: set[Instance]) -> None:
-        """Drop all instances but those given."""
-        for instance in list(self._until_by_instance):
-            if instance not in instances:
-                del self._until_by_instance[instance]
+    def retain(self, server_ids: set[str]) -> None:
+        """Drop all servers but those given."""
+        for server_id in list(self._until_by_server):
+            if server_id not in server_ids:
+                del self._until_by_server[server_id]
+
+    def _extend(self, server_id: str, until: float) -> None:
+        known = self.granted_until(server_id)
+        self._until_by_server[server_id] = max(known, until)
 
 
 class LeaderLease:
--- a/src/agatestile/assignment/moves.py
+++ b/src/agatestile/assignment/moves.py
@@ -29,6 +29,22 @@
 """Delay before an unanswered order is repeated."""
 
 
+class Revocation(typing.NamedTuple):
+    """How it became certain that a source holds its keys no longer.
+
+    Attributes
+    ----------
+    proof : str
+        "released", "released by a later incarnation", "lease expired" or
+        "address reused"; empty if nothing had to be revoked.
+    handover : str or None
+        State that the source handed over.
+    """
+
+    proof: str
+    handover: str | None = None
+
+
 class MoveExecutor:
     """Executes moves that have been stored.
 
@@ -102,19 +118,25 @@
     async def _execute(
         self, service: str, change: ranges.KeyRange, epoch: int
     ) -> None:
-        handover = None
+        revocation = Revocation("")
         started = self._now()
         if change.source != ranges.UNOWNED:
             await anyio.sleep(ROUTE_UPDATE_SECONDS)
-            handover = await self._revoke_source(service, change, epoch)
+            revocation = await self._revoke_source(service, change, epoch)
         target = leases.instance_of(change.owner)
         while epoch == self._leader.epoch and self._leader.is_active:
             server = state.find_server(self._fleet, service, target)
-            if server is None:
+            is_owned = self._leader.services[service].is_owned(change)
+            if server is None or not is_owned:
                 break
-            async with self._grant_sender.lock_of(target):
+            async with self._grant_sender.lock_of(target[0]):
+                if not self._grant_sender.may_send(server, change):
+                    renewed = self._leader.renew_fence(service, change)
+                    if renewed is None:
+                        break
+                    change = renewed
                 result = await self._grant_sender.grant(
-                    server.recipient, change, handover
+                    server, change, revocation.handover
                 )
             if result is None:
                 return
@@ -128,14 +150,14 @@
             if self._grant_sender.is_unresponsive(target):
                 break
             await anyio.sleep(RETRY_DELAY_SECONDS)
-        self._complete(service, change, epoch, handover, started)
+        self._complete(service, change, epoch, revocation, started)
 
     def _complete(
         self,
         service: str,
         change: ranges.KeyRange,
         epoch: int,
-        handover: str | None,
+        revocation: Revocation,
         started: float,
     ) -> None:
         if epoch != self._leader.epoch:
@@ -155,7 +177,8 @@
             source=change.source.server_id,
             target=change.owner.server_id,
             fence=change.owner.fence,
-            handover=handover is not None,
+            handover=revocation.handover is not None,
+            revoked=revocation.proof,
             seconds=round(self._now() - started, 3),
             rate=round(service_state.load.rate(change.first, change.last), 1),
             epoch=epoch,
@@ -163,19 +186,30 @@
 
     async def _revoke_source(
         self, service: str, change: ranges.KeyRange, epoch: int
-    ) -> str | None:
-        """Return the handover once the source certainly holds no keys."""
+    ) -> Revocation:
+        """Return once the source certainly holds no keys.
+
+        That is so when its leases have expired, when the process at its
+        address has ended, or when it has released the keys. A later
+        incarnation may hold them by a grant that was meant for the earlier
+        one, so it has to release them too.
+        """
         instance = leases.instance_of(change.source)
+        if instance[0] == change.owner.server_id:
+            # The new token replaces the grants of all incarnations.
+            return Revocation("")
         order = change._replace(
             owner=change.source._replace(fence=change.owner.fence)
         )
-        async with self._grant_sender.lock_of(instance):
+        async with self._grant_sender.lock_of(instance[0]):
             # Later grants no longer cover these keys.
-            held_until = self._grant_sender.key_leases.until(instance)
+            held_until = self._grant_sender.key_leases.until(instance[0])
         while epoch == self._leader.epoch:
-            if self._now() >= held_until or self._fleet.is_replaced(instance):
-                return None
-            server = state.find_server(self._fleet, service, instance)
+            if self._now() >= held_until:
+                return Revocation("lease expired")
+            if self._fleet.is_address_reused(instance):
+                return Revocation("address reused")
+            server = self._fleet.registered_server(service, instance[0])
             if server is None or not self._leader.is_active:
                 # A release is never refused, so one that is sent after the
                 # leader lease has expired could undo a grant of a successor.
@@ -188,6 +222,8 @@
                 min(RELEASE_TIMEOUT_SECONDS, remaining),
             )
             if result.reply is ports.Reply.DONE:
-                return result.handover
+                if server.recipient[:2] != instance:
+                    return Revocation("released by a later incarnation")
+                return Revocation("released", result.handover)
             await anyio.sleep(min(RETRY_DELAY_SECONDS, max(0.0, remaining)))
-        return None
+        return Revocation("")
--- a/src/agatestile/assignment/ports.py
+++ b/src/agatestile/assignment/ports.py
@@ -76,11 +76,17 @@
 class Orders(typing.Protocol):
     """Client of the servers that grants and releases keys."""
 
-    def is_connected(self, recipient: Recipient) -> bool:
-        """Return whether a connection to the server instance is open."""
+    def now(self) -> float:
+        """Return the time on the clock of the connections, seconds."""
 
-    async def unreachable_reason(self, recipient: Recipient) -> str:
-        """Return why no connection can be opened; empty if one can."""
+    def is_connected(self, recipient: Recipient, opened_before: float) -> bool:
+        """Return whether a connection is open since a time, seconds."""
+
+    async def connect(self, recipient: Recipient) -> str:
+        """Open a connection; return why that failed, if it did.
+
+        It is kept unless an older one is open.
+        """
 
     async def grant(
         self,
@@ -89,8 +95,13 @@
         hold: float,
         handover: str | None,
         timeout: float,
+        opened_before: float,
     ) -> OrderResult:
-        """Grant keys to a server for `hold` seconds."""
+        """Grant keys to a server for `hold` seconds.
+
+        The order is sent only over a connection that is open since
+        `opened_before`, in seconds on the clock of the connections.
+        """
 
     async def release(
         self,
--- a/src/agatestile/assignment/renewals.py
+++ b/src/agatestile/assignment/renewals.py
@@ -87,7 +87,7 @@
 
     async def _renew(self, service: str, instance: leases.Instance) -> None:
         epoch = self._leader.epoch
-        async with self._grant_sender.lock_of(instance):
+        async with self._grant_sender.lock_of(instance[0]):
             key_map = self._leader.services[service].key_map
             for key_range in key_map.by_owner().get(instance, ()):
                 if key_range.source != ranges.UNOWNED:
@@ -97,20 +97,37 @@
                     return
                 if not self._leader.services[service].is_owned(key_range):
                     continue
-                if not self._grant_sender.is_same_instance(
-                    server.recipient, server.report_age
-                ):
+                sendable = self._sendable(service, server, key_range)
+                if sendable is None:
                     await self._grant_sender.check_reachable(server.recipient)
                     self._plan_if_unresponsive(instance)
                     return
-                if not await self._renew_range(server, key_range):
+                if not await self._renew_range(server, sendable):
                     return
 
+    def _sendable(
+        self,
+        service: str,
+        server: state.RegisteredServer,
+        key_range: ranges.KeyRange,
+    ) -> ranges.KeyRange | None:
+        """Return a range with a token that may be sent now; None to wait.
+
+        After its connection was lost, a server normally reports the same
+        incarnation in time. A new token is the exception, as it would give
+        the keys to a later incarnation that is cold.
+        """
+        if self._grant_sender.may_send(server, key_range):
+            return key_range
+        if not self._grant_sender.needs_new_fence(server.recipient.server_id):
+            return None
+        return self._leader.renew_fence(service, key_range)
+
     async def _renew_range(
         self, server: state.RegisteredServer, key_range: ranges.KeyRange
     ) -> bool:
         recipient = server.recipient
-        result = await self._grant_sender.grant(recipient, key_range, None)
+        result = await self._grant_sender.grant(server, key_range, None)
         if result is None:
             return False
         if result.reply is ports.Reply.DONE:
--- a/src/agatestile/assignment/state.py
+++ b/src/agatestile/assignment/state.py
@@ -22,15 +22,16 @@
         IP address and port that receive orders.
     candidate : planner.OwnerCandidate
         The server as a possible owner of keys.
-    report_age : float
-        Age of its newest report to service discovery, seconds.
+    alive_at : float
+        Time at which the instance was certainly running, seconds on the
+        clock of `ports.Orders`.
     answer_rate : float
         Requests per second that it can answer if it rejects none.
     """
 
     address: tuple[str, int]
     candidate: planner.OwnerCandidate
-    report_age: float
+    alive_at: float
     answer_rate: float
 
     @property
@@ -55,8 +56,13 @@
     ) -> RegisteredServer | None:
         """Return a server; None if the service does not have it."""
 
-    def is_replaced(self, instance: leases.Instance) -> bool:
-        """Return whether a later instance proves that one has ended."""
+    def is_address_reused(self, instance: leases.Instance) -> bool:
+        """Return whether another server has started at the address of one.
+
+        It proves that the process of the earlier one has ended. A later
+        incarnation under the same identifier proves less: it may have taken
+        grants that were meant for the earlier one.
+        """
 
 
 class ServiceState:
@@ -68,6 +74,7 @@
         self.is_new = True
         self.admitted_shares: dict[int, float] = {}
         self.first_server_seen_at: float | None = None
+        self.changes_being_stored: list[ranges.KeyRange] = []
         self.has_owners = any(
             key_range.owner != ranges.UNOWNED for key_range in key_map.ranges
         )
@@ -76,6 +83,13 @@
         """Return whether a range still has the same owner and bounds."""
         return self.key_map.find(key_range.first) == key_range
 
+    def is_being_changed(self, key_range: ranges.KeyRange) -> bool:
+        """Return whether a change of some of the keys is being stored."""
+        return any(
+            change.first <= key_range.last and key_range.first <= change.last
+            for change in self.changes_being_stored
+        )
+
 
 class Leader(typing.Protocol):
     """The leadership of this host, as the parts of the coordinator use it.
@@ -104,6 +118,14 @@
     def request_plan(self) -> None:
         """Plan without waiting for the next interval."""
 
+    def renew_fence(
+        self, service: str, key_range: ranges.KeyRange
+    ) -> ranges.KeyRange | None:
+        """Replace the fencing token of a range by one that was never sent.
+
+        Returns None if the range has changed or is about to.
+        """
+
 
 def find_server(
     fleet: Fleet, service: str, instance: leases.Instance
--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -69,6 +69,9 @@
         without a limit.
     rate_limit_known_at : float
         Time of the newest response that named the limit, or none, seconds.
+    alive_at : float
+        Time at which the incarnation was certainly running, seconds; minus
+        infinity if none is known.
     """
 
     entry: ServerEntry
@@ -77,6 +80,7 @@
     is_departing: bool = False
     rate_limit: float | None = None
     rate_limit_known_at: float = float("-inf")
+    alive_at: float = float("-inf")
 
     @property
     def instance(self) -> Instance:
@@ -135,6 +139,7 @@
         entry: ServerEntry,
         now: float,
         unseen_since: float | None = None,
+        alive_at: float = float("-inf"),
     ) -> bool:
         """Apply a report; return whether more than its sequence changed.
 
@@ -147,6 +152,9 @@
         unseen_since : float, optional
             Earliest time at which it may have been written, seconds; now by
             default.
+        alive_at : float, optional
+            Time after which it was certainly written unless it is known
+            already, seconds.
         """
         known = self.by_id.get(entry.id)
         has_reappeared = entry.id in self._missing_since_by_id
@@ -171,11 +179,14 @@
         newest = self._newest_by_address.get(entry.address)
         if newest is None or newest.incarnation <= entry.incarnation:
             self._newest_by_address[entry.address] = entry
-        server = Server(entry, now, leaving, is_departing)
+        server = Server(entry, now, leaving, is_departing, alive_at=alive_at)
         if known is not None and known.entry.incarnation == entry.incarnation:
+            if entry.sequence == known.entry.sequence:
+                alive_at = known.alive_at
             server = server._replace(
                 rate_limit=known.rate_limit,
                 rate_limit_known_at=known.rate_limit_known_at,
+                alive_at=max(alive_at, known.alive_at),
             )
         self.by_id[entry.id] = server
         self._ids_by_service.setdefault(entry.service, {})[entry.id] = None
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -501,23 +501,21 @@
         return state_module.RegisteredServer(
             server.entry.address,
             self._holder(server, now),
-            now - server.received,
+            server.alive_at,
             _answer_rate(self.load_of(server.entry)),
         )
 
-    def is_replaced(self, instance: directory_module.Instance) -> bool:
-        """Return whether an instance of a server has certainly ended.
-
-        A later incarnation of the server, or another server that started
-        later at the same address, proves that it has.
-        """
+    def is_address_reused(self, instance: directory_module.Instance) -> bool:
+        """Return whether another server has started at the address of one."""
         known = self.directory.by_id.get(instance[0])
         if known is None:
             return False
-        if known.entry.incarnation > instance[1]:
-            return True
         later = self.directory.newest_at(known.entry.address)
-        return later is not None and later.incarnation > instance[1]
+        return (
+            later is not None
+            and later.id != known.entry.id
+            and later.incarnation > known.entry.incarnation
+        )
 
     def _holder(
         self, server: directory_module.Server, now: float
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -144,6 +144,7 @@
         self._interval = interval
         self._is_relayed = is_relayed
         self._unreadable: set[str] = set()
+        self._last_complete_read = -math.inf
         self.read_state = ReadState("service discovery")
 
     async def run(self) -> None:
@@ -196,6 +197,8 @@
         if is_listing:
             listed = {record.key for record in page.records}
             self._servers.remove_unlisted(listed, unseen_since)
+        if page.is_last:
+            self._last_complete_read = started
         self._servers.confirm(started)
         expire_missing(self._servers, now)
         if self._servers.version != version:
@@ -242,7 +245,9 @@
             if isinstance(entry, str):
                 self._report_unreadable(record.key, entry)
                 continue
-            if self._servers.put(entry, now, unseen_since):
+            # A report that an earlier read lacked was written after it began.
+            alive_at = self._last_complete_read
+            if self._servers.put(entry, now, unseen_since, alive_at):
                 events.emit(
                     "server_seen",
                     server=entry.id,
--- a/src/agatestile/platform/orders.py
+++ b/src/agatestile/platform/orders.py
@@ -44,16 +44,33 @@
             tuple[str, int], collections.deque[str]
         ] = {}
 
-    def is_connected(self, recipient: ports.Recipient) -> bool:
-        """Return whether a connection to this incarnation is open."""
-        return self._pool.has_idle(_pool_key(recipient))
+    def now(self) -> float:
+        """Return the time on the clock of the connections, seconds."""
+        return self._pool.now()
+
+    def is_connected(
+        self, recipient: ports.Recipient, opened_before: float
+    ) -> bool:
+        """Return whether a connection is open since a time, seconds."""
+        return self._pool.has_idle(
+            _pool_key(recipient),
+            max_idle=client.DEFAULT_IDLE_TIMEOUT,
+            opened_before=opened_before,
+        )
+
+    async def connect(self, recipient: ports.Recipient) -> str:
+        """Open a connection and keep it; return why that failed, if it did.
 
-    async def unreachable_reason(self, recipient: ports.Recipient) -> str:
-        """Return why a connection fails to open, empty if one opens."""
+        An older one is kept instead, as it is the first that certainly leads
+        to the incarnation that reports next.
+        """
         opened = await self._pool.open(recipient.address)
         if isinstance(opened, messages.Failure):
             return opened.reason
-        opened.abort()
+        if self.is_connected(recipient, opened.opened_at):
+            opened.abort()
+        else:
+            self._pool.release(_pool_key(recipient), opened)
         return ""
 
     async def grant(
@@ -63,13 +80,16 @@
         hold: float,
         handover: str | None,
         timeout: float,
+        opened_before: float,
     ) -> ports.OrderResult:
         """Grant a key range to a server for a hold time in seconds."""
         fields = _range_fields(key_range)
         fields["holdMs"] = int(hold * 1000)
         if handover:
             fields["handover"] = handover
-        return await self._order(b"/grant", recipient, fields, timeout)
+        return await self._order(
+            b"/grant", recipient, fields, timeout, opened_before=opened_before
+        )
 
     async def release(
         self,
@@ -115,6 +135,7 @@
         fields: dict[str, object],
         timeout: float,
         needs_new_connection: bool = False,
+        opened_before: float | None = None,
     ) -> ports.OrderResult:
         request = messages.Request(
             b"POST",
@@ -132,6 +153,7 @@
             timeout,
             _pool_key(recipient),
             needs_new_connection=needs_new_connection,
+            opened_before=opened_before,
         )
         if isinstance(response, messages.Failure):
             reply = _REPLIES_BY_FAILURE[response.kind]
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 import typing
@@ -76,6 +77,7 @@
         self._is_head_request = False
         self.is_usable = True
         self.on_data: typing.Callable[[], None] | None = None
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
 
@@ -300,11 +302,16 @@
         self._idle: dict[typing.Hashable, list[Connection]] = {}
         self.opened = 0
 
+    def now(self) -> float:
+        """Return the time on the clock of the pool, seconds."""
+        return self._now()
+
     def acquire_idle(
         self,
         peer: typing.Hashable,
         max_idle: float,
         excluded: typing.Collection[Connection] = (),
+        opened_before: float = math.inf,
     ) -> Connection | None:
         """Return the most recently used idle connection.
 
@@ -316,6 +323,8 @@
             Idle time from which a connection is not used, seconds.
         excluded : collection of Connection, optional
             Connections that are not used.
+        opened_before : float, optional
+            Time up to which the connection was opened, seconds.
 
         Returns
         -------
@@ -326,7 +335,7 @@
         now = self._now()
         for index in reversed(range(len(idle))):
             connection = idle[index]
-            if connection in excluded:
+            if connection in excluded or connection.opened_at > opened_before:
                 continue
             age = now - connection.idle_since
             if connection.is_usable and age < connection.idle_timeout:
@@ -354,6 +363,7 @@
             return _not_sent(f"connect timed out after {timeout:g} s")
         except OSError as error:
             return _not_sent(f"connect failed: {error}")
+        connection.opened_at = self._now()
         return connection
 
     def release(self, peer: typing.Hashable, connection: Connection) -> None:
@@ -368,10 +378,17 @@
         self,
         peer: typing.Hashable,
         excluded: typing.Collection[Connection] = (),
+        max_idle: float = math.inf,
+        opened_before: float = math.inf,
     ) -> bool:
-        """Return whether another usable connection to a peer is idle."""
+        """Return whether `acquire_idle` finds a connection to a peer."""
+        now = self._now()
         return any(
-            connection.is_usable and connection not in excluded
+            connection.is_usable
+            and now - connection.idle_since
+            < min(max_idle, connection.idle_timeout)
+            and connection.opened_at <= opened_before
+            and connection not in excluded
             for connection in self._idle.get(peer, ())
         )
 
@@ -407,6 +424,7 @@
         data_timeout: float | None = None,
         on_data: typing.Callable[[], None] | None = None,
         needs_new_connection: bool = False,
+        opened_before: float | None = None,
     ) -> messages.Response | messages.Failure:
         """Send a request that this program originates.
 
@@ -431,6 +449,9 @@
         needs_new_connection : bool, optional
             Whether the request is sent over a connection of its own, on
             which no copy of an earlier response can arrive.
+        opened_before : float, optional
+            Time up to which the connection was opened, seconds. No
+            connection is opened for the request then.
 
         Returns
         -------
@@ -443,7 +464,17 @@
             async with asyncio.timeout(timeout) as scope:
                 connection = None
                 if not needs_new_connection:
-                    connection = self.acquire_idle(peer, DEFAULT_IDLE_TIMEOUT)
+                    connection = self.acquire_idle(
+                        peer,
+                        DEFAULT_IDLE_TIMEOUT,
+                        opened_before=(
+                            math.inf
+                            if opened_before is None
+                            else opened_before
+                        ),
+                    )
+                if connection is None and opened_before is not None:
+                    return _not_sent("no connection is old enough")
                 if connection is None:
                     opened = await self.open(address, connect_timeout)
                     if isinstance(opened, messages.Failure):
--- /dev/null
+++ b/tests/assignment/lives.py
@@ -0,0 +1,151 @@
+"""Servers that restart under their identifiers, with their key leases."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from agatestile.assignment import ports
+from agatestile.assignment import ranges
+
+DONE = ports.OrderResult(ports.Reply.DONE, None, "status 200")
+SILENT = ports.OrderResult(ports.Reply.SILENT, None, "no answer")
+UNSENT = ports.OrderResult(ports.Reply.UNSENT, None, "not connected")
+
+
+class Taken(typing.NamedTuple):
+    """Keys that an incarnation of a server took with a fencing token."""
+
+    server_id: str
+    life: int
+    first: int
+    last: int
+    fence: int
+    until: float
+
+    def overlaps(self, other: Taken) -> bool:
+        return self.first <= other.last and other.first <= self.last
+
+
+class RestartingServers:
+    """Client of simulated servers that checks what they hold.
+
+    Attributes
+    ----------
+    violations : list of str
+        Tokens that a second server or incarnation took, and keys that two
+        servers held.
+    unanswered : dict of str to int
+        Number of grants that a server takes without an answer.
+    """
+
+    def __init__(self, now: typing.Callable[[], float]) -> None:
+        self._now = now
+        self._life_by_id: dict[str, int] = {}
+        self._opened_at_by_id: dict[str, float] = {}
+        self._taken: list[Taken] = []
+        self._held: list[Taken] = []
+        self.unanswered: dict[str, int] = {}
+        self.violations: list[str] = []
+        self.releases: list[tuple[str, int]] = []
+
+    def now(self) -> float:
+        return self._now()
+
+    def restart(self, server_id: str) -> None:
+        """Start the next incarnation, which holds and knows nothing."""
+        self._life_by_id[server_id] = self.life_of(server_id) + 1
+        self.disconnect(server_id)
+        self._held = [one for one in self._held if one.server_id != server_id]
+
+    def life_of(self, server_id: str) -> int:
+        return self._life_by_id.get(server_id, 1)
+
+    def disconnect(self, server_id: str) -> None:
+        self._opened_at_by_id.pop(server_id, None)
+
+    def holders_of(self, key: int) -> set[str]:
+        return {
+            one.server_id
+            for one in self._held
+            if one.first <= key <= one.last and one.until > self._now()
+        }
+
+    def is_connected(
+        self, recipient: ports.Recipient, opened_before: float
+    ) -> bool:
+        opened_at = self._opened_at_by_id.get(recipient.server_id)
+        return opened_at is not None and opened_at <= opened_before
+
+    async def connect(self, recipient: ports.Recipient) -> str:
+        self._opened_at_by_id.setdefault(recipient.server_id, self._now())
+        return ""
+
+    async def grant(
+        self,
+        recipient: ports.Recipient,
+        key_range: ranges.KeyRange,
+        hold: float,
+        handover: str | None,
+        timeout: float,
+        opened_before: float,
+    ) -> ports.OrderResult:
+        name = recipient.server_id
+        if not self.is_connected(recipient, opened_before):
+            return UNSENT
+        taken = Taken(
+            name,
+            self.life_of(name),
+            key_range.first,
+            key_range.last,
+            key_range.owner.fence,
+            self._now() + hold,
+        )
+        self._check(taken)
+        self._cut(name, key_range.first, key_range.last)
+        self._taken.append(taken)
+        self._held.append(taken)
+        if self.unanswered.get(name, 0):
+            self.unanswered[name] -= 1
+            await anyio.sleep(timeout)
+            self.disconnect(name)
+            return SILENT
+        return DONE
+
+    async def release(
+        self,
+        recipient: ports.Recipient,
+        key_range: ranges.KeyRange,
+        timeout: float,
+    ) -> ports.OrderResult:
+        name = recipient.server_id
+        self.releases.append((name, self.life_of(name)))
+        self._cut(name, key_range.first, key_range.last)
+        return DONE
+
+    def _check(self, new: Taken) -> None:
+        now = self._now()
+        for one in self._taken:
+            same = (one.server_id, one.life) == (new.server_id, new.life)
+            if not same and one.overlaps(new) and one.fence >= new.fence:
+                self.violations.append(f"{new} takes the token of {one}")
+        for one in self._held:
+            if one.server_id == new.server_id or one.until <= now:
+                continue
+            if one.overlaps(new):
+                self.violations.append(f"{new} while {one} holds")
+
+    def _cut(self, server_id: str, first: int, last: int) -> None:
+        kept = []
+        for one in self._held:
+            if one.server_id != server_id or (
+                one.last < first or one.first > last
+            ):
+                kept.append(one)
+                continue
+            if one.first < first:
+                kept.append(one._replace(last=first - 1))
+            if one.last > last:
+                kept.append(one._replace(first=last + 1))
+        self._held = kept
--- a/tests/assignment/support.py
+++ b/tests/assignment/support.py
@@ -106,17 +106,33 @@
         self.delay = 0.0
         self.silent: set[str] = set()
         self.fenced: set[str] = set()
-        self.disconnected: set[str] = set()
         self.crashed: set[str] = set()
+        self._opened_at_by_server: dict[str, float] = {}
 
-    def is_connected(self, recipient: ports.Recipient) -> bool:
-        return recipient.server_id not in self.disconnected | self.crashed
+    def now(self) -> float:
+        return self._now()
 
-    async def unreachable_reason(self, recipient: ports.Recipient) -> str:
+    def is_connected(
+        self, recipient: ports.Recipient, opened_before: float
+    ) -> bool:
+        name = recipient.server_id
+        opened_at = self._opened_at_by_server.get(name)
+        return (
+            name not in self.crashed
+            and opened_at is not None
+            and opened_at <= opened_before
+        )
+
+    async def connect(self, recipient: ports.Recipient) -> str:
         if recipient.server_id in self.crashed:
             return "connection refused"
+        self._opened_at_by_server.setdefault(recipient.server_id, self._now())
         return ""
 
+    def disconnect(self, server_id: str) -> None:
+        """Close the connection to a server."""
+        self._opened_at_by_server.pop(server_id, None)
+
     async def grant(
         self,
         recipient: ports.Recipient,
@@ -124,6 +140,7 @@
         hold: float,
         handover: str | None,
         timeout: float,
+        opened_before: float,
     ) -> ports.OrderResult:
         return await self._receive("grant", recipient, key_range, handover)
 
@@ -150,6 +167,7 @@
         await anyio.sleep(self.delay)
         if name in self.silent:
             await anyio.sleep(0.5)
+            self.disconnect(name)
             return ports.OrderResult(ports.Reply.SILENT, None, "no answer")
         self.orders.append(
             Order(
@@ -194,7 +212,9 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, state.RegisteredServer] = {}
-        self.replaced: set[tuple[str, int]] = set()
+        self.report_age_by_id: dict[str, float] = {}
+        self.last_report_by_id: dict[str, float] = {}
+        self.reused: set[tuple[str, int]] = set()
 
     def services(self) -> list[str]:
         return [SERVICE]
@@ -207,20 +227,37 @@
     def registered_server(
         self, service: str, server_id: str
     ) -> state.RegisteredServer | None:
-        return self.by_id.get(server_id)
+        known = self.by_id.get(server_id)
+        if known is None:
+            return None
+        reported_at = self.last_report_by_id.get(
+            server_id, trio.current_time()
+        )
+        age = self.report_age_by_id[server_id]
+        return known._replace(alive_at=reported_at - age)
+
+    def stop_reports(self, server_id: str) -> None:
+        """Cut a server off from service discovery, which still lists it."""
+        self.last_report_by_id[server_id] = trio.current_time()
 
-    def is_replaced(self, instance: tuple[str, int]) -> bool:
-        return instance in self.replaced
+    def is_address_reused(self, instance: tuple[str, int]) -> bool:
+        return instance in self.reused
 
     def add(
-        self, name: str, is_leaving: bool = False, report_age: float = 0.0
+        self,
+        name: str,
+        is_leaving: bool = False,
+        report_age: float = 0.0,
+        incarnation: int = 1,
     ) -> None:
         """Add or change a server with 10 requests per second."""
         candidate = planner.OwnerCandidate(
-            name, 1, 10.0, not is_leaving, is_leaving
+            name, incarnation, 10.0, not is_leaving, is_leaving
         )
+        self.report_age_by_id[name] = report_age
+        self.last_report_by_id.pop(name, None)
         self.by_id[name] = state.RegisteredServer(
-            ("127.0.0.1", 1), candidate, report_age, candidate.capacity
+            ("127.0.0.1", 1), candidate, 0.0, candidate.capacity
         )
 
 
@@ -229,7 +266,7 @@
 
     def __init__(self, host: str = "host-1") -> None:
         self.store = MemoryStore()
-        self.orders = FakeOrders(trio.current_time)
+        self.orders: typing.Any = FakeOrders(trio.current_time)
         self.fleet = FakeFleet()
         self.hosts = FakeHosts()
         self.coordinator = self.add_coordinator(host)
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -193,13 +193,14 @@
 def test_keys_of_a_replaced_instance_move_immediately() -> None:
     """Guards against a wait for a lease whose server is known to be lost.
 
-    A later incarnation, or another server at the address, proves the loss.
+    Another server at its address proves the loss. A later incarnation proves
+    less, see `test_restarts`.
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
         await _assign_keys(harness, "a", "b")
         harness.orders.silent.add("a")
-        harness.fleet.replaced.add(("a", 1))
+        harness.fleet.reused.add(("a", 1))
         del harness.fleet.by_id["a"]
         harness.coordinator.request_plan()
         lost = trio.current_time()
@@ -216,8 +217,7 @@
 def test_keys_of_a_restarted_server_get_an_owner_again() -> None:
     """Guards against keys that nobody serves after a restart of their owner.
 
-    A server that starts again under its identifier holds no keys. They stayed
-    with its earlier incarnation, whose grants are not renewed.
+    They stayed with its earlier incarnation, whose grants are not renewed.
     """
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
@@ -226,7 +226,6 @@
         harness.fleet.by_id["a"] = earlier._replace(
             candidate=earlier.candidate._replace(incarnation=2)
         )
-        harness.fleet.replaced.add(("a", 1))
         harness.coordinator.request_plan()
         await _sleep(harness, 1.0)
         key_map = harness.coordinator.services[support.SERVICE].key_map
@@ -246,7 +245,7 @@
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
         await _assign_keys(harness, "a")
-        harness.orders.disconnected.add("a")
+        harness.orders.disconnect("a")
         harness.fleet.add("a", report_age=1.5)
         await _sleep(harness, 1.0)
         before = len(harness.orders.received("grant", "a"))
--- a/tests/assignment/test_leases.py
+++ b/tests/assignment/test_leases.py
@@ -12,9 +12,9 @@
 def test_key_lease_counts_from_the_end_of_the_grant() -> None:
     """Guards against a lease that ends early: the grant may arrive late."""
     key_leases = leases.KeyLeases()
-    key_leases.record_grant(("a", 1), 10.0)
-    assert key_leases.until(("a", 1)) >= 10.0 + LONGEST_KEY_LEASE
-    assert key_leases.until(("a", 2)) == -math.inf
+    key_leases.record_grant("a", 10.0)
+    assert key_leases.until("a") >= 10.0 + LONGEST_KEY_LEASE
+    assert key_leases.until("b") == -math.inf
 
 
 def test_unknown_predecessor_may_have_renewed_until_its_lease_ended() -> None:
@@ -23,7 +23,7 @@
     unknown = leases.Predecessor(None, leases.LEADER_LEASE_SECONDS)
     key_leases.take_over(10.0, unknown)
     assert (
-        key_leases.until(("a", 1))
+        key_leases.until("a")
         >= 10.0 + leases.LEADER_LEASE_SECONDS + LONGEST_KEY_LEASE
     )
 
@@ -31,20 +31,18 @@
 def test_resigned_predecessor_passes_on_remaining_leases() -> None:
     """Guards against leases that are lost when the leader resigns."""
     first = leases.KeyLeases()
-    first.record_grant(("a", 1), 10.0)
-    remaining = first.remaining(
-        {("a", 1), ("b", 1), ("c", 1)}, {("b", 1)}, 11.0
-    )
+    first.record_grant("a", 10.0)
+    remaining = first.remaining({("a", 1), ("b", 1), ("c", 1)}, {"b"}, 11.0)
     second = leases.KeyLeases()
     second.take_over(50.0, leases.Predecessor(remaining, 0.0))
     assert (
         50.0 + LONGEST_KEY_LEASE - 1.1
-        < second.until(("a", 1))
+        < second.until("a")
         < 50.0 + LONGEST_KEY_LEASE
     )
     # An order to b is in progress and may still arrive.
-    assert second.until(("b", 1)) > 50.0 + LONGEST_KEY_LEASE
-    assert second.until(("c", 1)) == -math.inf
+    assert second.until("b") > 50.0 + LONGEST_KEY_LEASE
+    assert second.until("c") == -math.inf
 
 
 def test_leader_lease_ends_without_confirmations() -> None:
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -133,9 +133,9 @@
     """
     fleet = _fleet(1, 0)
     fleet.directory.put(test_directory.entry("a", 1), 0.0)
-    assert not fleet.is_replaced(("a", 1))
+    assert not fleet.is_address_reused(("a", 1))
     fleet.directory.put(test_directory.entry("b", 2), 1.0)
-    assert fleet.is_replaced(("a", 1))
+    assert fleet.is_address_reused(("a", 1))
 
 
 def test_older_assignment_is_ignored() -> None:
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 
 import pytest
 import trio
@@ -206,3 +207,44 @@
     assert not servers.is_missing("new")
     assert servers.by_id["new"].leaving_since is None
     assert watcher.read_state.end is None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("second", "alive_at"),
+    [
+        (port.Page([_heartbeat("a", 2)], 5), 1.0),
+        (port.Page([], 4), -math.inf),
+        # The same report in another listing is no newer.
+        (port.Page([_heartbeat("a", 1)], 4), -math.inf),
+    ],
+)
+async def test_only_a_new_report_proves_that_a_server_is_running(
+    second: port.Page, alive_at: float
+) -> None:
+    """Guards against grants to a server that restarted unnoticed.
+
+    A report that was read late, or again, may be older than a connection.
+    """
+    watcher, servers, now = _discovery(
+        port.Page([_heartbeat("a", 1)], 4), second
+    )
+    now[0] = 1.0
+    await watcher.poll()
+    assert servers.by_id["a"].alive_at == -math.inf
+    now[0] = 2.0
+    await watcher.poll()
+    assert servers.by_id["a"].alive_at == alive_at
+
+
+@pytest.mark.anyio
+async def test_report_after_an_incomplete_read_may_be_older_than_it() -> None:
+    """Guards against a page that ends before the newest reports."""
+    watcher, servers, now = _discovery(
+        port.Page([_heartbeat("a", 1)], 4),
+        port.Page([_heartbeat("a", 2)], 5, is_last=False),
+        port.Page([_heartbeat("a", 3)], 6),
+    )
+    for now[0] in (1.0, 2.0, 3.0):
+        await watcher.poll()
+    assert servers.by_id["a"].alive_at == 1.0
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -48,7 +48,10 @@
         await reader.read()
 
     async with _sending_to(serve) as (sender, recipient):
-        granted = await sender.grant(recipient, KEY_RANGE, 3.5, None, 1.0)
+        assert not await sender.connect(recipient)
+        granted = await sender.grant(
+            recipient, KEY_RANGE, 3.5, None, 1.0, sender.now()
+        )
         released = await sender.release(recipient, KEY_RANGE, 0.2)
     assert granted.reply is ports.Reply.DONE
     assert released.reply is ports.Reply.SILENT
@@ -92,3 +95,48 @@
     async with _sending_to(serve) as (sender, recipient):
         released = await sender.release(recipient, KEY_RANGE, 1.0)
     assert released.reply is ports.Reply.DONE
+
+
+async def test_grant_is_not_sent_over_a_connection_opened_later() -> None:
+    """Guards against a repeated grant that reaches a later incarnation."""
+    received = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        received.append(await reader.readuntil(b"}"))
+        writer.write(OK)
+        await reader.read()
+
+    async with _sending_to(serve) as (sender, recipient):
+        before = sender.now()
+        assert not await sender.connect(recipient)
+        assert not sender.is_connected(recipient, before)
+        early = await sender.grant(
+            recipient, KEY_RANGE, 3.5, None, 1.0, before
+        )
+        assert (early.reply, received) == (ports.Reply.UNSENT, [])
+        later = await sender.grant(
+            recipient, KEY_RANGE, 3.5, None, 1.0, sender.now()
+        )
+    assert later.reply is ports.Reply.DONE
+
+
+async def test_older_connection_to_a_server_is_kept() -> None:
+    """Guards against connections that are never older than a report."""
+    closed = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.read()
+        finally:
+            closed.set()
+
+    async with _sending_to(serve) as (sender, recipient):
+        assert not await sender.connect(recipient)
+        first = sender.now()
+        assert not await sender.connect(recipient)
+        await asyncio.wait_for(closed.wait(), 1.0)
+        assert sender.is_connected(recipient, first)
