Do not lead with an epoch that was superseded

Two hosts could grant keys at the same time: a host that waits for the store's answer to its takeover denies that it leads when a successor asks, and leads once the answer has arrived. The membership of the first host expires during its takeover, as that sends no joins.

A host now remembers the highest epoch that it was asked about, and refuses to begin with a lower one.

The new test failed before ("assert not 1": the first host leads beside the second).

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -78,6 +78,7 @@
         self._address = address
         self._now = now
         self._last_own_epoch = 0
+        self._superseded_by_epoch = 0
         self._store_retry_at = 0.0
         self._fencing_tokens = leases.FencingTokens(0)
         self._grant_renewer = renewals.GrantRenewer(
@@ -137,6 +138,11 @@
                 refusal = await self._mark_settled(leadership)
                 if refusal is not None:
                     return refusal
+        if self._superseded_by_epoch > leadership.epoch:
+            return outcomes.Refusal(
+                codes.ResultCode.RECORD_STALE,
+                f"superseded by epoch {self._superseded_by_epoch}",
+            )
         self._last_own_epoch = leadership.epoch
         self._grant_sender.start_epoch()
         self._moves.start_epoch()
@@ -240,7 +246,11 @@
         return await self._journal.append(records.encode_leadership(settled))
 
     def supersede(self, epoch: int) -> ports.SupersedeReply:
-        """Give up the leadership to a later epoch and return the leases."""
+        """Give up the leadership to a later epoch and return the leases.
+
+        A host that is about to lead gives it up too.
+        """
+        self._superseded_by_epoch = max(self._superseded_by_epoch, epoch)
         if not self.epoch or self.epoch >= epoch:
             return ports.SupersedeReply(False, [])
         self.lose_leadership(f"superseded by epoch {epoch}")
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import anyio
 import trio
 
@@ -431,3 +433,33 @@
         assert len({harness.owner_of(key) for key in range(100, 300)}) >= 3
 
     support.run(scenario)
+
+
+def test_host_that_is_superseded_during_its_takeover_does_not_lead() -> None:
+    """Guards against two leaders: the answer of the store was on its way.
+
+    The successor was told that this host is not the leader, and so waits for
+    orders in progress only (OWNER).
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        append = harness.store.append
+
+        async def append_slowly(*arguments: typing.Any) -> typing.Any:
+            result = await append(*arguments)
+            await anyio.sleep(2.0)
+            return result
+
+        harness.hosts.by_address["host-1"] = harness.coordinator
+        second = harness.add_coordinator("host-2")
+        harness.store.append = append_slowly  # type: ignore[method-assign]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(harness.coordinator.take_leadership)
+            # The record of the first host is settled already.
+            await anyio.sleep(3.0)
+            harness.store.append = append  # type: ignore[method-assign]
+            assert await second.take_leadership() is None
+        assert second.is_active
+        assert not harness.coordinator.epoch
+
+    support.run(scenario)
