Admit late requests until their deadline fits only

A host that stops admitted a request if the latency objective of its route was left, and cut its deadline to the end. Retries, and requests that had waited for the owner of their key, were not checked.

One sum now decides, in entry/stopping.py: a request may take until its deadline. Asked on arrival and before each attempt that may be the first to run.

The three new tests failed before: with the objective alone the late request is sent, without the check before attempts the retry and the one that waited are.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -87,7 +87,9 @@
     started : float
         Clock when the request arrived, seconds.
     deadline : float
-        Clock when the response is due, seconds.
+        Clock when the response is due, or when the host stops, seconds.
+    caller_deadline : float
+        Clock when the response is due to the caller, seconds.
     forwarded_headers : messages.Headers
         Headers of the caller that are forwarded.
     """
@@ -99,6 +101,7 @@
     key: int | None
     started: float
     deadline: float
+    caller_deadline: float
     forwarded_headers: messages.Headers
 
 
@@ -181,6 +184,11 @@
                 return refusals.RequestRefusal(
                     _CODES.DEADLINE_PASSED, "the deadline has passed"
                 )
+            stop_refusal = self._handler.stop_refusal(
+                context.route, context.caller_deadline
+            )
+            if stop_refusal is not None and not self._may_have_run:
+                return stop_refusal
             pick = self._handler.picker.pick(
                 context.service,
                 context.key,
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -10,6 +10,7 @@
 from agatestile.entry import exchange
 from agatestile.entry import picker as picker_module
 from agatestile.entry import refusals
+from agatestile.entry import stopping
 from agatestile.limits import budget
 from agatestile.observability import events
 from agatestile.results import codes
@@ -64,9 +65,8 @@
 
     Attributes
     ----------
-    stops_at : float
-        Clock at which the host stops to process requests, seconds; infinity
-        unless it shuts down.
+    stop_schedule : stopping.StopSchedule
+        When the host stops; `stopping.NOT_STOPPING` unless it shuts down.
     """
 
     def __init__(
@@ -92,7 +92,7 @@
         self.pool = pool
         self.header_format = header_format
         self.now = now
-        self.stops_at = math.inf
+        self.stop_schedule = stopping.NOT_STOPPING
         self.probe_pool = client.Pool(now)
         self._budgets: dict[str, budget.RetryBudget] = {}
         self._splits_by_targets: dict[
@@ -140,12 +140,9 @@
                 f"{name}{path}", current.version, started
             )
         deadline = started + min(_time_left(caller_headers), route.timeout)
-        if not self._can_finish(route, deadline, started):
-            return refusals.RequestRefusal(
-                _CODES.SHUTTING_DOWN,
-                f"the host stops in {self.stops_at - started:.1f} s",
-                SHUTDOWN_RETRY_AFTER,
-            )
+        stop_refusal = self.stop_refusal(route, deadline)
+        if stop_refusal is not None:
+            return stop_refusal
         service = self._select_service(route)
         key = None
         known = current.services_by_name.get(service)
@@ -168,20 +165,33 @@
             service,
             key,
             started,
-            min(deadline, self.stops_at),
+            min(deadline, self.stop_schedule.ends_at),
+            deadline,
             headers,
         )
 
-    def _can_finish(
-        self, route: configuration.Route, deadline: float, now: float
-    ) -> bool:
-        """Return whether a request can be processed before the host stops.
+    def stop_refusal(
+        self, route: configuration.Route, deadline: float
+    ) -> refusals.RequestRefusal | None:
+        """Return the refusal of a request that the stop may cut off, if so.
 
-        One whose deadline is later is accepted if the time in which its
-        route aims to respond is left.
+        Parameters
+        ----------
+        route : configuration.Route
+            Route of the request.
+        deadline : float
+            Clock when the response is due to the caller, seconds.
         """
-        objective = route.latency_objective or math.inf
-        return min(deadline, now + objective) <= self.stops_at
+        now = self.now()
+        schedule = self.stop_schedule
+        if schedule.admits(now, deadline, route.latency_objective):
+            return None
+        return refusals.RequestRefusal(
+            _CODES.SHUTTING_DOWN,
+            f"the host stops in {schedule.ends_at - now:.1f} s and the request"
+            f" may take {deadline - now:.1f} s",
+            SHUTDOWN_RETRY_AFTER,
+        )
 
     def _refusal_without_route(
         self, target: str, version: int, now: float
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -15,6 +15,7 @@
 from agatestile.entry import fleet as fleet_module
 from agatestile.entry import handler as handler_module
 from agatestile.entry import picker as picker_module
+from agatestile.entry import stopping
 from agatestile.entry import view as view_module
 from agatestile.node import clock
 from agatestile.node import leadership as leadership_module
@@ -283,11 +284,14 @@
         )
         deadline = started + self._settings.bounds.grace - STOP_MARGIN_SECONDS
         last_responses = deadline - LAST_RESPONSES_SECONDS
-        self.handler.stops_at = last_responses
+        noticed_at = started + READINESS_NOTICE_SECONDS
+        self.handler.stop_schedule = stopping.StopSchedule(
+            noticed_at, last_responses
+        )
         self.caller_listener.start_draining()
         with anyio.move_on_after(READINESS_NOTICE_SECONDS):
             await self.elector.leave()
-        while self._now() < started + READINESS_NOTICE_SECONDS:
+        while self._now() < noticed_at:
             await anyio.sleep(0.05)
         await self._close_connections(last_responses)
         self.caller_listener.stop()
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -10,6 +10,7 @@
 from agatestile.catalog import configuration
 from agatestile.entry import exchange
 from agatestile.entry import header_port
+from agatestile.entry import stopping
 from tests.entry import support
 
 pytestmark = pytest.mark.anyio
@@ -492,8 +493,10 @@
     async with support.handler_harness() as harness:
         harness.configure()
         await harness.add_server("a", _respond)
-        harness.handler.stops_at = harness.now() + 0.3
         started = harness.now()
+        harness.handler.stop_schedule = stopping.StopSchedule(
+            started + 1.0, started + 0.3
+        )
         refused = await harness.send()
         assert harness.now() - started < 0.05
         assert refused.status == 503
@@ -507,7 +510,9 @@
         harness.configure(timeout=2.0, attempts=1)
         await harness.add_server("a", _never_respond)
         started = harness.now()
-        harness.handler.stops_at = started + 0.6
+        harness.handler.stop_schedule = stopping.StopSchedule(
+            started + 1.0, started + 0.6
+        )
         response = await harness.send(deadline_ms=2000)
         assert harness.now() - started < 0.8
     assert response.status == 504
@@ -515,6 +520,63 @@
     assert int(support.header_value(head, b"x-deadline-ms")) <= 600
 
 
+def _stop(harness: support.HandlerHarness, seconds: float) -> None:
+    """Stop in some seconds; callers have noticed it already."""
+    now = harness.now()
+    harness.handler.stop_schedule = stopping.StopSchedule(now, now + seconds)
+
+
+async def test_late_request_may_take_until_its_deadline() -> None:
+    """Guards against a request that is cut off while its server works on it.
+
+    The latency objective of its route was left, but it took longer (LOST,
+    case 5 of the review).
+    """
+    async with support.handler_harness() as harness:
+        harness.configure(kind=KIND.UNSAFE, timeout=2.0)
+        await harness.add_server("a", _respond)
+        _stop(harness, 0.8)
+        refused = await harness.send(deadline_ms=1000)
+        assert (refused.status, harness.non_probe_requests()) == (503, [])
+        assert (await harness.send(deadline_ms=500)).status == 200
+
+
+async def test_rejected_request_is_not_sent_again_before_the_end() -> None:
+    """Guards against a retry that is cut off: the stop began after the first.
+
+    The first attempt was rejected, so that the request has not run.
+    """
+    async with support.handler_harness() as harness:
+
+        async def shed_and_stop(
+            received: support.ReceivedRequest,
+        ) -> bytes | None:
+            _stop(harness, 0.8)
+            return support.shed_response(received)
+
+        harness.configure(kind=KIND.UNSAFE, timeout=2.0)
+        for name in ("a", "b"):
+            await harness.add_server(name, shed_and_stop)
+        refused = await harness.send(deadline_ms=1000)
+        assert refused.status == 503
+        assert len(harness.non_probe_requests()) == 1
+
+
+async def test_request_that_waited_for_an_owner_is_not_sent_too_late() -> None:
+    """Guards against a request whose keys move until the host stops."""
+    async with support.handler_harness() as harness:
+        harness.configure(timeout=2.0, partitioned=True)
+        await harness.add_server("a", _respond)
+        harness.assign("a", moving_from="b")
+        async with asyncio.TaskGroup() as tasks:
+            sending = tasks.create_task(harness.send(deadline_ms=1000, key=1))
+            await asyncio.sleep(0.05)
+            _stop(harness, 0.8)
+            harness.assign("a")
+        assert sending.result().status == 503
+        assert not harness.non_probe_requests()
+
+
 async def test_request_without_time_left_is_not_sent() -> None:
     """Guards against a deadline of 0 that counts as none."""
     async with support.handler_harness() as harness:
