Close the connections of scripted servers in tests

Tests of the gateway and of the entry left stream writers behind whose event loop had ended. Their destructors raise, and if the garbage collector calls them while hypothesis or pytest parses a source, that SystemError results. It also hid which test had failed.

No check has changed.

--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -20,6 +20,7 @@
 from agatestile.platform import headers
 from agatestile.transport import client
 from agatestile.transport import messages
+from tests.transport import support as transport_support
 
 KIND = configuration.RouteKind
 BOUNDS = node_settings.Bounds(retry_slack=62.0, cold_ratio=1.5, cold_slack=5.0)
@@ -179,9 +180,10 @@
                     writer.write(response)
             writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        await self._stack.enter_async_context(server)
-        self.add_to_directory(name, server.sockets[0].getsockname())
+        address = await self._stack.enter_async_context(
+            transport_support.serving(serve)
+        )
+        self.add_to_directory(name, address)
 
     def add_to_directory(
         self, name: str, address: tuple[str, int], **changes: object
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -12,6 +12,7 @@
 from agatestile.entry import header_port
 from agatestile.entry import stopping
 from tests.entry import support
+from tests.transport import support as transport_support
 
 pytestmark = pytest.mark.anyio
 KIND = configuration.RouteKind
@@ -389,10 +390,12 @@
                 await writer.drain()
                 await asyncio.sleep(0.01)
 
-    server = await asyncio.start_server(dribble, "127.0.0.1", 0)
-    async with server, support.handler_harness() as harness:
+    async with (
+        transport_support.serving(dribble) as address,
+        support.handler_harness() as harness,
+    ):
         harness.configure(attempts=1)
-        harness.add_to_directory("a", server.sockets[0].getsockname())
+        harness.add_to_directory("a", address)
         started = harness.now()
         response = await harness.send(deadline_ms=300)
         assert response.status == 504
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -20,6 +20,7 @@
 from agatestile.rpc.generated.agatestile_rpc import ttypes
 from agatestile.state import cluster
 from agatestile.state import records
+from tests.transport import support as transport_support
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -231,47 +232,47 @@
 ) -> collections.abc.AsyncIterator[RunningGateway]:
     """Run a gateway that is the gate of a server with a handler."""
     server = Server(handler)
-    tcp_server = await asyncio.start_server(server.serve, "127.0.0.1", 0)
-    host, port = tcp_server.sockets[0].getsockname()
-    server.address = f"{host}:{port}"
-    permits, checks = Permits("p1"), invariants.Invariants()
-    state = build_state(server.address, **columns)
-    application = gateway_application.Application(
-        "h1",
-        state,
-        router.Router(state, build_views("h1", "127.0.0.1:1")),
-        permits,
-        checks,
-        request_options,
-    )
-    listener_options = request_options or options.Options()
-    listeners = [
-        listener.Listener(asgi_application, "127.0.0.1:0", listener_options)
-        for asgi_application in (
-            application.serve_callers,
-            application.serve_forwarded,
-        )
-    ]
-    async with anyio.create_task_group() as tasks:
-        for runner in (
-            *[running_listener.run for running_listener in listeners],
-            application.run,
-        ):
-            await tasks.start(runner)
-        gateway = RunningGateway(
-            application,
-            listeners[0].address,
-            listeners[1].address,
-            server,
+    async with transport_support.serving(server.serve) as address:
+        server.address = f"{address[0]}:{address[1]}"
+        permits, checks = Permits("p1"), invariants.Invariants()
+        state = build_state(server.address, **columns)
+        application = gateway_application.Application(
+            "h1",
+            state,
+            router.Router(state, build_views("h1", "127.0.0.1:1")),
             permits,
             checks,
-            tasks,
-            listeners,
+            request_options,
         )
-        gateway.skip_cold_start()
-        yield gateway
-        tasks.cancel_scope.cancel()
-    tcp_server.close()
+        listener_options = request_options or options.Options()
+        listeners = [
+            listener.Listener(
+                asgi_application, "127.0.0.1:0", listener_options
+            )
+            for asgi_application in (
+                application.serve_callers,
+                application.serve_forwarded,
+            )
+        ]
+        async with anyio.create_task_group() as tasks:
+            for runner in (
+                *[running_listener.run for running_listener in listeners],
+                application.run,
+            ):
+                await tasks.start(runner)
+            gateway = RunningGateway(
+                application,
+                listeners[0].address,
+                listeners[1].address,
+                server,
+                permits,
+                checks,
+                tasks,
+                listeners,
+            )
+            gateway.skip_cold_start()
+            yield gateway
+            tasks.cancel_scope.cancel()
     assert not checks.violations_by_name
 
 
