Reset the state of a response with each request

Other operators report an upstream that stopped in the middle of its answer's head, after which clients got a 200 with an empty body. Heads that break off after any byte were never taken for a response here. But if the last response on a connection was a 204 without a length, and the server closes the connection before the first byte, that response was returned once more.

Whether a head was received, and whether its body ends with the connection, was reset with the first byte of the next response only. Now it is reset when a request is sent.

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -102,6 +102,8 @@
         self._expected_echo = echo
         self._is_head_request = is_head
         self._result = None
+        self._has_head = False
+        self._ends_at_close = False
         self._body_size = 0
         self._framing_size = 0
         self._first_data_at = None
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import struct
 import typing
 
@@ -12,6 +11,7 @@
 
 from agatestile.transport import client
 from agatestile.transport import messages
+from tests.transport import support
 
 pytestmark = pytest.mark.anyio
 OK = b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2\r\n\r\nok"
@@ -21,21 +21,7 @@
 ]
 
 
-@contextlib.asynccontextmanager
-async def _serving(server: Server) -> typing.AsyncIterator[client.Address]:
-    async def serve_and_close(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await server(reader, writer)
-        writer.close()
-
-    tcp_server = await asyncio.start_server(serve_and_close, "127.0.0.1", 0)
-    async with tcp_server:
-        yield tcp_server.sockets[0].getsockname()
-
-
-def _sends(*responses: bytes) -> Server:
+def _sends(*responses: bytes, closes: bool = False) -> Server:
     async def server(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -43,7 +29,8 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.write(response)
             await writer.drain()
-        await reader.read()
+        if not closes:
+            await reader.read()
 
     return server
 
@@ -51,7 +38,7 @@
 async def _exchange(
     server: Server, count: int = 1
 ) -> list[messages.Response | messages.Failure]:
-    async with _serving(server) as address:
+    async with support.serving(server) as address:
         pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
         connection = await pool.open(address)
         assert isinstance(connection, client.Connection)
@@ -61,7 +48,8 @@
                 results.append(
                     await connection.exchange(b"GET / HTTP/1.1\r\n\r\n", b"1")
                 )
-            await asyncio.sleep(0.02)
+            if len(results) < count:
+                await asyncio.sleep(0.02)
         connection.abort()
         return results
 
@@ -98,6 +86,38 @@
     assert result.kind is messages.FailureKind.UNKNOWN
 
 
+@pytest.mark.parametrize(
+    "earlier",
+    [
+        [],
+        [OK],
+        # It has no length and no body, and its connection stays open.
+        [b"HTTP/1.1 204 No Content\r\nx-id: 1\r\n\r\n"],
+    ],
+)
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nx-id: 1\r\nx-upstream-signature: s\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n",
+    ],
+)
+async def test_head_that_breaks_off_is_no_response(
+    earlier: list[bytes], head: bytes
+) -> None:
+    """Guards against an empty body that looks complete (MIXED, ORDER).
+
+    The server closes its connection in the middle of the head, wherever.
+    """
+    for size in range(len(head)):
+        server = _sends(*earlier, head[:size], closes=True)
+        *_, result = await _exchange(server, len(earlier) + 1)
+        assert isinstance(result, messages.Failure), head[:size]
+        assert result.kind is messages.FailureKind.UNKNOWN
+
+
 async def test_body_without_length_ends_when_the_connection_closes() -> None:
     async def server(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -168,7 +188,7 @@
             return
         ended.set_result("closed")
 
-    async with _serving(server) as address:
+    async with support.serving(server) as address:
         pool = client.Pool(asyncio.get_running_loop().time)
         request = messages.Request(b"POST", b"/grant", [], b"{}")
         result = await pool.call(address, request, 0.1)
@@ -178,7 +198,7 @@
 
 async def test_refused_connection_sends_nothing() -> None:
     """Guards against an unknown outcome of a request that was not sent."""
-    async with _serving(_sends()) as address:
+    async with support.serving(_sends()) as address:
         pass
     pool = client.Pool(asyncio.get_running_loop().time)
     request = messages.Request(b"GET", b"/", [], b"")
@@ -191,7 +211,7 @@
     """Guards against a request that crosses the server's close."""
     kept = OK.replace(b"x-id: 1", b"x-id: 1\r\nkeep-alive: timeout=5")
     times = [0.0]
-    async with _serving(_sends(kept, kept)) as address:
+    async with support.serving(_sends(kept, kept)) as address:
         pool = client.Pool(lambda: times[0], b"x-id")
         connection = await pool.open(address)
         assert isinstance(connection, client.Connection)
@@ -226,7 +246,7 @@
             await writer.drain()
         await reader.read()
 
-    async with _serving(server) as address:
+    async with support.serving(server) as address:
         pool = client.Pool(asyncio.get_running_loop().time)
         request = messages.Request(b"GET", b"/", [], b"")
         response = await pool.call(address, request, 0.5, data_timeout=0.5)
@@ -310,7 +330,7 @@
         await writer.drain()
         await reader.read()
 
-    async with _serving(server) as address:
+    async with support.serving(server) as address:
         pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
 
         async def call() -> messages.Response | messages.Failure:
