End a request whose connection brought a late answer

A request waited for its deadline in vain, and could not be repeated in time, if its kept connection first brought the late answer to another request that has no length, and closed after it. The answer was dropped as it bears another identifier, but the end of the connection then counted as its end only.

The new test failed before (no result within 2 s).

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -157,7 +157,6 @@
         self.is_usable = False
         if exc is None and self._has_head and self._ends_at_close:
             self._complete()
-            return
         if self._waiter is not None and self._result is None:
             self._fail(f"connection lost: {exc or 'closed by the server'}")
 
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -161,6 +161,18 @@
     assert response.body == b"ok"
 
 
+async def test_late_response_that_ends_with_the_connection_fails() -> None:
+    """Guards against a request that waits for its deadline in vain.
+
+    The late response to another request has no length, so that the connection
+    closes after it.
+    """
+    late = b"HTTP/1.1 200 OK\r\nx-id: 0\r\n\r\nlate"
+    (result,) = await _exchange(_sends(late, closes=True))
+    assert isinstance(result, messages.Failure)
+    assert result.kind is messages.FailureKind.UNKNOWN
+
+
 async def test_data_after_a_response_closes_the_connection() -> None:
     """Guards against surplus data that is read as the next response."""
     results = await _exchange(_sends(OK + OK), count=2)
