Show tokens that a superseded leader sends

The fake of the servers now refuses tokens lower than those that an incarnation has seen, as the platform's do, and answers after 5 ms.

--- a/tests/assignment/lives.py
+++ b/tests/assignment/lives.py
@@ -10,9 +10,13 @@
 from agatestile.assignment import ranges
 
 DONE = ports.OrderResult(ports.Reply.DONE, None, "status 200")
+FENCED = ports.OrderResult(ports.Reply.FENCED, None, "status 409")
 SILENT = ports.OrderResult(ports.Reply.SILENT, None, "no answer")
 UNSENT = ports.OrderResult(ports.Reply.UNSENT, None, "not connected")
 
+ANSWER_SECONDS = 0.005
+"""Time between the arrival of a grant and that of its answer."""
+
 
 class Taken(typing.NamedTuple):
     """Keys that an incarnation of a server took with a fencing token."""
@@ -38,6 +42,8 @@
         servers held.
     unanswered : dict of str to int
         Number of grants that a server takes without an answer.
+    release_seconds : dict of str to float
+        Time that a server works on after it was told to release keys.
     """
 
     def __init__(self, now: typing.Callable[[], float]) -> None:
@@ -46,6 +52,8 @@
         self._opened_at_by_id: dict[str, float] = {}
         self._taken: list[Taken] = []
         self._held: list[Taken] = []
+        self._seen: list[Taken] = []
+        self.release_seconds: dict[str, float] = {}
         self.unanswered: dict[str, int] = {}
         self.violations: list[str] = []
         self.releases: list[tuple[str, int]] = []
@@ -58,6 +66,7 @@
         self._life_by_id[server_id] = self.life_of(server_id) + 1
         self.disconnect(server_id)
         self._held = [one for one in self._held if one.server_id != server_id]
+        self._seen = [one for one in self._seen if one.server_id != server_id]
 
     def life_of(self, server_id: str) -> int:
         return self._life_by_id.get(server_id, 1)
@@ -94,14 +103,11 @@
         name = recipient.server_id
         if not self.is_connected(recipient, opened_before):
             return UNSENT
-        taken = Taken(
-            name,
-            self.life_of(name),
-            key_range.first,
-            key_range.last,
-            key_range.owner.fence,
-            self._now() + hold,
-        )
+        taken = self._taken_by(name, key_range, hold)
+        if self._has_seen_higher(taken):
+            await anyio.sleep(ANSWER_SECONDS)
+            return FENCED
+        self._seen.append(taken)
         self._check(taken)
         self._cut(name, key_range.first, key_range.last)
         self._taken.append(taken)
@@ -111,6 +117,7 @@
             await anyio.sleep(timeout)
             self.disconnect(name)
             return SILENT
+        await anyio.sleep(ANSWER_SECONDS)
         return DONE
 
     async def release(
@@ -120,9 +127,32 @@
         timeout: float,
     ) -> ports.OrderResult:
         name = recipient.server_id
-        self.releases.append((name, self.life_of(name)))
+        life = self.life_of(name)
+        self.releases.append((name, life))
         self._cut(name, key_range.first, key_range.last)
-        return DONE
+        self._seen.append(self._taken_by(name, key_range, 0.0))
+        await anyio.sleep(self.release_seconds.get(name, 0.0))
+        return DONE if life == self.life_of(name) else SILENT
+
+    def _taken_by(
+        self, server_id: str, key_range: ranges.KeyRange, hold: float
+    ) -> Taken:
+        return Taken(
+            server_id,
+            self.life_of(server_id),
+            key_range.first,
+            key_range.last,
+            key_range.owner.fence,
+            self._now() + hold,
+        )
+
+    def _has_seen_higher(self, new: Taken) -> bool:
+        return any(
+            one.server_id == new.server_id
+            and one.overlaps(new)
+            and one.fence > new.fence
+            for one in self._seen
+        )
 
     def _check(self, new: Taken) -> None:
         now = self._now()
--- a/tests/assignment/support.py
+++ b/tests/assignment/support.py
@@ -271,13 +271,18 @@
         self.hosts = FakeHosts()
         self.coordinator = self.add_coordinator(host)
 
-    def add_coordinator(self, host: str) -> coordinator_module.Coordinator:
-        """Return another coordinator with the same store and servers."""
+    def add_coordinator(
+        self, host: str, fleet: FakeFleet | None = None
+    ) -> coordinator_module.Coordinator:
+        """Return another coordinator with the same store and servers.
+
+        It shares the view of service discovery unless it has its own.
+        """
         return coordinator_module.Coordinator(
             self.store,
             self.orders,
             self.hosts,
-            self.fleet,
+            fleet or self.fleet,
             host,
             trio.current_time,
         )
