Log tokens when they are sent for the first time

Two holders of the same keys by tokens of two epochs could not be told apart in the log: the earlier leader's side names neither when it sent its token first nor how old its confirmation by the store was then.

--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -204,6 +204,7 @@
                 return ports.OrderResult(ports.Reply.UNSENT, None, reason)
         if is_new:
             self._first_sent_by_fence[fence] = self._orders.now()
+            self._log_new_token(server, key_range)
         result = await self._orders.grant(
             recipient,
             key_range,
@@ -216,6 +217,20 @@
             self._first_sent_by_fence.pop(fence, None)
         return result
 
+    def _log_new_token(
+        self, server: state.RegisteredServer, key_range: ranges.KeyRange
+    ) -> None:
+        age = self.leader_lease.confirmation_age(self._now())
+        events.emit(
+            "token_sent",
+            server=server.recipient.server_id,
+            incarnation=server.recipient.incarnation,
+            first=key_range.first,
+            last=key_range.last,
+            fence=key_range.owner.fence,
+            confirmation_age=round(age, 3),
+        )
+
     def _newest_connection(
         self, server: state.RegisteredServer, key_range: ranges.KeyRange
     ) -> float:
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -172,6 +172,10 @@
         """Return whether grants may be sent."""
         return now < self._confirmed_at + LEADER_LEASE_SECONDS
 
+    def confirmation_age(self, now: float) -> float:
+        """Return the age of the last confirmation, seconds."""
+        return now - self._confirmed_at
+
 
 class FencingTokens:
     """Generator of fencing tokens that increase across epochs."""
