Send new tokens only while surely leading

Callers saw nothing so far; two servers held the same keys. A leader that was suspended or cut off renewed leases that were about to end with tokens that it had never sent. One reached a server that had released the keys to the successor and restarted since, so that it remembered no higher token. Repeated grants can't do that: they go to the incarnation that took them first.

A token is now sent for the first time only within 1.2 s of a confirmation by the store, less than the time to live of the membership, and only in the epoch that issued it: a grant that waited for another order could be sent after the host had lost the leadership and taken it again. The store may also name a successor at once, so one whose predecessor does not respond starts no moves for 1.5 s. It repeats stored moves, as an earlier leader grants keys to their stored owners only. A grant that is withheld counts as no failure of the server. A leader joins once more right after its takeover.

Weighed: counting a restarted server as a holder until the earlier leader's lease ends would stop all moves for 8 s after each loss of a leader; a shorter leader lease would let the keys of all servers lapse in an outage of the store. The price of this way: while the leader has no store, keys of a server whose connection it lost lapse.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -84,6 +84,7 @@
         self._leadership = records.Leadership(0, address)
         self._settles_at = 0.0
         self._superseded_by_epoch = 0
+        self._earlier_tokens_end_at = -math.inf
         self._store_retry_at = 0.0
         self._fencing_tokens = leases.FencingTokens(0)
         self._grant_renewer = renewals.GrantRenewer(
@@ -117,13 +118,13 @@
 
     async def take_leadership(self) -> outcomes.Refusal | None:
         """Become the leader; return the refusal if that fails."""
-        sent = self._now()
         stored = await self._journal.read()
         if isinstance(stored, outcomes.Refusal):
             return stored
         leadership = records.Leadership(
             stored.leadership.epoch + 1, self._address
         )
+        sent = self._now()
         refusal = await self._journal.append(
             records.encode_leadership(leadership)
         )
@@ -139,9 +140,12 @@
             predecessor = await self._query_predecessor(
                 stored.leadership, leadership.epoch
             )
-            self._grant_sender.key_leases.take_over(self._now(), predecessor)
+            now = self._now()
+            self._grant_sender.key_leases.take_over(now, predecessor)
+            self._earlier_tokens_end_at = now + predecessor.new_token_seconds
             if predecessor.is_settled:
                 leadership = _settled(leadership)
+                sent = self._now()
                 refusal = await self._journal.append(
                     records.encode_leadership(leadership)
                 )
@@ -154,7 +158,7 @@
             )
         self._last_own_epoch = leadership.epoch
         self._leadership = leadership
-        self._grant_sender.start_epoch()
+        self._grant_sender.start_epoch(leadership.epoch)
         self._moves.start_epoch()
         self.services = {
             name: state_module.ServiceState(
@@ -416,6 +420,10 @@
             state.load,
         )
         self._moves.resume(service, tasks)
+        if now < self._earlier_tokens_end_at:
+            # An earlier leader may still send tokens to the stored owners,
+            # which need not remember having released their keys.
+            return
         moves = planner.plan(state.key_map, candidates, state.load, is_frozen)
         if moves:
             await self._start_moves(service, state, moves, candidates, tasks)
--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -30,6 +30,12 @@
 lease."""
 
 
+_NOT_SENT = (ports.Reply.UNSENT, ports.Reply.WITHHELD)
+_WITHHELD = ports.OrderResult(
+    ports.Reply.WITHHELD, None, "the leadership was not confirmed recently"
+)
+
+
 class Failures(typing.NamedTuple):
     """Consecutive failed grants or connections of one server.
 
@@ -52,7 +58,8 @@
     it. Orders name the identifier of the server only, so a grant is repeated
     only over a connection that can't reach a later incarnation: one that was
     open when the token was first sent, or when the incarnation that owns the
-    keys was certainly running. Any connection will do for a new token.
+    keys was certainly running. Any connection will do for a new token, which
+    is sent only shortly after the store has confirmed the leadership.
 
     Parameters
     ----------
@@ -77,12 +84,14 @@
         self._locks_by_server: dict[str, anyio.Lock] = {}
         self._failures_by_instance: dict[leases.Instance, Failures] = {}
         self._first_sent_by_fence: dict[int, float] = {}
+        self._epoch = 0
         self._link_health = link_health.LinkHealth()
         self.leader_lease = leases.LeaderLease()
         self.key_leases = leases.KeyLeases()
 
-    def start_epoch(self) -> None:
-        """Reset the failures that were counted in an earlier epoch."""
+    def start_epoch(self, epoch: int) -> None:
+        """Send no tokens of earlier epochs and forget their failures."""
+        self._epoch = epoch
         self._failures_by_instance.clear()
 
     def lock_of(self, server_id: str) -> anyio.Lock:
@@ -160,6 +169,10 @@
             server.recipient, self._newest_connection(server, key_range)
         )
 
+    def may_send_new_tokens(self) -> bool:
+        """Return whether tokens may be sent for the first time."""
+        return self.leader_lease.covers_new_tokens(self._now())
+
     def needs_new_fence(self, server_id: str) -> bool:
         """Return whether a server's lease ends before it reports in time."""
         left = self.key_leases.granted_until(server_id) - self._now()
@@ -171,8 +184,14 @@
         key_range: ranges.KeyRange,
         handover: str | None,
     ) -> ports.OrderResult | None:
-        """Send a grant; return None if the leader lease has expired."""
-        if not self.leader_lease.is_valid(self._now()):
+        """Send a grant; return None if this host no longer leads its epoch.
+
+        The caller may have waited since it chose the token, while this host
+        lost the leadership and took it again.
+        """
+        epoch = leases.FencingTokens.epoch_of(key_range.owner.fence)
+        is_leading = self.leader_lease.is_valid(self._now())
+        if epoch != self._epoch or not is_leading:
             return None
         recipient = server.recipient
         started = self._now()
@@ -180,8 +199,10 @@
         try:
             result = await self._send(server, key_range, handover)
         finally:
-            if result is None or result.reply is not ports.Reply.UNSENT:
+            if result is None or result.reply not in _NOT_SENT:
                 self.key_leases.record_grant(recipient.server_id, self._now())
+        if result.reply is ports.Reply.WITHHELD:
+            return result
         unanswered = (ports.Reply.SILENT, ports.Reply.UNSENT)
         self._record_time(started, result.reply not in unanswered)
         self._record_result(recipient[:2], result, started)
@@ -198,11 +219,11 @@
         is_new = fence not in self._first_sent_by_fence
         if is_new and not self._orders.is_connected(recipient, math.inf):
             reason = await self._orders.connect(recipient)
-            if not reason and not self.leader_lease.is_valid(self._now()):
-                reason = "the leader lease has expired"
             if reason:
                 return ports.OrderResult(ports.Reply.UNSENT, None, reason)
         if is_new:
+            if not self.may_send_new_tokens():
+                return _WITHHELD
             self._first_sent_by_fence[fence] = self._orders.now()
             self._log_new_token(server, key_range)
         result = await self._orders.grant(
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -31,6 +31,13 @@
 store. A successor waits as long before it reassigns the keys of a server that
 does not answer, so this bounds both."""
 
+NEW_TOKEN_SECONDS = 1.2
+"""Time after a confirmation by the store in which the leader may send a
+fencing token for the first time. Unlike a repeated grant, such a token can
+reach a server that restarted and forgot which keys it had released. It is
+shorter than the time to live of the membership, so that the store normally
+names no other leader before it ends."""
+
 Instance = tuple[str, int]
 """Identifier and incarnation of a server."""
 
@@ -53,6 +60,13 @@
     renewal_seconds: float
     is_settled: bool
 
+    @property
+    def new_token_seconds(self) -> float:
+        """For how much longer an earlier leader may send new tokens."""
+        if self.is_settled:
+            return 0.0
+        return NEW_TOKEN_SECONDS + ARRIVAL_SLACK_SECONDS
+
 
 NO_PREDECESSOR = Predecessor([], 0.0, True)
 
@@ -172,6 +186,10 @@
         """Return whether grants may be sent."""
         return now < self._confirmed_at + LEADER_LEASE_SECONDS
 
+    def covers_new_tokens(self, now: float) -> bool:
+        """Return whether tokens may be sent for the first time."""
+        return self.confirmation_age(now) < NEW_TOKEN_SECONDS
+
     def confirmation_age(self, now: float) -> float:
         """Return the age of the last confirmation, seconds."""
         return now - self._confirmed_at
@@ -186,6 +204,11 @@
     def __init__(self, epoch: int) -> None:
         self._next = (epoch << self.EPOCH_SHIFT) + 1
 
+    @classmethod
+    def epoch_of(cls, fence: int) -> int:
+        """Return the epoch of the leader that issued a token."""
+        return fence >> cls.EPOCH_SHIFT
+
     def next(self) -> int:
         """Return a token that is higher than all earlier ones."""
         fence = self._next
--- a/src/agatestile/assignment/ports.py
+++ b/src/agatestile/assignment/ports.py
@@ -14,7 +14,8 @@
 
     An order that is `UNSENT` certainly never reaches the server, as no
     connection could be opened; a `SILENT` one got no answer and may have
-    reached it.
+    reached it. A `WITHHELD` one was not sent because the store has not
+    confirmed the leadership recently, which says nothing of the server.
     """
 
     DONE = "done"
@@ -22,6 +23,7 @@
     REJECTED = "rejected"
     SILENT = "silent"
     UNSENT = "unsent"
+    WITHHELD = "withheld"
 
 
 class OrderResult(typing.NamedTuple):
--- a/src/agatestile/assignment/renewals.py
+++ b/src/agatestile/assignment/renewals.py
@@ -121,6 +121,8 @@
             return key_range
         if not self._grant_sender.needs_new_fence(server.recipient.server_id):
             return None
+        if not self._grant_sender.may_send_new_tokens():
+            return None
         return self._leader.renew_fence(service, key_range)
 
     async def _renew_range(
--- a/src/agatestile/node/leadership.py
+++ b/src/agatestile/node/leadership.py
@@ -137,7 +137,11 @@
                 self._is_candidate = await self._is_still_vacant()
                 if not self._is_candidate:
                     continue
+            was_leader = self._coordinator.epoch > 0
             await self.join_once()
+            if self._coordinator.epoch and not was_leader:
+                # The takeover may have used up the time for new tokens.
+                await self.join_once()
             await anyio.sleep(JOIN_INTERVAL_SECONDS)
             if self._must_yield():
                 await self._yield_leadership()
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import typing
+
 import anyio
 import pytest
 import trio
 
+from agatestile.assignment import leases
 from agatestile.node import leadership
 from tests.assignment import support
 
@@ -184,3 +187,32 @@
             tasks.cancel_scope.cancel()
 
     support.run(scenario)
+
+
+def test_leader_may_send_new_tokens_after_a_slow_takeover(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against keys that wait for a token after a change of leader."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        supersede = harness.hosts.supersede
+
+        async def supersede_slowly(host: str, epoch: int) -> typing.Any:
+            await anyio.sleep(leases.NEW_TOKEN_SECONDS)
+            return await supersede(host, epoch)
+
+        monkeypatch.setattr(harness.hosts, "supersede", supersede_slowly)
+        _, first = _elector(harness, "host-1")
+        assert await first.take_leadership() is None
+        second, successor = _elector(harness, "host-2")
+        second.campaign()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(second.run)
+            while not successor.epoch:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.02)
+            now = trio.current_time()
+            assert successor.leader_lease.covers_new_tokens(now)
+            tasks.cancel_scope.cancel()
+
+    support.run(scenario)
