Take no entry as proof that a server ended

Two servers held the same keys (OWNER): another writer's entry with the address of a server, and a later start, counted as proof that the server had ended, so its keys were granted to others without a release while it held them. Anyone who writes entries can produce that sign. A server now holds nothing once it has released the keys or its lease has ended; the keys of a lost server whose address is used again wait for the lease like those of others.

--- a/src/agatestile/assignment/moves.py
+++ b/src/agatestile/assignment/moves.py
@@ -35,8 +35,8 @@
     Attributes
     ----------
     proof : str
-        "released", "released by a later incarnation", "lease expired" or
-        "address reused"; empty if nothing had to be revoked.
+        "released", "released by a later incarnation" or "lease expired";
+        empty if nothing had to be revoked.
     handover : str or None
         State that the source handed over.
     """
@@ -189,10 +189,10 @@
     ) -> Revocation:
         """Return once the source certainly holds no keys.
 
-        That is so when its leases have expired, when the process at its
-        address has ended, or when it has released the keys. A later
-        incarnation may hold them by a grant that was meant for the earlier
-        one, so it has to release them too.
+        That is so when its leases have expired or when it has released the
+        keys. A later incarnation may hold them by a grant that was meant for
+        the earlier one, so it has to release them too. Entries of service
+        discovery prove nothing, as other writers leave some too.
         """
         instance = leases.instance_of(change.source)
         if instance[0] == change.owner.server_id:
@@ -207,8 +207,6 @@
         while epoch == self._leader.epoch:
             if self._now() >= held_until:
                 return Revocation("lease expired")
-            if self._fleet.is_address_reused(instance):
-                return Revocation("address reused")
             server = self._fleet.registered_server(service, instance[0])
             if server is None or not self._leader.is_active:
                 # A release is never refused, so one that is sent after the
--- a/src/agatestile/assignment/state.py
+++ b/src/agatestile/assignment/state.py
@@ -56,14 +56,6 @@
     ) -> RegisteredServer | None:
         """Return a server; None if the service does not have it."""
 
-    def is_address_reused(self, instance: leases.Instance) -> bool:
-        """Return whether another server has started at the address of one.
-
-        It proves that the process of the earlier one has ended. A later
-        incarnation under the same identifier proves less: it may have taken
-        grants that were meant for the earlier one.
-        """
-
 
 class ServiceState:
     """Assignment and load of a service."""
--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -113,7 +113,6 @@
         self._ids_by_service: dict[str, dict[str, None]] = {}
         self._missing_since_by_id: dict[str, float] = {}
         self._outage_ended_at = float("-inf")
-        self._newest_by_address: dict[tuple[str, int], ServerEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self.version = 0
         self.read_version = 0
@@ -176,9 +175,6 @@
                 leaving = known.leaving_since
             self._remove_from_index(known.entry)
         self._missing_since_by_id.pop(entry.id, None)
-        newest = self._newest_by_address.get(entry.address)
-        if newest is None or newest.incarnation <= entry.incarnation:
-            self._newest_by_address[entry.address] = entry
         server = Server(entry, now, leaving, is_departing, alive_at=alive_at)
         if known is not None and known.entry.incarnation == entry.incarnation:
             if entry.sequence == known.entry.sequence:
@@ -340,16 +336,9 @@
         self._missing_since_by_id.pop(server_id, None)
         if server is not None:
             self._remove_from_index(server.entry)
-            newest = self._newest_by_address.get(server.entry.address)
-            if newest is not None and newest.id == server_id:
-                del self._newest_by_address[server.entry.address]
             self._version_by_id.pop(server_id, None)
             self.version += 1
 
-    def newest_at(self, address: tuple[str, int]) -> ServerEntry | None:
-        """Return the newest server that started at an address."""
-        return self._newest_by_address.get(address)
-
     def missing_since_by_id(self) -> dict[str, float]:
         """Return since when entries are missing, by server identifier."""
         return dict(self._missing_since_by_id)
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -505,18 +505,6 @@
             _answer_rate(self.load_of(server.entry)),
         )
 
-    def is_address_reused(self, instance: directory_module.Instance) -> bool:
-        """Return whether another server has started at the address of one."""
-        known = self.directory.by_id.get(instance[0])
-        if known is None:
-            return False
-        later = self.directory.newest_at(known.entry.address)
-        return (
-            later is not None
-            and later.id != known.entry.id
-            and later.incarnation > known.entry.incarnation
-        )
-
     def _holder(
         self, server: directory_module.Server, now: float
     ) -> planner.OwnerCandidate:
--- a/tests/assignment/support.py
+++ b/tests/assignment/support.py
@@ -214,7 +214,6 @@
         self.by_id: dict[str, state.RegisteredServer] = {}
         self.report_age_by_id: dict[str, float] = {}
         self.last_report_by_id: dict[str, float] = {}
-        self.reused: set[tuple[str, int]] = set()
 
     def services(self) -> list[str]:
         return [SERVICE]
@@ -240,9 +239,6 @@
         """Cut a server off from service discovery, which still lists it."""
         self.last_report_by_id[server_id] = trio.current_time()
 
-    def is_address_reused(self, instance: tuple[str, int]) -> bool:
-        return instance in self.reused
-
     def add(
         self,
         name: str,
@@ -272,7 +268,7 @@
         self.coordinator = self.add_coordinator(host)
 
     def add_coordinator(
-        self, host: str, fleet: FakeFleet | None = None
+        self, host: str, fleet: state.Fleet | None = None
     ) -> coordinator_module.Coordinator:
         """Return another coordinator with the same store and servers.
 
@@ -293,6 +289,17 @@
         return state.key_map.find(key).owner.server_id
 
 
+async def confirmed_sleep(
+    leader: coordinator_module.Coordinator, seconds: float
+) -> None:
+    """Let time pass while the store confirms the leadership."""
+    end = trio.current_time() + seconds
+    while trio.current_time() < end:
+        if leader.epoch:
+            leader.leader_lease.confirm(trio.current_time())
+        await anyio.sleep(0.1)
+
+
 def run(
     scenario: typing.Callable[[CoordinatorHarness], typing.Awaitable[None]],
 ) -> None:
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -193,30 +193,6 @@
     support.run(scenario)
 
 
-def test_keys_of_a_replaced_instance_move_immediately() -> None:
-    """Guards against a wait for a lease whose server is known to be lost.
-
-    Another server at its address proves the loss. A later incarnation proves
-    less, see `test_restarts`.
-    """
-
-    async def scenario(harness: support.CoordinatorHarness) -> None:
-        await _assign_keys(harness, "a", "b")
-        harness.orders.silent.add("a")
-        harness.fleet.reused.add(("a", 1))
-        del harness.fleet.by_id["a"]
-        harness.coordinator.request_plan()
-        lost = trio.current_time()
-        await _sleep(harness, 1.0)
-        assert harness.owner_of(0) == "b"
-        grants = [order for order in harness.orders.received("grant", "b")]
-        assert any(
-            order.time < lost + 1.0 for order in grants if order.first == 0
-        )
-
-    support.run(scenario)
-
-
 def test_keys_of_a_restarted_server_get_an_owner_again() -> None:
     """Guards against keys that nobody serves after a restart of their owner.
 
--- a/tests/assignment/test_restarts.py
+++ b/tests/assignment/test_restarts.py
@@ -38,7 +38,7 @@
         assert await harness.coordinator.take_leadership() is None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(harness.coordinator.run)
-            await _sleep(harness.coordinator, 3.0)
+            await support.confirmed_sleep(harness.coordinator, 3.0)
             await scenario(harness, servers[0])
             tasks.cancel_scope.cancel()
 
@@ -46,24 +46,13 @@
     return servers[0]
 
 
-async def _sleep(
-    leader: coordinator_module.Coordinator, seconds: float
-) -> None:
-    """Let time pass while the store confirms the leadership."""
-    end = trio.current_time() + seconds
-    while trio.current_time() < end:
-        if leader.epoch:
-            leader.leader_lease.confirm(trio.current_time())
-        await anyio.sleep(0.1)
-
-
 async def _lead(
     leader: coordinator_module.Coordinator, seconds: float
 ) -> None:
     assert await leader.take_leadership() is None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(leader.run)
-        await _sleep(leader, seconds)
+        await support.confirmed_sleep(leader, seconds)
         tasks.cancel_scope.cancel()
 
 
@@ -74,7 +63,7 @@
     """Let the later incarnation of "a" report, which must get no keys."""
     harness.fleet.add("a", is_leaving=True, incarnation=2)
     leader.request_plan()
-    await _sleep(leader, 2.0)
+    await support.confirmed_sleep(leader, 2.0)
 
 
 def test_renewal_is_not_sent_to_a_server_that_restarted_unnoticed() -> None:
@@ -84,9 +73,9 @@
         harness: support.CoordinatorHarness, servers: lives.RestartingServers
     ) -> None:
         harness.fleet.stop_reports("a")
-        await _sleep(harness.coordinator, 1.0)
+        await support.confirmed_sleep(harness.coordinator, 1.0)
         servers.restart("a")
-        await _sleep(harness.coordinator, 3.5)
+        await support.confirmed_sleep(harness.coordinator, 3.5)
         await _report_restart(harness, harness.coordinator)
 
     assert _run(scenario).violations == []
@@ -106,7 +95,7 @@
         servers.disconnect("a")
         for _ in range(60):
             assert servers.holders_of(0) == {"a"}
-            await _sleep(harness.coordinator, 0.1)
+            await support.confirmed_sleep(harness.coordinator, 0.1)
 
     assert _run(scenario).violations == []
 
@@ -122,7 +111,7 @@
     ) -> None:
         harness.fleet.stop_reports("a")
         servers.restart("a")
-        await _sleep(harness.coordinator, 4.0)
+        await support.confirmed_sleep(harness.coordinator, 4.0)
         assert servers.holders_of(0) == {"a"}
         await _report_restart(harness, harness.coordinator)
         assert ("a", 2) in servers.releases
@@ -138,7 +127,7 @@
     ) -> None:
         harness.fleet.add("b", is_leaving=True)
         harness.coordinator.request_plan()
-        await _sleep(harness.coordinator, 2.0)
+        await support.confirmed_sleep(harness.coordinator, 2.0)
         await harness.coordinator.resign()
         servers.restart("a")
         second = harness.add_coordinator("host-2")
@@ -147,7 +136,7 @@
         async with anyio.create_task_group() as tasks:
             assert await second.take_leadership() is None
             tasks.start_soon(second.run)
-            await _sleep(second, 1.0)
+            await support.confirmed_sleep(second, 1.0)
             await _report_restart(harness, second)
             tasks.cancel_scope.cancel()
 
@@ -177,7 +166,7 @@
         harness.coordinator.lose_leadership("test")
         servers.restart("a")
         assert await harness.coordinator.take_leadership() is None
-        await _sleep(harness.coordinator, 3.0)
+        await support.confirmed_sleep(harness.coordinator, 3.0)
 
     assert _run(scenario).violations == []
 
@@ -193,10 +182,10 @@
         harness.fleet.add("c", is_leaving=True)
         harness.coordinator.request_plan()
         while servers.unanswered["a"]:
-            await _sleep(harness.coordinator, 0.1)
+            await support.confirmed_sleep(harness.coordinator, 0.1)
         harness.fleet.stop_reports("a")
         servers.restart("a")
-        await _sleep(harness.coordinator, 3.0)
+        await support.confirmed_sleep(harness.coordinator, 3.0)
         assert servers.holders_of(ranges.KEY_COUNT - 1) == {"a"}
 
     assert _run(scenario).violations == []
@@ -215,10 +204,12 @@
         harness.fleet.stop_reports("a")
         servers.restart("a")
         while servers.holders_of(0) != {"a"}:
-            await _sleep(harness.coordinator, 0.1)
+            await support.confirmed_sleep(harness.coordinator, 0.1)
         del harness.fleet.by_id["a"]
         harness.coordinator.request_plan()
-        await _sleep(harness.coordinator, 2 * leases.KEY_LEASE_SECONDS)
+        await support.confirmed_sleep(
+            harness.coordinator, 2 * leases.KEY_LEASE_SECONDS
+        )
         assert servers.holders_of(0) <= {"b", "c"}
 
     assert _run(scenario).violations == []
@@ -245,7 +236,7 @@
         harness.store.append = renew_meanwhile  # type: ignore[method-assign]
         harness.fleet.add(moved.owner.server_id, is_leaving=True)
         coordinator.request_plan()
-        await _sleep(coordinator, 2.0)
+        await support.confirmed_sleep(coordinator, 2.0)
         newest = state.key_map.find(other.first).owner
         assert newest.server_id == other.owner.server_id
         assert newest.fence > other.owner.fence
--- a/tests/assignment/test_superseded.py
+++ b/tests/assignment/test_superseded.py
@@ -47,7 +47,7 @@
         self.second.request_plan()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.second.run)
-            await confirmed_sleep(self.second, seconds)
+            await support.confirmed_sleep(self.second, seconds)
             if restarts_of:
                 for fleet in self.fleets:
                     fleet.stop_reports(restarts_of)
@@ -55,24 +55,13 @@
             tasks.cancel_scope.cancel()
 
 
-async def confirmed_sleep(
-    leader: coordinator_module.Coordinator, seconds: float
-) -> None:
-    """Let time pass while the store confirms the leadership."""
-    end = trio.current_time() + seconds
-    while trio.current_time() < end:
-        if leader.epoch:
-            leader.leader_lease.confirm(trio.current_time())
-        await anyio.sleep(0.1)
-
-
 async def _lead(
     leader: coordinator_module.Coordinator, seconds: float
 ) -> None:
     """Run a leader that the store confirms for a time, then suspend it."""
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(leader.run)
-        await confirmed_sleep(leader, seconds)
+        await support.confirmed_sleep(leader, seconds)
         tasks.cancel_scope.cancel()
 
 
@@ -153,14 +142,14 @@
         one.first.request_plan()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(one.first.run)
-            await confirmed_sleep(one.first, 0.2)
+            await support.confirmed_sleep(one.first, 0.2)
             for name in ("b", "c"):
                 del one.fleets[0].by_id[name]
             one.servers.release_seconds.clear()
             await one.move_keys_of("a", 0.5, restarts_of="a")
             assert one.first.is_active
             tasks.start_soon(one.second.run)
-            await confirmed_sleep(one.second, 5.0)
+            await support.confirmed_sleep(one.second, 5.0)
             tasks.cancel_scope.cancel()
 
     assert _overlaps(_run(scenario)) == []
@@ -183,13 +172,13 @@
         leader.request_plan()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(leader.run)
-            await confirmed_sleep(leader, 0.5)
+            await support.confirmed_sleep(leader, 0.5)
             leader.lose_leadership("test")
             await one.move_keys_of("a", 2.5, restarts_of="a")
             one.second.lose_leadership("test")
             assert await leader.take_leadership() is None
             lock.release()
-            await confirmed_sleep(leader, 1.0)
+            await support.confirmed_sleep(leader, 1.0)
             tasks.cancel_scope.cancel()
 
     assert _run(scenario).violations == []
@@ -204,11 +193,11 @@
         one.first.request_plan()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(one.first.run)
-            await confirmed_sleep(one.first, 0.2)
+            await support.confirmed_sleep(one.first, 0.2)
             await anyio.sleep(3.0)
             assert one.servers.holders_of(0) == set()
             assert not one.first._grant_sender.unresponsive_instances()
-            await confirmed_sleep(one.first, 0.6)
+            await support.confirmed_sleep(one.first, 0.6)
             assert one.servers.holders_of(0) < {"b", "c"}
             tasks.cancel_scope.cancel()
 
--- a/tests/catalog/test_directory.py
+++ b/tests/catalog/test_directory.py
@@ -63,15 +63,6 @@
     assert servers.by_id["a"].leaving_since is None
 
 
-def test_newest_server_of_an_address_is_known() -> None:
-    """Guards against confusing servers that use the same address in turn."""
-    servers = directory.Directory()
-    servers.put(entry("a", 1), 0.0)
-    servers.put(entry("b", 2), 1.0)
-    newest = servers.newest_at(("127.0.0.1", 1))
-    assert newest is not None and newest.id == "b"
-
-
 def test_departing_server_whose_entry_returns_is_still_leaving() -> None:
     """Guards against a bound that starts again when an entry reappears.
 
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -126,18 +126,6 @@
     assert not fleet.may_still_receive(server, 3.0)
 
 
-def test_later_server_at_an_address_proves_the_end_of_the_earlier() -> None:
-    """Guards against a lost server that counts as running.
-
-    Another server uses its address again.
-    """
-    fleet = _fleet(1, 0)
-    fleet.directory.put(test_directory.entry("a", 1), 0.0)
-    assert not fleet.is_address_reused(("a", 1))
-    fleet.directory.put(test_directory.entry("b", 2), 1.0)
-    assert fleet.is_address_reused(("a", 1))
-
-
 def test_older_assignment_is_ignored() -> None:
     view = view_module.AssignmentView()
     assert view.update(2, 1, {}, 0.0)
