Show an earlier token sent after a connection

A grant checks its epoch before it connects to the server. While the connection opens (0.5 s at most) another host can lead, move the keys and resign; the token of the earlier epoch is then sent under the confirmation of the later one.

--- a/tests/assignment/test_confirmations.py
+++ b/tests/assignment/test_confirmations.py
@@ -13,6 +13,7 @@
 import trio
 
 from agatestile.assignment import coordinator as coordinator_module
+from agatestile.assignment import ports
 from agatestile.node import leadership
 from agatestile.results import codes
 from agatestile.results import outcomes
@@ -311,3 +312,63 @@
 
     assert _overlaps(scenario) == []
     assert unserved == []
+
+
+class SlowConnections:
+    """Client of servers to one of which connections open slowly."""
+
+    def __init__(
+        self, servers: lives.RestartingServers, server_id: str, seconds: float
+    ) -> None:
+        self._servers = servers
+        self._server_id = server_id
+        self._seconds = seconds
+        self.now = servers.now
+        self.is_connected = servers.is_connected
+        self.grant = servers.grant
+        self.release = servers.release
+
+    async def connect(self, recipient: ports.Recipient) -> str:
+        if recipient.server_id == self._server_id:
+            await anyio.sleep(self._seconds)
+        return await self._servers.connect(recipient)
+
+
+def test_token_of_an_earlier_epoch_is_not_sent_once_a_connection_opens() -> (
+    None
+):
+    """Guards against a connection that opens while another host led (OWNER).
+
+    The grant checks its epoch before it connects only.
+    """
+
+    async def scenario(one: test_superseded.Succession) -> None:
+        first, second = one.first, one.second
+        one.harness.hosts.by_address["host-1"] = first
+        one.harness.hosts.by_address["host-2"] = second
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(first.run)
+            tasks.start_soon(second.run)
+            await support.confirmed_sleep(first, 7.0)
+            first._grant_sender._orders = SlowConnections(
+                one.servers, "d", 0.45
+            )
+            for fleet in one.fleets:
+                fleet.add("d")
+            first.request_plan()
+            while not one.servers.releases:
+                await support.confirmed_sleep(first, 0.01)
+            assert await second.take_leadership() is None
+            second.request_plan()
+            await anyio.sleep(0.05)
+            one.fleets[1].add("d", is_leaving=True)
+            second.request_plan()
+            await anyio.sleep(0.1)
+            assert ("d", 1) in one.servers.releases
+            one.servers.restart("d")
+            await second.resign()
+            assert await first.take_leadership() is None
+            await support.confirmed_sleep(first, 1.0)
+            tasks.cancel_scope.cancel()
+
+    assert test_superseded._overlaps(test_superseded._run(scenario)) == []
