Show a wait without the duration of a grant

A leader may begin a grant until its lease ends, and the call lasts up to 0.6 s. The successor of one that does not respond counts 8 s and the slack of the arrival, but not the call, and so takes the key leases for expired up to 0.6 s too early.

--- a/tests/assignment/test_confirmations.py
+++ b/tests/assignment/test_confirmations.py
@@ -372,3 +372,39 @@
             tasks.cancel_scope.cancel()
 
     assert test_superseded._overlaps(test_superseded._run(scenario)) == []
+
+
+class SlowOrders(SlowConnections):
+    """Client of servers at which grants arrive after a time."""
+
+    def __init__(
+        self, servers: lives.RestartingServers, seconds: float
+    ) -> None:
+        super().__init__(servers, "", 0.0)
+        self._delay = seconds
+        self.grant = self._grant_late  # type: ignore[assignment]
+
+    async def _grant_late(self, *arguments: typing.Any) -> ports.OrderResult:
+        await anyio.sleep(self._delay)
+        return await self._servers.grant(*arguments)
+
+
+def test_successor_waits_for_the_last_grant_of_its_predecessor() -> None:
+    """Guards against a wait that leaves out the duration of a call (OWNER).
+
+    The predecessor renews until its leader lease ends, over a slow link.
+    """
+
+    async def scenario(one: World) -> None:
+        first, second = one.first, one.second
+        del second.fleet.by_id["a"]
+        await anyio.sleep(0.65)
+        await first.elector.join_once()
+        first.store.is_cut = True
+        one.expire(first)
+        first.hide_others()
+        first.coordinator._grant_sender._orders = SlowOrders(one.servers, 0.59)
+        second.elector.campaign()
+        await anyio.sleep(12.0)
+
+    assert _overlaps(scenario) == []
