Show a release by a superseded leader

A release is never refused, and a leader without the store sends releases of its stored moves for the 8 s of its lease.

--- a/tests/assignment/test_confirmations.py
+++ b/tests/assignment/test_confirmations.py
@@ -134,10 +134,13 @@
         tasks.start_soon(self.coordinator.run)
         tasks.start_soon(self.elector.run)
 
-    def hide_others(self) -> None:
-        """Lose sight of all servers but "a", which gets no more keys."""
+    def hide_b_and_c(self) -> None:
         for name in ("b", "c"):
             del self.fleet.by_id[name]
+
+    def hide_others(self) -> None:
+        """Lose sight of all servers but "a", which gets no more keys."""
+        self.hide_b_and_c()
         known = self.fleet.by_id["a"]
         self.fleet.by_id["a"] = known._replace(
             candidate=known.candidate._replace(accepts_keys=False)
@@ -408,3 +411,42 @@
         await anyio.sleep(12.0)
 
     assert _overlaps(scenario) == []
+
+
+def test_superseded_leader_releases_no_keys_that_its_successor_granted() -> (
+    None
+):
+    """Guards against keys that a late release takes from their holder.
+
+    The first leader can't grant them to others any more, but still executes
+    its move.
+    """
+    unserved: list[float] = []
+
+    async def scenario(one: World) -> None:
+        first, second = one.first, one.second
+        first.fleet.add("a", is_leaving=True)
+        entry = first.fleet.by_id["a"]
+        first.coordinator.request_plan()
+        await anyio.sleep(0.01)
+        del first.fleet.by_id["a"]
+        first.store.is_cut = True
+        one.expire(first)
+        second.elector.campaign()
+        first.hide_b_and_c()
+        await one.wait_for_move()
+        await anyio.sleep(1.5)
+        for name in ("b", "c"):
+            second.fleet.add(name, is_leaving=True)
+        second.coordinator.request_plan()
+        while one.servers.holders_of(0) != {"a"}:
+            await anyio.sleep(0.01)
+        await anyio.sleep(0.1)
+        first.fleet.by_id["a"] = entry
+        for _ in range(20):
+            if not one.servers.holders_of(0):
+                unserved.append(trio.current_time())
+            await anyio.sleep(0.1)
+
+    assert _overlaps(scenario) == []
+    assert unserved == []
