Release keys only while surely leading

Keys of a healthy server were unserved for up to 0.9 s: a leader without the store sent releases of its stored moves for the 8 s of its lease, and one took keys that the successor had granted to the server meanwhile. A release is never refused. Releases now need the same recent confirmation as new tokens; the grant that would follow them is withheld without it anyway.

--- a/src/agatestile/assignment/moves.py
+++ b/src/agatestile/assignment/moves.py
@@ -208,9 +208,9 @@
             if self._now() >= held_until:
                 return Revocation("lease expired")
             server = self._fleet.registered_server(service, instance[0])
-            if server is None or not self._leader.is_active:
-                # A release is never refused, so one that is sent after the
-                # leader lease has expired could undo a grant of a successor.
+            if server is None or not self._grant_sender.may_send_new_tokens():
+                # A release is never refused, so that of a leader without a
+                # recent confirmation could undo a grant of a successor.
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
             remaining = max(0.01, held_until - self._now())
