Check the epoch of a token after connecting

Two servers held the same keys: a grant checked its epoch, then waited for a connection, while another host led, moved the keys and resigned; its token was sent under the confirmation of a later epoch. The epoch is checked once more right before a token is sent for the first time.

--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -163,12 +163,16 @@
         key_range : ranges.KeyRange
             The keys and the fencing token.
         """
-        if key_range.owner.fence not in self._first_sent_by_fence:
+        if self.is_new(key_range):
             return True
         return self._orders.is_connected(
             server.recipient, self._newest_connection(server, key_range)
         )
 
+    def is_new(self, key_range: ranges.KeyRange) -> bool:
+        """Return whether the token of a range has never been sent."""
+        return key_range.owner.fence not in self._first_sent_by_fence
+
     def may_send_new_tokens(self) -> bool:
         """Return whether tokens may be sent for the first time."""
         return self.leader_lease.covers_new_tokens(self._now())
@@ -216,13 +220,15 @@
     ) -> ports.OrderResult:
         recipient = server.recipient
         fence = key_range.owner.fence
-        is_new = fence not in self._first_sent_by_fence
+        is_new = self.is_new(key_range)
         if is_new and not self._orders.is_connected(recipient, math.inf):
             reason = await self._orders.connect(recipient)
             if reason:
                 return ports.OrderResult(ports.Reply.UNSENT, None, reason)
         if is_new:
-            if not self.may_send_new_tokens():
+            # The host may have lost the leadership while it connected.
+            epoch = leases.FencingTokens.epoch_of(fence)
+            if epoch != self._epoch or not self.may_send_new_tokens():
                 return _WITHHELD
             self._first_sent_by_fence[fence] = self._orders.now()
             self._log_new_token(server, key_range)
