Renew at once when tokens may be sent again

Keys of a healthy server lapsed although the store was back before its lease ended: a renewal that needed a new token, and could not send it, came again only after a whole interval. It is now due at each check until it may be sent.

--- a/src/agatestile/assignment/renewals.py
+++ b/src/agatestile/assignment/renewals.py
@@ -46,10 +46,11 @@
         self._fleet = fleet
         self._grant_sender = grant_sender
         self._now = now
+        self._next_renewal_by_instance: dict[leases.Instance, float] = {}
 
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
         """Renew grants until cancelled; calls run in a task group."""
-        next_renewal_by_instance: dict[leases.Instance, float] = {}
+        next_renewal_by_instance = self._next_renewal_by_instance
         while True:
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
             if not self._leader.is_active:
@@ -97,6 +98,10 @@
                     return
                 if not self._leader.services[service].is_owned(key_range):
                     continue
+                if self._is_withheld(server, key_range):
+                    # Renewed as soon as the store confirms the leadership.
+                    self._next_renewal_by_instance[instance] = self._now()
+                    return
                 sendable = self._sendable(service, server, key_range)
                 if sendable is None:
                     await self._grant_sender.check_reachable(server.recipient)
@@ -105,6 +110,19 @@
                 if not await self._renew_range(server, sendable):
                     return
 
+    def _is_withheld(
+        self, server: state.RegisteredServer, key_range: ranges.KeyRange
+    ) -> bool:
+        """Return whether a renewal needs a token that may not be sent yet."""
+        sender = self._grant_sender
+        return not sender.may_send_new_tokens() and (
+            sender.is_new(key_range)
+            or (
+                not sender.may_send(server, key_range)
+                and sender.needs_new_fence(server.recipient.server_id)
+            )
+        )
+
     def _sendable(
         self,
         service: str,
@@ -121,8 +139,6 @@
             return key_range
         if not self._grant_sender.needs_new_fence(server.recipient.server_id):
             return None
-        if not self._grant_sender.may_send_new_tokens():
-            return None
         return self._leader.renew_fence(service, key_range)
 
     async def _renew_range(
