Count the last grant of a silent leader

Two servers held the same keys for 0.15 s: the successor of a leader that does not respond waited for its lease and for the arrival of a grant, but not for the 0.6 s that the call may take. It waits for as long as until a leadership counts as settled. The test failed before (3 of 3) and passes.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -192,7 +192,7 @@
                 previous.remaining_leases, 0.0, previous.is_settled
             )
         ended = leases.Predecessor(None, leases.GRANT_TIMEOUT_SECONDS, True)
-        unknown = leases.Predecessor(None, leases.LEADER_LEASE_SECONDS, False)
+        unknown = leases.Predecessor(None, SETTLING_SECONDS, False)
         if not previous.is_settled:
             # A leader before the previous one may still renew grants.
             ended = unknown
