Confirm leaders by what is stored, not by joins

- A successor is suspended between its join and its append and loses its membership.
The first leader gets the partition back, and its joins confirm it although the successor has appended since.
- A move whose append got no answer is stored late.
The successor resumes it at once while the first leader takes the source for the owner.
- Both leaders execute a stored move to a server that restarts.

A join proves membership only. A confirmation is now a read from the end of the leader's last append that finds nothing, 16 bytes beside each join. So no confirmation is later than a successor's append, and the successor of a leader that does not respond waits 1 s from its append before it leads: tokens may be sent for the first time within 0.8 s of a confirmation (1.2 s before), plus 0.2 s for a process that stands still before the send. It stays a member meanwhile. The pause before new moves alone is gone with this.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -84,7 +84,6 @@
         self._leadership = records.Leadership(0, address)
         self._settles_at = 0.0
         self._superseded_by_epoch = 0
-        self._earlier_tokens_end_at = -math.inf
         self._store_retry_at = 0.0
         self._fencing_tokens = leases.FencingTokens(0)
         self._grant_renewer = renewals.GrantRenewer(
@@ -130,7 +129,7 @@
         )
         if refusal is not None:
             return refusal
-        now = self._now()
+        now = appended_at = self._now()
         self._settles_at = now + SETTLING_SECONDS
         self._fencing_tokens = leases.FencingTokens(leadership.epoch)
         if (
@@ -142,15 +141,18 @@
             )
             now = self._now()
             self._grant_sender.key_leases.take_over(now, predecessor)
-            self._earlier_tokens_end_at = now + predecessor.new_token_seconds
             if predecessor.is_settled:
                 leadership = _settled(leadership)
                 sent = self._now()
                 refusal = await self._journal.append(
                     records.encode_leadership(leadership)
                 )
-                if refusal is not None:
-                    return refusal
+            else:
+                await self._outlast_earlier_leaders(appended_at)
+                sent = self._now()
+                refusal = await self._check_current()
+            if refusal is not None:
+                return refusal
         if self._superseded_by_epoch > leadership.epoch:
             return outcomes.Refusal(
                 codes.ResultCode.RECORD_STALE,
@@ -208,6 +210,47 @@
             )
         return ended
 
+    async def _outlast_earlier_leaders(self, appended_at: float) -> None:
+        """Wait until no earlier leader may send new tokens.
+
+        Parameters
+        ----------
+        appended_at : float
+            Time after which the store confirmed no earlier leader, seconds.
+        """
+        until = (
+            appended_at
+            + leases.NEW_TOKEN_SECONDS
+            + leases.NEW_TOKEN_MARGIN_SECONDS
+        )
+        await anyio.sleep(max(0.0, until - self._now()))
+
+    async def _check_current(self) -> outcomes.Refusal | None:
+        if await self._journal.is_current():
+            return None
+        return outcomes.Refusal(
+            codes.ResultCode.RECORD_STALE,
+            "the leadership was not confirmed during the takeover",
+        )
+
+    async def confirm(self) -> None:
+        """Extend the leader lease if the store confirms the leadership.
+
+        Being a member of the group is no confirmation: another host may
+        have taken the leadership since and have lost its own membership.
+        """
+        epoch = self.epoch
+        sent = self._now()
+        is_current = await self._journal.is_current()
+        if is_current is None or not epoch or epoch != self.epoch:
+            return
+        if is_current:
+            self.leader_lease.confirm(sent)
+        else:
+            self.lose_leadership(
+                "stored assignments were changed by another append"
+            )
+
     def _with_new_fences(self, key_map: ranges.RangeMap) -> ranges.RangeMap:
         """Return a map with new fencing tokens for all owners.
 
@@ -420,10 +463,6 @@
             state.load,
         )
         self._moves.resume(service, tasks)
-        if now < self._earlier_tokens_end_at:
-            # An earlier leader may still send tokens to the stored owners,
-            # which need not remember having released their keys.
-            return
         moves = planner.plan(state.key_map, candidates, state.load, is_frozen)
         if moves:
             await self._start_moves(service, state, moves, candidates, tasks)
@@ -513,7 +552,7 @@
                 "stored assignments were changed by another append"
             )
         elif refusal.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
-            if await self._journal.has_changed():
+            if await self._journal.is_current() is False:
                 self.lose_leadership(
                     f"unanswered append of {record.key} was applied late"
                 )
--- a/src/agatestile/assignment/journal.py
+++ b/src/agatestile/assignment/journal.py
@@ -50,9 +50,21 @@
             self._expected_end = result
             return None
 
-    async def has_changed(self) -> bool:
-        """Return whether the topic ends elsewhere than expected."""
-        page = await self._store.read_newest(records.TOPIC)
-        return not isinstance(page, outcomes.Refusal) and (
-            page.end != self._expected_end
-        )
+    async def is_current(self) -> bool | None:
+        """Return whether nothing follows the last append of this host.
+
+        Returns
+        -------
+        bool or None
+            None if that is unknown: the store can't be read, or an append of
+            this host is in progress.
+        """
+        expected_end = self._expected_end
+        page = await self._store.read(records.TOPIC, expected_end, 0.0)
+        if isinstance(page, outcomes.Refusal):
+            if page.code == codes.ResultCode.LOG_HISTORY_GONE:
+                return False
+            return None
+        if self._lock.locked() or self._expected_end != expected_end:
+            return None
+        return page.end == expected_end
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -31,12 +31,15 @@
 store. A successor waits as long before it reassigns the keys of a server that
 does not answer, so this bounds both."""
 
-NEW_TOKEN_SECONDS = 1.2
+NEW_TOKEN_SECONDS = 0.8
 """Time after a confirmation by the store in which the leader may send a
 fencing token for the first time. Unlike a repeated grant, such a token can
-reach a server that restarted and forgot which keys it had released. It is
-shorter than the time to live of the membership, so that the store normally
-names no other leader before it ends."""
+reach a server that restarted and forgot which keys it had released. A
+successor waits until it is over before it leads."""
+
+NEW_TOKEN_MARGIN_SECONDS = 0.2
+"""Longest time between the check of the leadership and the sending of a token,
+in which a process whose processor time is used up stands still."""
 
 Instance = tuple[str, int]
 """Identifier and incarnation of a server."""
@@ -60,13 +63,6 @@
     renewal_seconds: float
     is_settled: bool
 
-    @property
-    def new_token_seconds(self) -> float:
-        """For how much longer an earlier leader may send new tokens."""
-        if self.is_settled:
-            return 0.0
-        return NEW_TOKEN_SECONDS + ARRIVAL_SLACK_SECONDS
-
 
 NO_PREDECESSOR = Predecessor([], 0.0, True)
 
--- a/src/agatestile/node/leadership.py
+++ b/src/agatestile/node/leadership.py
@@ -12,7 +12,6 @@
 
 import anyio
 
-from agatestile.assignment import records
 from agatestile.observability import events
 from agatestile.results import outcomes
 
@@ -110,7 +109,6 @@
         self._member = member
         self._now = now
         self._generation = 0
-        self._confirmed_generation = -1
         self._last_joined = 0.0
         self._is_candidate = False
         self._is_leaving = False
@@ -153,27 +151,29 @@
         return leader is None and not self._is_leaving
 
     async def join_once(self) -> None:
-        """Join the group once and act on the result."""
+        """Renew the leadership, or join the group to take it."""
+        if self._coordinator.epoch:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._join)
+                tasks.start_soon(self._coordinator.confirm)
+            return
+        joined = await self._join()
+        if joined is None or self._is_leaving:
+            self._is_candidate = False
+            return
+        await self._lead_or_leave(LEADER_PARTITION in joined.partitions)
+
+    async def _join(self) -> port.Membership | None:
+        """Renew the membership; return None if the store refuses it."""
         started = self._now()
         joined = await self._store.join(
             GROUP, self._member, MEMBERSHIP_TTL_SECONDS, self._generation
         )
-        if isinstance(joined, outcomes.Refusal) or self._is_leaving:
-            if not self._coordinator.epoch:
-                self._is_candidate = False
-            return
+        if isinstance(joined, outcomes.Refusal):
+            return None
         self._generation = joined.generation
         self._last_joined = started
-        has_leader_partition = LEADER_PARTITION in joined.partitions
-        if not self._coordinator.epoch:
-            await self._lead_or_leave(has_leader_partition, joined.generation)
-        elif (
-            has_leader_partition
-            and joined.generation == self._confirmed_generation
-        ):
-            self._coordinator.leader_lease.confirm(started)
-        else:
-            await self._verify_leadership(joined.generation)
+        return joined
 
     async def leave(self) -> None:
         """Resign the leadership and leave the group."""
@@ -205,36 +205,24 @@
         await self._store.leave(GROUP, self._member)
         await anyio.sleep(YIELD_PAUSE_SECONDS)
 
-    async def _lead_or_leave(
-        self, has_leader_partition: bool, generation: int
-    ) -> None:
+    async def _lead_or_leave(self, has_leader_partition: bool) -> None:
         self._is_candidate = False
         if has_leader_partition:
-            refusal = await self._coordinator.take_leadership()
+            refusal = await self._take_leadership()
             if refusal is None:
-                self._confirmed_generation = generation
                 return
             events.emit("leadership_not_taken", reason=str(refusal))
         await self._store.leave(GROUP, self._member)
 
-    async def _verify_leadership(self, generation: int) -> None:
-        """Confirm the leadership in the stored record after a group change."""
-        started = self._now()
-        page = await self._store.read_newest(records.TOPIC)
-        if isinstance(page, outcomes.Refusal):
-            return
-        stored = records.decode(page)
-        if isinstance(stored, str):
-            events.emit("assignments_unreadable", reason=stored)
-            return
-        leadership = stored.leadership
-        if (leadership.epoch, leadership.host) == (
-            self._coordinator.epoch,
-            self._member,
-        ):
-            self._coordinator.leader_lease.confirm(started)
-            self._confirmed_generation = generation
-        else:
-            self._coordinator.lose_leadership(
-                f"{leadership.host} leads epoch {leadership.epoch}"
-            )
+    async def _take_leadership(self) -> outcomes.Refusal | None:
+        """Take the leadership and stay a member meanwhile."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_membership)
+            refusal = await self._coordinator.take_leadership()
+            tasks.cancel_scope.cancel()
+        return refusal
+
+    async def _keep_membership(self) -> None:
+        while True:
+            await anyio.sleep(JOIN_INTERVAL_SECONDS)
+            await self._join()
