Bound responses by what they cost

A back-end server that sends without end, in chunks of 1 or 2 bytes, made a host keep up to eight times what it had received (a list of pieces, while the limit counted their payload), and kept the event loop from other requests.

A body is kept as one bytearray. Framing is limited to 64 KiB and half of the body, counted over all responses to a request; it used to be counted anew after each piece. A declared length beyond the limit fails with the head. Received data is parsed in slices, which ends with the failure, and one connection has one large read in a turn of the event loop. The limit of a body is 16 MiB instead of 64 MiB; answers have up to a few MB.

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -29,13 +29,20 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Largest response head, bytes."""
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_FRAMING_RATIO = 0.5
+"""Framing bytes per byte of a body that a response may have in addition to
+`MAX_HEAD_BYTES`. Chunks of 10 bytes have as many."""
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
 """Largest response body kept in memory, bytes. It includes the bodies of late
 responses that precede the expected one."""
 
 MAX_BUFFERED_BYTES = 96 * 1024 * 1024
 """Limit of the incomplete bodies of all responses of a pool, bytes."""
 
+PARSED_SLICE_BYTES = 64 * 1024
+"""Received data that is parsed before the limits are checked, bytes."""
+
 _LINGER_RESET = struct.pack("ii", 1, 0)
 """SO_LINGER value (on, 0 seconds) that makes a close reset the connection."""
 
@@ -47,6 +54,21 @@
 
     def __init__(self) -> None:
         self.total = 0
+        self._size_by_connection: dict[Connection, int] = {}
+
+    def add(self, connection: Connection, size: int) -> None:
+        """Count `size` bytes that a connection keeps."""
+        kept = self._size_by_connection.get(connection, 0)
+        self._size_by_connection[connection] = kept + size
+        self.total += size
+        if self.total > MAX_BUFFERED_BYTES:
+            connection.fail(
+                f"responses exceed {MAX_BUFFERED_BYTES} bytes in all"
+            )
+
+    def discard(self, connection: Connection) -> None:
+        """Count nothing for a connection any more."""
+        self.total -= self._size_by_connection.pop(connection, 0)
 
 
 class Connection(asyncio.Protocol):
@@ -68,9 +90,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self._result: messages.Response | messages.Failure | None = None
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_size = 0
-        self._framing_size = 0
+        self._received_size = 0
         self._has_head = False
         self._first_data_at: float | None = None
         self._ends_at_close = False
@@ -105,7 +127,7 @@
         self._has_head = False
         self._ends_at_close = False
         self._body_size = 0
-        self._framing_size = 0
+        self._received_size = 0
         self._first_data_at = None
         self._transport.write(content)
         self._waiter = asyncio.get_running_loop().create_future()
@@ -116,8 +138,7 @@
             raise
         finally:
             self._waiter = None
-            self._buffered.total -= self._body_size
-            self._body = []
+            self._discard_body()
         result = self._result
         if result is None:
             return _outcome_unknown("the connection closed before a response")
@@ -158,7 +179,7 @@
         if exc is None and self._has_head and self._ends_at_close:
             self._complete()
         if self._waiter is not None and self._result is None:
-            self._fail(f"connection lost: {exc or 'closed by the server'}")
+            self.fail(f"connection lost: {exc or 'closed by the server'}")
 
     def eof_received(self) -> bool:
         """Return False so that the transport closes itself."""
@@ -174,16 +195,39 @@
             self._first_data_at = _loop_time()
         if self.on_data is not None:
             self.on_data()
-        self._framing_size += len(data)
+        view = memoryview(data)
+        for start in range(0, len(view), PARSED_SLICE_BYTES):
+            if self._result is not None:
+                # The rest belongs to no request.
+                self.is_usable = False
+                break
+            self._parse(view[start : start + PARSED_SLICE_BYTES])
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if len(view) >= PARSED_SLICE_BYTES:
+            # The event loop otherwise reads on as long as there is data.
+            transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _parse(self, data: memoryview) -> None:
+        self._received_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"malformed HTTP response: {error!r}")
+            self.fail(f"malformed HTTP response: {error!r}")
         except httptools.HttpParserUpgrade:
-            self._fail("the response upgrades the protocol")
-        if self._framing_size > MAX_HEAD_BYTES:
-            self._fail(
-                f"response has {self._framing_size} bytes without a body"
+            self.fail("the response upgrades the protocol")
+        framing_size = self._received_size - self._body_size
+        allowed = MAX_HEAD_BYTES + self._body_size * MAX_FRAMING_RATIO
+        if framing_size > allowed:
+            self.fail(
+                f"response has {framing_size} bytes of framing for"
+                f" {self._body_size} bytes of a body"
             )
 
     def on_message_begin(self) -> None:
@@ -192,7 +236,7 @@
             self.is_usable = False
             return
         self._headers = []
-        self._body = []
+        self._discard_body()
         self._has_head = False
         self._ends_at_close = False
 
@@ -212,30 +256,36 @@
         find = messages.find_header
         if not self._parser.should_keep_alive():
             self.is_usable = False
-        has_length = find(self._headers, b"content-length") is not None
+        length = find(self._headers, b"content-length")
         is_chunked = find(self._headers, b"transfer-encoding") is not None
-        self._ends_at_close = not has_length and not is_chunked
+        self._ends_at_close = length is None and not is_chunked
         keep_alive = find(self._headers, b"keep-alive")
         if keep_alive is not None:
             self._set_idle_timeout(keep_alive)
         if self._is_head_request:
             self.is_usable = False
             self._complete()
+        elif length is not None and status not in (204, 304):
+            if int(length) > MAX_BODY_BYTES:
+                self.fail(
+                    f"response body of {int(length)} bytes exceeds"
+                    f" {MAX_BODY_BYTES} bytes"
+                )
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         if self._result is not None:
             self.is_usable = False
             return
-        self._body.append(body)
-        # What remains counts toward a head or the framing of a chunk.
-        self._framing_size = 0
         self._body_size += len(body)
-        self._buffered.total += len(body)
         if self._body_size > MAX_BODY_BYTES:
-            self._fail(f"response body exceeds {MAX_BODY_BYTES} bytes")
-        elif self._buffered.total > MAX_BUFFERED_BYTES:
-            self._fail(f"responses exceed {MAX_BUFFERED_BYTES} bytes in all")
+            self.fail(f"response body exceeds {MAX_BODY_BYTES} bytes")
+        else:
+            self._body += body
+            self._buffered.add(self, len(body))
+        if self._result is not None:
+            # Ends the parsing of what has been received.
+            raise ValueError("the response failed")
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -254,24 +304,31 @@
                 self._has_head = False
                 self.is_usable = False
                 if echo is None:
-                    self._fail(
+                    self.fail(
                         f"the response lacks the header {self._echo_header!r}"
                     )
                 return
         self._result = messages.Response(
             self._parser.get_status_code(),
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             _loop_time() - (self._first_data_at or _loop_time()),
         )
+        self._discard_body()
         self._notify_waiter()
 
-    def _fail(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
+        """End the current response, unless it is complete, and close."""
         if self._result is None:
             self._result = _outcome_unknown(reason)
+        self._discard_body()
         self.abort()
         self._notify_waiter()
 
+    def _discard_body(self) -> None:
+        self._body = bytearray()
+        self._buffered.discard(self)
+
     def _notify_waiter(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- /dev/null
+++ b/tests/transport/test_endless_responses.py
@@ -0,0 +1,239 @@
+"""What servers that send without end cost, and who else notices."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import tracemalloc
+import typing
+
+import pytest
+
+from agatestile.transport import client
+from agatestile.transport import messages
+from tests.transport import support
+
+pytestmark = pytest.mark.anyio
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-id: 1\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+REQUEST = messages.Request(b"GET", b"/", [], b"")
+
+CALL_SECONDS = 3.0
+"""Timeout of calls that are given up before it."""
+
+HARNESS_BYTES = 2 * 1024 * 1024
+"""Allowed for the server, which runs in the test's process."""
+
+
+def _endless(start: bytes, piece: bytes) -> support.Serve:
+    """Return a server that responds with `start` and pieces without end."""
+    block = piece * (64 * 1024 // len(piece))
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        while True:
+            writer.write(block)
+            await writer.drain()
+
+    return serve
+
+
+def _chunks(size: int) -> support.Serve:
+    return _endless(CHUNKED, b"%x\r\n%b\r\n" % (size, b"b" * size))
+
+
+@contextlib.contextmanager
+def _traced() -> collections.abc.Iterator[typing.Callable[[], int]]:
+    """Yield a function that returns the peak of what was kept, bytes."""
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        yield lambda: tracemalloc.get_traced_memory()[1] - before
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize(
+    "serve",
+    [
+        _chunks(1),
+        _chunks(2),
+        _chunks(16),
+        _chunks(4096),
+        _endless(HEAD + b"\r\n", b"b"),
+        _endless(HEAD + b"content-length: %d\r\n\r\n" % 2**60, b"b"),
+        # Late responses to other requests, each with a body of one byte.
+        _endless(
+            b"", b"HTTP/1.1 200 OK\r\nx-id: 0\r\ncontent-length: 1\r\n\r\nb"
+        ),
+    ],
+    ids=[
+        "chunks of 1 byte",
+        "chunks of 2 bytes",
+        "chunks of 16 bytes",
+        "chunks of 4096 bytes",
+        "body until close",
+        "declared length",
+        "late responses",
+    ],
+)
+async def test_endless_response_costs_no_more_than_its_limit(
+    serve: support.Serve, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a host that runs out of memory, with all its requests.
+
+    A piece of a body must not cost more than its bytes, twice while they are
+    put together.
+    """
+    limit = 1024 * 1024
+    monkeypatch.setattr(client, "MAX_BODY_BYTES", limit)
+    async with support.serving(serve) as address:
+        pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
+        connection = await pool.open(address)
+        assert isinstance(connection, client.Connection)
+        with _traced() as peak:
+            async with asyncio.timeout(CALL_SECONDS):
+                result = await connection.exchange(
+                    b"GET / HTTP/1.1\r\n\r\n", b"1"
+                )
+            assert peak() < 2 * limit + HARNESS_BYTES
+    assert isinstance(result, messages.Failure)
+    assert result.kind is messages.FailureKind.UNKNOWN
+
+
+async def test_declared_length_beyond_the_limit_fails_with_the_head() -> None:
+    """Guards against memory and time spent on a body that can't be kept."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"content-length: %d\r\n\r\nb" % 2**60)
+        await reader.read()
+
+    async with support.serving(serve) as address:
+        pool = client.Pool(asyncio.get_running_loop().time)
+        result = await pool.call(address, REQUEST, CALL_SECONDS)
+    assert isinstance(result, messages.Failure)
+    assert "exceeds" in result.reason
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        HEAD.replace(b"200 OK", b"304 Not Modified"),
+        HEAD.replace(b"200 OK", b"204 No Content"),
+    ],
+)
+async def test_length_of_a_response_without_a_body_is_no_limit(
+    start: bytes,
+) -> None:
+    """Guards against a failed answer that only names a length."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start + b"content-length: %d\r\n\r\n" % 2**40)
+        await reader.read()
+
+    async with support.serving(serve) as address:
+        pool = client.Pool(asyncio.get_running_loop().time)
+        result = await pool.call(address, REQUEST, CALL_SECONDS)
+    assert isinstance(result, messages.Response)
+
+
+@pytest.mark.parametrize(
+    ("start", "content"),
+    [
+        (CHUNKED, b"1\r\nb\r\n" * 8192 + b"0\r\n\r\n"),
+        (CHUNKED, b"10\r\n" + b"b" * 16 + b"\r\n"),
+        (HEAD + b"content-length: 4000000\r\n\r\n", b"b" * 4_000_000),
+        (HEAD + b"\r\n", b"b" * 4_000_000),
+    ],
+    ids=["8192 chunks of 1 byte", "16-byte chunks", "length", "until close"],
+)
+async def test_large_answer_is_returned_whole(
+    start: bytes, content: bytes
+) -> None:
+    """Guards against limits that end the answers of healthy servers."""
+    if content.startswith(b"10\r\n"):
+        content = content * 100_000 + b"0\r\n\r\n"
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start + content)
+        await writer.drain()
+
+    async with support.serving(serve) as address:
+        pool = client.Pool(asyncio.get_running_loop().time)
+        result = await pool.call(address, REQUEST, CALL_SECONDS)
+    assert isinstance(result, messages.Response)
+    assert len(result.body) == content.count(b"b")
+
+
+async def test_healthy_server_answers_beside_endless_ones() -> None:
+    """Guards against an event loop that a few faulty servers take."""
+
+    async def healthy(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"content-length: 2\r\n\r\nok")
+
+    async with contextlib.AsyncExitStack() as stack:
+        serving = stack.enter_async_context
+        endless = [
+            await serving(support.serving(_chunks(size)))
+            for size in (1, 2, 2, 16)
+        ]
+        address = await serving(support.serving(healthy))
+        pool = client.Pool(asyncio.get_running_loop().time)
+        tasks = await serving(asyncio.TaskGroup())
+        calls = [
+            tasks.create_task(pool.call(each, REQUEST, CALL_SECONDS))
+            for each in endless
+        ]
+        while not all(call.done() for call in calls):
+            result = await pool.call(address, REQUEST, 0.5)
+            assert isinstance(result, messages.Response)
+            assert result.body == b"ok"
+        for call in calls:
+            failure = call.result()
+            assert isinstance(failure, messages.Failure)
+            assert "no response within" not in failure.reason
+
+
+@pytest.mark.parametrize(
+    "anyio_backend", [("asyncio", {"use_uvloop": True})], ids=["uvloop"]
+)
+async def test_large_response_leaves_turns_to_other_connections() -> None:
+    """Guards against an event loop that reads on from one connection.
+
+    Responses to others wait meanwhile, until the connection has no more data.
+    """
+    reads = 0
+    most = 0
+
+    def count() -> None:
+        nonlocal reads
+        reads += 1
+
+    async with support.serving(_chunks(16)) as address:
+        pool = client.Pool(asyncio.get_running_loop().time)
+        call = asyncio.create_task(
+            pool.call(address, REQUEST, CALL_SECONDS, on_data=count)
+        )
+        while not call.done():
+            reads = 0
+            await asyncio.sleep(0)
+            most = max(most, reads)
+    assert 0 < most <= 2
