Fail the largest at the shared limit

One faulty server ended the answers of healthy ones: once the bodies of all responses reached their common limit, the connection that received next failed, whichever it was.

Now the largest body fails of the peer (address) whose bodies are the largest together. A faulty server that holds little on each of many connections is found this way too.

The test failed before: nine responses of 100 kB of a server that stops without an end, and the answer of 300 kB of another, which reaches the limit of 1 MiB and was given up.

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import math
 import socket
 import struct
@@ -50,19 +51,30 @@
 
 
 class BufferedBytes:
-    """Counts the bytes of incomplete responses of several connections."""
+    """Limits the incomplete bodies of the responses of several connections.
+
+    Attributes
+    ----------
+    total : int
+        Bytes of the bodies.
+    """
 
     def __init__(self) -> None:
         self.total = 0
         self._size_by_connection: dict[Connection, int] = {}
 
     def add(self, connection: Connection, size: int) -> None:
-        """Count `size` bytes that a connection keeps."""
-        kept = self._size_by_connection.get(connection, 0)
-        self._size_by_connection[connection] = kept + size
+        """Count `size` bytes that a connection keeps.
+
+        Beyond the limit the largest body fails of the peer whose bodies are
+        the largest together, so that faulty servers don't end the responses
+        of others.
+        """
+        sizes = self._size_by_connection
+        sizes[connection] = sizes.get(connection, 0) + size
         self.total += size
-        if self.total > MAX_BUFFERED_BYTES:
-            connection.fail(
+        while self.total > MAX_BUFFERED_BYTES:
+            self._find_largest().fail(
                 f"responses exceed {MAX_BUFFERED_BYTES} bytes in all"
             )
 
@@ -70,6 +82,21 @@
         """Count nothing for a connection any more."""
         self.total -= self._size_by_connection.pop(connection, 0)
 
+    def _find_largest(self) -> Connection:
+        sizes = self._size_by_connection
+        size_by_peer: collections.Counter[typing.Hashable] = (
+            collections.Counter()
+        )
+        for connection, size in sizes.items():
+            size_by_peer[connection.peer] += size
+        return max(
+            sizes,
+            key=lambda connection: (
+                size_by_peer[connection.peer],
+                sizes[connection],
+            ),
+        )
+
 
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time.
@@ -77,11 +104,24 @@
     Where the caller passes an echo value, responses are matched to requests
     by the echoed header, since the response to an earlier request may arrive
     late.
+
+    Parameters
+    ----------
+    echo_header : bytes
+        Header that responses echo, in lower case.
+    buffered : BufferedBytes, optional
+        Limit that the connection shares with others.
+    peer : hashable, optional
+        Peer whose connections are counted together in the shared limit.
     """
 
     def __init__(
-        self, echo_header: bytes, buffered: BufferedBytes | None = None
+        self,
+        echo_header: bytes,
+        buffered: BufferedBytes | None = None,
+        peer: typing.Hashable = None,
     ) -> None:
+        self.peer = peer
         self._echo_header = echo_header
         self._buffered = buffered or BufferedBytes()
         self._transport: asyncio.Transport | None = None
@@ -414,7 +454,9 @@
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._echo_header, self._buffered),
+                    lambda: Connection(
+                        self._echo_header, self._buffered, address
+                    ),
                     *address,
                 )
         except TimeoutError:
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -237,3 +237,49 @@
             await asyncio.sleep(0)
             most = max(most, reads)
     assert 0 < most <= 2
+
+
+async def test_shared_limit_fails_the_servers_that_hold_the_most(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against faulty servers that end the answer of a healthy one.
+
+    The healthy server's answer is the one that reaches the limit, and is
+    larger than each body of the server that opens many.
+    """
+    monkeypatch.setattr(client, "MAX_BUFFERED_BYTES", 1024 * 1024)
+
+    async def faulty(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"\r\n" + b"b" * 100_000)
+        await reader.read()
+
+    async def healthy(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"content-length: 300000\r\n\r\n")
+        for _ in range(30):
+            writer.write(b"b" * 10_000)
+            await writer.drain()
+
+    async with (
+        support.serving(faulty) as faulty_address,
+        support.serving(healthy) as healthy_address,
+        asyncio.TaskGroup() as tasks,
+    ):
+        pool = client.Pool(asyncio.get_running_loop().time)
+        calls = [
+            tasks.create_task(pool.call(faulty_address, REQUEST, 1.0))
+            for _ in range(9)
+        ]
+        while pool._buffered.total < 900_000:
+            await asyncio.sleep(0.01)
+        result = await pool.call(healthy_address, REQUEST, CALL_SECONDS)
+    assert isinstance(result, messages.Response), result
+    assert len(result.body) == 300_000
+    reasons = [str(call.result()) for call in calls]
+    assert any("in all" in reason for reason in reasons)
+    assert pool._buffered.total == 0
