Limit each call by its largest answer

Orders, probes, calls to the store and calls between hosts kept as much of an answer without end as requests do, although their largest useful answers are far smaller.

Each caller names its limit: 64 KiB for orders and probes, of which only the head is used; 4 MiB for the store (a page of 1 MB in base64, or a read and a record beyond it; twice the limit of a read that asks for more); 4 MiB for the previous leader's leases; 16 MiB for the coordinator's response, which may have the assignment and all servers.

A page of five records of 262,000 bytes is still read.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -33,6 +33,9 @@
 PROBE_SECONDS = 0.03
 """Timeout of a load probe; the response takes 6 ms."""
 
+MAX_PROBE_RESPONSE_BYTES = 64 * 1024
+"""Largest body of a response to a probe, bytes; only its head is used."""
+
 MAX_WAIT_RATIO = 1.2
 """Multiple of the latency objective within which a response has to be
 expected for a request to be sent."""
@@ -243,6 +246,7 @@
             request,
             PROBE_SECONDS,
             (entry.id, entry.incarnation),
+            max_body=MAX_PROBE_RESPONSE_BYTES,
         )
         if isinstance(response, messages.Response):
             server_headers = self._handler.header_format.read_response(
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -33,6 +33,10 @@
 SUPERSEDE_TIMEOUT_SECONDS = 0.6
 """Longest wait for the previous leader."""
 
+MAX_SUPERSEDE_RESPONSE_BYTES = 4 * 1024 * 1024
+"""Largest response of the previous leader, bytes. It has about 40 bytes for
+each server."""
+
 RETAINED_ASSIGNMENTS = 16
 """Number of assignments that are kept as bases of patches."""
 
@@ -312,6 +316,7 @@
             (ip, int(port_text)),
             messages.Request(b"POST", SUPERSEDE_TARGET, [], body),
             SUPERSEDE_TIMEOUT_SECONDS,
+            max_body=MAX_SUPERSEDE_RESPONSE_BYTES,
         )
         if isinstance(response, messages.Failure) or response.status != 200:
             return None
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -31,6 +31,10 @@
 REPORT_TIMEOUT_SECONDS = 1.0
 """Longest wait for the coordinator's response."""
 
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Largest response of the coordinator, bytes. It has the assignment, the
+servers and the operator's records if this host has none of them."""
+
 LEADER_CHECK_INTERVAL_SECONDS = 0.7
 """Interval between searches for another leader while the coordinator is not
 confirmed."""
@@ -232,6 +236,7 @@
             REPORT_TIMEOUT_SECONDS,
             connect_timeout=REPORT_TIMEOUT_SECONDS,
             data_timeout=REPORT_TIMEOUT_SECONDS,
+            max_body=MAX_RESPONSE_BYTES,
         )
         if isinstance(response, messages.Failure):
             return response.reason
--- a/src/agatestile/platform/orders.py
+++ b/src/agatestile/platform/orders.py
@@ -20,6 +20,9 @@
 RETAINED_PEERS = 10_000
 """Number of servers whose handovers are kept."""
 
+MAX_RESPONSE_BYTES = 64 * 1024
+"""Largest body of a response to an order, bytes; only its head is used."""
+
 _INSTANCE = b"x-target-instance"
 _HANDOVER = b"x-handover"
 _REPLIES_BY_STATUS = {200: ports.Reply.DONE, 409: ports.Reply.FENCED}
@@ -154,6 +157,7 @@
             _pool_key(recipient),
             needs_new_connection=needs_new_connection,
             opened_before=opened_before,
+            max_body=MAX_RESPONSE_BYTES,
         )
         if isinstance(response, messages.Failure):
             reply = _REPLIES_BY_FAILURE[response.kind]
--- a/src/agatestile/platform/store.py
+++ b/src/agatestile/platform/store.py
@@ -19,6 +19,10 @@
 CALL_TIMEOUT_SECONDS = 1.5
 """Longest wait for a response; a slow store takes 0.3 s."""
 
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+"""Largest response, bytes. A page of a listing has 1 MB in base64; a page of a
+read exceeds its limit by a record at most."""
+
 LISTING_PAGE_LIMIT = 1000
 """Number of pages after which a listing is abandoned."""
 
@@ -128,6 +132,7 @@
             query,
             timeout=CALL_TIMEOUT_SECONDS + wait,
             on_data=on_data,
+            max_body=max(MAX_RESPONSE_BYTES, 2 * limit),
         )
         if isinstance(response, outcomes.Refusal):
             return response
@@ -227,6 +232,7 @@
         body: bytes = b"",
         timeout: float = CALL_TIMEOUT_SECONDS,
         on_data: typing.Callable[[], None] | None = None,
+        max_body: int = MAX_RESPONSE_BYTES,
     ) -> messages.Response | outcomes.Refusal:
         self.calls += 1
         target = path
@@ -245,6 +251,7 @@
             connect_timeout=CALL_TIMEOUT_SECONDS,
             data_timeout=CALL_TIMEOUT_SECONDS,
             on_data=on_data,
+            max_body=max_body,
         )
         if isinstance(response, messages.Response):
             return response
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -35,8 +35,9 @@
 `MAX_HEAD_BYTES`. Chunks of 10 bytes have as many."""
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Largest response body kept in memory, bytes. It includes the bodies of late
-responses that precede the expected one."""
+"""Largest response body kept in memory, bytes, unless the caller names another
+limit. It includes the bodies of late responses that precede the expected
+one."""
 
 MAX_BUFFERED_BYTES = 96 * 1024 * 1024
 """Limit of the incomplete bodies of all responses of a pool, bytes."""
@@ -132,6 +133,7 @@
         self._headers: messages.Headers = []
         self._body = bytearray()
         self._body_size = 0
+        self._max_body = MAX_BODY_BYTES
         self._received_size = 0
         self._has_head = False
         self._first_data_at: float | None = None
@@ -153,11 +155,23 @@
         content: bytes,
         echo: bytes | None = None,
         is_head: bool = False,
+        max_body: int | None = None,
     ) -> messages.Response | messages.Failure:
         """Send a request and return its response.
 
         Cancellation closes the connection, which ends the request on a
         server that detects the close.
+
+        Parameters
+        ----------
+        content : bytes
+            Encoded request.
+        echo : bytes, optional
+            Value of the echoed header that identifies the response.
+        is_head : bool, optional
+            Whether the response has no body, whatever its head says.
+        max_body : int, optional
+            Largest body of the response, bytes; `MAX_BODY_BYTES` by default.
         """
         if not self.is_usable or self._transport is None:
             return _not_sent("the connection was closed while idle")
@@ -167,6 +181,7 @@
         self._has_head = False
         self._ends_at_close = False
         self._body_size = 0
+        self._max_body = MAX_BODY_BYTES if max_body is None else max_body
         self._received_size = 0
         self._first_data_at = None
         self._transport.write(content)
@@ -306,10 +321,10 @@
             self.is_usable = False
             self._complete()
         elif length is not None and status not in (204, 304):
-            if int(length) > MAX_BODY_BYTES:
+            if int(length) > self._max_body:
                 self.fail(
                     f"response body of {int(length)} bytes exceeds"
-                    f" {MAX_BODY_BYTES} bytes"
+                    f" {self._max_body} bytes"
                 )
 
     def on_body(self, body: bytes) -> None:
@@ -318,8 +333,8 @@
             self.is_usable = False
             return
         self._body_size += len(body)
-        if self._body_size > MAX_BODY_BYTES:
-            self.fail(f"response body exceeds {MAX_BODY_BYTES} bytes")
+        if self._body_size > self._max_body:
+            self.fail(f"response body exceeds {self._max_body} bytes")
         else:
             self._body += body
             self._buffered.add(self, len(body))
@@ -525,6 +540,7 @@
         on_data: typing.Callable[[], None] | None = None,
         needs_new_connection: bool = False,
         opened_before: float | None = None,
+        max_body: int | None = None,
     ) -> messages.Response | messages.Failure:
         """Send a request that this program originates.
 
@@ -552,6 +568,8 @@
         opened_before : float, optional
             Time up to which the connection was opened, seconds. No
             connection is opened for the request then.
+        max_body : int, optional
+            Largest body of the response, bytes; `MAX_BODY_BYTES` by default.
 
         Returns
         -------
@@ -584,7 +602,9 @@
                     scope, data_timeout, on_data
                 )
                 try:
-                    result = await connection.exchange(content)
+                    result = await connection.exchange(
+                        content, max_body=max_body
+                    )
                 finally:
                     connection.on_data = None
         except TimeoutError:
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 
@@ -269,6 +270,47 @@
     assert [one.server_id for one in harness.non_probe_requests()] == ["free"]
 
 
+async def test_endless_answer_to_a_probe_costs_little(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a host that runs out of memory by its own probes.
+
+    Only the head of such an answer is of use, and requests don't wait for the
+    rest of it.
+    """
+    monkeypatch.setattr(exchange, "PROBE_SECONDS", 5.0)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        received = support.ReceivedRequest("endless", head, b"")
+        if b"/healthz" not in head:
+            writer.write(support.signed_response(received))
+            await reader.read()
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        while True:
+            writer.write(b"b" * 65536)
+            await writer.drain()
+
+    async with (
+        support.handler_harness() as harness,
+        transport_support.serving(serve) as address,
+    ):
+        harness.configure()
+        harness.add_to_directory("endless", address)
+        await harness.add_server("healthy", _respond)
+        tracemalloc.start()
+        try:
+            response = await harness.send()
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert response.status == 200
+    # 2 MiB for the servers, which run in the test's process.
+    assert peak < 2 * 64 * 1024 + 2 * 1024 * 1024
+
+
 async def test_outdated_configuration_does_not_deny_a_route() -> None:
     """Guards against a 404 for a route of a configuration not read yet.
 
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -8,16 +8,31 @@
 import tracemalloc
 import typing
 
+import msgspec
 import pytest
 
+from agatestile.assignment import ports
+from agatestile.assignment import ranges
+from agatestile.entry import fleet as fleet_module
+from agatestile.entry import view as view_module
+from agatestile.node import messages as peer_messages
+from agatestile.node import peers
+from agatestile.node import reporter as reporter_module
+from agatestile.node import settings as node_settings
+from agatestile.platform import orders
+from agatestile.platform import store
+from agatestile.results import outcomes
+from agatestile.store import port
 from agatestile.transport import client
 from agatestile.transport import messages
+from tests.node import support as node_support
 from tests.transport import support
 
 pytestmark = pytest.mark.anyio
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-id: 1\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+KEY_RANGE = ranges.KeyRange(0, 9, ranges.Owner("a", 1, 2))
 REQUEST = messages.Request(b"GET", b"/", [], b"")
 
 CALL_SECONDS = 3.0
@@ -283,3 +298,116 @@
     reasons = [str(call.result()) for call in calls]
     assert any("in all" in reason for reason in reasons)
     assert pool._buffered.total == 0
+
+
+async def _read_newest(pool: client.Pool, address: client.Address) -> bool:
+    page = await store.PlatformStore(pool, address).read_newest("x")
+    return isinstance(page, outcomes.Refusal)
+
+
+async def _read(pool: client.Pool, address: client.Address) -> bool:
+    page = await store.PlatformStore(pool, address).read("x", 0, 0.0)
+    return isinstance(page, outcomes.Refusal)
+
+
+async def _grant(pool: client.Pool, address: client.Address) -> bool:
+    sender = orders.PlatformOrders(pool)
+    recipient = ports.Recipient("a", 1, address)
+    assert not await sender.connect(recipient)
+    result = await sender.grant(
+        recipient, KEY_RANGE, 3.5, None, CALL_SECONDS, sender.now()
+    )
+    return result.reply is ports.Reply.SILENT
+
+
+async def _supersede(pool: client.Pool, address: client.Address) -> bool:
+    host = f"{address[0]}:{address[1]}"
+    return await peers.PeerClient(pool).supersede(host, 1) is None
+
+
+async def _report(pool: client.Pool, address: client.Address) -> bool:
+    now = asyncio.get_running_loop().time
+    nothing: typing.Any = None
+    reporter = reporter_module.Reporter(
+        pool,
+        nothing,
+        fleet_module.Fleet(node_settings.Bounds(), "anna", now),
+        view_module.AssignmentView(),
+        "host-1",
+        (),
+        nothing,
+        node_support.operator_relay(),
+        now,
+    )
+    reporter.coordinator = f"{address[0]}:{address[1]}"
+    report = peer_messages.Report("host-1", 0, -1, 0, {}, {})
+    return not await reporter._send(report)
+
+
+@pytest.mark.parametrize(
+    ("call", "largest_answer"),
+    [
+        # A page of 1 MB in base64; a page of 1 MB with one record beyond it.
+        (_read_newest, 4 * 1024 * 1024),
+        (_read, 4 * 1024 * 1024),
+        (_grant, 64 * 1024),
+        # 40 bytes for each of 100,000 servers.
+        (_supersede, 4 * 1024 * 1024),
+        # The assignment and all servers.
+        (_report, 16 * 1024 * 1024),
+    ],
+)
+@pytest.mark.parametrize(
+    "start",
+    [HEAD + b"\r\n", HEAD + b"content-length: %d\r\n\r\n" % 2**60],
+    ids=["until close", "declared length"],
+)
+async def test_endless_response_costs_a_call_its_largest_answer(
+    call: typing.Callable[
+        [client.Pool, client.Address], typing.Awaitable[bool]
+    ],
+    largest_answer: int,
+    start: bytes,
+) -> None:
+    """Guards against calls that keep far more than any answer to them."""
+    async with support.serving(_endless(start, b"b")) as address:
+        pool = client.Pool(asyncio.get_running_loop().time)
+        with _traced() as peak:
+            has_failed = await call(pool, address)
+            assert peak() < 2 * largest_answer + HARNESS_BYTES
+    assert has_failed
+
+
+async def test_largest_page_of_the_store_is_read() -> None:
+    """Guards against limits below what the store sends.
+
+    A listing has 1 MB and a record of 256 KiB beyond it, in base64; a read
+    has its limit and such a record.
+    """
+    value = b"v" * 262_000
+    items = [
+        # Encoded as base64.
+        {"key": str(key), "value": value, "offset": key}
+        for key in range(5)
+    ]
+    listing = msgspec.json.encode({"items": items, "end": 5})
+    content = b"\x01k" + value
+    record = len(content).to_bytes(4, "big") + content
+    page = (5).to_bytes(8, "big") + bytes(8) + record * 5
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            body = listing if b"/log-newest" in head else page
+            writer.write(HEAD + b"content-length: %d\r\n\r\n" % len(body))
+            writer.write(body)
+            await writer.drain()
+
+    async with support.serving(serve) as address:
+        pool = client.Pool(asyncio.get_running_loop().time)
+        log = store.PlatformStore(pool, address)
+        for result in (await log.read_newest("x"), await log.read("x", 0, 0)):
+            assert isinstance(result, port.Page)
+            assert [record.value for record in result.records] == [value] * 5
