Share one limit of bodies by the memory

The bodies of responses had a limit of 96 MiB for each pool, and a host has five: for servers, probes, orders, the store and other hosts. That is 480 MiB, and a machine has 430 to 820 MB for everything.

The pools of a host share one limit, an eighth of the memory that the settings name (54 MB of 430). Without it, and for other users of the library, the limit stays 96 MiB. Which response fails at the limit is decided by what its peer holds, so a faulty server doesn't end calls to the store or to other hosts.

The test is new with the shared limit: five pools, each with a body that fits its own limit.

--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -93,7 +93,7 @@
         self.header_format = header_format
         self.now = now
         self.stop_schedule = stopping.NOT_STOPPING
-        self.probe_pool = client.Pool(now)
+        self.probe_pool = pool.sibling()
         self._budgets: dict[str, budget.RetryBudget] = {}
         self._splits_by_targets: dict[
             tuple[str, ...], split.WeightedSplit
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -86,6 +86,8 @@
         Names and formats of HTTP headers.
     load_settings : callable
         Reads the settings again for a reload.
+    buffered : client.BufferedBytes
+        Limit that all connections of the host share.
     """
 
     store: port.Store
@@ -95,6 +97,7 @@
     load_settings: typing.Callable[
         [], settings_module.NodeSettings | outcomes.Refusal
     ]
+    buffered: client.BufferedBytes
 
 
 class Node:
@@ -122,7 +125,7 @@
             settings.bounds, settings.failure_domain, now, clock.boot_time
         )
         self.view = view_module.AssignmentView()
-        peer_pool = client.Pool(now)
+        peer_pool = client.Pool(now, buffered=platform.buffered)
         self.coordinator = coordinator_module.Coordinator(
             platform.store,
             platform.orders,
@@ -179,7 +182,9 @@
             self.reporter.is_directory_relayed,
             lambda: self.operator_watcher.confirmed_at,
         )
-        self.server_pool = client.Pool(now, platform.header_format.echo_header)
+        self.server_pool = client.Pool(
+            now, platform.header_format.echo_header, platform.buffered
+        )
         self.handler = handler_module.Handler(
             self.fleet,
             picker_module.Picker(self.fleet, self.view, random.Random()),
--- a/src/agatestile/node/settings.py
+++ b/src/agatestile/node/settings.py
@@ -63,6 +63,8 @@
         Address to listen on for metrics, None to serve none.
     link_rate : float or None
         Rate of the host's link, in bytes per second; None if unknown.
+    memory : int or None
+        Memory that the host may use, in bytes; None if unknown.
     """
 
     host: str
@@ -75,3 +77,4 @@
     bounds: Bounds
     metrics: Address | None = None
     link_rate: float | None = None
+    memory: int | None = None
--- a/src/agatestile/platform/__main__.py
+++ b/src/agatestile/platform/__main__.py
@@ -32,12 +32,14 @@
 
 async def _run(loaded: node_settings.NodeSettings) -> None:
     now = asyncio.get_running_loop().time
+    buffered = client.BufferedBytes.from_memory(loaded.memory)
     adapter = node.PlatformAdapter(
-        store.PlatformStore(client.Pool(now), loaded.store),
-        orders.PlatformOrders(client.Pool(now)),
+        store.PlatformStore(client.Pool(now, buffered=buffered), loaded.store),
+        orders.PlatformOrders(client.Pool(now, buffered=buffered)),
         records.PlatformRecordFormat(),
         headers.PlatformHeaders(),
         settings.load,
+        buffered,
     )
     await node.Node(loaded, adapter).run()
 
--- a/src/agatestile/platform/settings.py
+++ b/src/agatestile/platform/settings.py
@@ -33,6 +33,8 @@
 class _Limits(msgspec.Struct):
     # Rate of the host's own link, in 10^6 bits per second.
     linkMbps: float | None = None
+    # Memory of the host, in 10^6 bytes.
+    memoryMb: float | None = None
 
 
 class _SettingsFile(msgspec.Struct):
@@ -95,6 +97,7 @@
             bounds=_parse_bounds(decoded.bounds),
             metrics=_metrics_address(decoded.ip),
             link_rate=_bytes_per_second(decoded.limits.linkMbps),
+            memory=_bytes(decoded.limits.memoryMb),
         )
     except tomllib.TOMLDecodeError as error:
         return outcomes.Refusal(
@@ -131,6 +134,10 @@
     return None if megabits is None else megabits * 1e6 / 8
 
 
+def _bytes(megabytes: float | None) -> int | None:
+    return None if megabytes is None else int(megabytes * 1e6)
+
+
 def _parse_bounds(texts: list[str] | str) -> node_settings.Bounds:
     if isinstance(texts, str):
         texts = texts.split(",")
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -40,7 +40,11 @@
 one."""
 
 MAX_BUFFERED_BYTES = 96 * 1024 * 1024
-"""Limit of the incomplete bodies of all responses of a pool, bytes."""
+"""Limit of the incomplete bodies of all responses that share one, bytes, where
+the memory of the machine is unknown."""
+
+BUFFERED_MEMORY_SHARE = 0.125
+"""Share of the memory of a machine that incomplete bodies may take."""
 
 PARSED_SLICE_BYTES = 64 * 1024
 """Received data that is parsed before the limits are checked, bytes."""
@@ -54,16 +58,35 @@
 class BufferedBytes:
     """Limits the incomplete bodies of the responses of several connections.
 
+    Parameters
+    ----------
+    limit : int, optional
+        Limit of the bodies together, bytes; `MAX_BUFFERED_BYTES` by default.
+
     Attributes
     ----------
     total : int
         Bytes of the bodies.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int | None = None) -> None:
+        self.limit = MAX_BUFFERED_BYTES if limit is None else limit
         self.total = 0
         self._size_by_connection: dict[Connection, int] = {}
 
+    @classmethod
+    def from_memory(cls, memory: int | None) -> BufferedBytes:
+        """Create the limit for a machine.
+
+        Parameters
+        ----------
+        memory : int or None
+            Memory of the machine, bytes; None if unknown.
+        """
+        if memory is None:
+            return cls()
+        return cls(int(memory * BUFFERED_MEMORY_SHARE))
+
     def add(self, connection: Connection, size: int) -> None:
         """Count `size` bytes that a connection keeps.
 
@@ -74,9 +97,9 @@
         sizes = self._size_by_connection
         sizes[connection] = sizes.get(connection, 0) + size
         self.total += size
-        while self.total > MAX_BUFFERED_BYTES:
+        while self.total > self.limit:
             self._find_largest().fail(
-                f"responses exceed {MAX_BUFFERED_BYTES} bytes in all"
+                f"responses exceed {self.limit} bytes in all"
             )
 
     def discard(self, connection: Connection) -> None:
@@ -404,17 +427,26 @@
         Clock of the event loop, seconds.
     echo_header : bytes
         Header that responses echo, in lower case.
+    buffered : BufferedBytes, optional
+        Limit that the pool shares with others.
     """
 
     def __init__(
-        self, now: typing.Callable[[], float], echo_header: bytes = b""
+        self,
+        now: typing.Callable[[], float],
+        echo_header: bytes = b"",
+        buffered: BufferedBytes | None = None,
     ) -> None:
         self._now = now
         self._echo_header = echo_header
-        self._buffered = BufferedBytes()
+        self._buffered = buffered or BufferedBytes()
         self._idle: dict[typing.Hashable, list[Connection]] = {}
         self.opened = 0
 
+    def sibling(self) -> Pool:
+        """Return a pool of other connections that shares this one's limit."""
+        return Pool(self._now, buffered=self._buffered)
+
     def now(self) -> float:
         """Return the time on the clock of the pool, seconds."""
         return self._now()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -28,7 +28,8 @@
     r"X-Upstream-|X-Target-Instance|X-Shard-Key|X-Not-Executed|X-Handover"
     r"|X-Deadline-Ms|X-Request-Id|X-Warmup-Ms|log-append|log-read|log-newest"
     r"|log-join|keyed\.\w|warmupLeftMs|trafficSplit|edgeAddr"
-    r"|pathPrefix|AGATESTILE_BOOT|Server-Leaving|Server-Limit|linkMbps",
+    r"|pathPrefix|AGATESTILE_BOOT|Server-Leaving|Server-Limit|linkMbps"
+    r"|memoryMb",
     re.IGNORECASE,
 )
 
@@ -215,6 +216,7 @@
 [limits]
 cores = 2
 linkMbps = 200.0
+memoryMb = 430
 """,
         "file",
     )
@@ -223,6 +225,7 @@
     assert loaded.bounds.drain == 2.5
     assert loaded.bounds.grace == 6.0
     assert loaded.link_rate == 25e6
+    assert loaded.memory == 430_000_000
 
 
 @pytest.mark.parametrize(
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -300,6 +300,38 @@
     assert pool._buffered.total == 0
 
 
+async def test_pools_of_a_host_share_a_limit_by_its_memory() -> None:
+    """Guards against a limit for each pool that the machine has only once.
+
+    Servers, probes, orders, the store and other hosts have a pool each.
+    """
+    memory = 8 * 1024 * 1024
+    buffered = client.BufferedBytes.from_memory(memory)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"\r\n" + b"b" * 300_000)
+        await reader.read()
+
+    async with support.serving(serve) as address:
+        now = asyncio.get_running_loop().time
+        pools = [client.Pool(now, buffered=buffered) for _ in range(4)]
+        pools.append(pools[0].sibling())
+        calls = asyncio.gather(
+            *(pool.call(address, REQUEST, 0.5) for pool in pools)
+        )
+        most = 0
+        while not calls.done():
+            most = max(most, buffered.total)
+            await asyncio.sleep(0)
+        reasons = [str(result) for result in await calls]
+    assert 0 < most <= memory / 8
+    assert any("in all" in reason for reason in reasons)
+    assert buffered.total == 0
+
+
 async def _read_newest(pool: client.Pool, address: client.Address) -> bool:
     page = await store.PlatformStore(pool, address).read_newest("x")
     return isinstance(page, outcomes.Refusal)
