Keep bodies of requests as their bytes

A caller that sends a body in chunks of 2 bytes made a host keep a piece of about 45 bytes for each, while the limit of the configuration counts payload only: the fault of the responses, on the other side. The body is now one bytearray.

The test with chunks of 2 bytes failed before: 5.9 MB kept for a body of 256 KiB (bound: twice the limit and 2 MiB). Chunks of 1 byte and of 16 bytes stayed within the bound before as well.

--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -95,9 +95,8 @@
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._head_bytes = 0
-        self._body_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -159,9 +158,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._listener.limits().body_bytes:
+        self._body += body
+        if len(self._body) > self._listener.limits().body_bytes:
             self._reject(413)
             raise ValueError("request body exceeds the limit")
 
@@ -172,7 +170,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
         )
         self._reset_request()
         self._pending.append((request, self._parser.should_keep_alive()))
