Stop reading from a caller that runs ahead

A caller that sends requests without end on one connection made a host keep all of them, and one that doesn't read its responses made it keep those: nothing slowed either down.

A connection has at most 16 pending requests behind the current one, and up to one read beside them; it is not read from meanwhile. The next request is handled once the caller has read what was written for it, except for what the transport and the sockets hold.

--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -16,6 +16,14 @@
 LINGER_SECONDS = 0.5
 """How long a rejected connection is still read before it is closed."""
 
+MAX_PENDING_REQUESTS = 16
+"""Number of requests of a connection that wait behind the current one. No more
+are read from the connection meanwhile."""
+
+PARSED_SLICE_BYTES = 16 * 1024
+"""Received data that is parsed before the pending requests are counted,
+bytes."""
+
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 Handler = typing.Callable[
@@ -88,6 +96,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._pending: list[tuple[messages.Request, bool]] = []
+        self._unparsed = memoryview(b"")
+        self._is_reading = True
+        self._can_write = asyncio.Event()
+        self._can_write.set()
         self._is_rejected = False
         self._is_in_message = False
         self._reset_request()
@@ -123,14 +135,49 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
+        if self._unparsed:
+            data = bytes(self._unparsed) + data
+        self._unparsed = memoryview(data)
+        self._parse_received()
+
+    def pause_writing(self) -> None:
+        """Handle no further request until the caller reads."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Continue with the pending requests."""
+        self._can_write.set()
+
+    def _parse_received(self) -> None:
+        """Parse while few requests are pending, and else stop reading."""
+        while (
+            self._unparsed
+            and not self._is_rejected
+            and len(self._pending) <= MAX_PENDING_REQUESTS
+        ):
+            data = self._unparsed[:PARSED_SLICE_BYTES]
+            self._unparsed = self._unparsed[PARSED_SLICE_BYTES:]
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserCallbackError:
+                self._unparsed = memoryview(b"")
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._reject(400)
         if self._is_rejected:
+            self._unparsed = memoryview(b"")
+        self._set_reading(not self._unparsed)
+
+    def _set_reading(self, is_reading: bool) -> None:
+        transport = self._transport
+        if transport is None or self._is_reading == is_reading:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError:
+        if transport.is_closing():
             return
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(400)
+        self._is_reading = is_reading
+        if is_reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request and start its header timeout."""
@@ -190,7 +237,10 @@
     async def _handle_pending(self) -> None:
         try:
             while self._pending:
+                await self._can_write.wait()
                 request, keep_alive = self._pending.pop(0)
+                if not self._is_reading:
+                    self._parse_received()
                 try:
                     response = await self._listener.handler(request)
                 except Exception as error:
--- a/tests/transport/test_endless_requests.py
+++ b/tests/transport/test_endless_requests.py
@@ -1,4 +1,4 @@
-"""What callers that send without end cost a host."""
+"""What callers that send without end or don't read cost a host."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
 
 BODY_LIMIT_BYTES = 256 * 1024
 LIMITS = configuration.CallerLimits(16 * 1024, BODY_LIMIT_BYTES, 1.0, 0.5)
+GET = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
 
 HARNESS_BYTES = 2 * 1024 * 1024
 """Allowed for the caller, which runs in the test's process."""
@@ -67,6 +68,10 @@
     return messages.Response(200, [], b"")
 
 
+async def _respond_large(request: messages.Request) -> messages.Response:
+    return messages.Response(200, [], bytes(100_000))
+
+
 @pytest.mark.parametrize("size", [1, 2, 16])
 async def test_body_in_small_chunks_costs_no_more_than_its_limit(
     size: int,
@@ -81,3 +86,44 @@
             writer, chunk * 4096, BODY_LIMIT_BYTES // size * len(chunk)
         )
     assert kept < 2 * BODY_LIMIT_BYTES + HARNESS_BYTES
+
+
+async def test_requests_without_end_wait_with_their_caller() -> None:
+    """Guards against a queue of one connection that grows without end."""
+    async with _listening(_never_respond) as (_, _, writer):
+        kept = await _send(writer, GET * 1024)
+    assert kept < 2 * BODY_LIMIT_BYTES + HARNESS_BYTES
+
+
+async def test_responses_that_are_not_read_wait_for_their_caller() -> None:
+    """Guards against responses kept without end for one connection."""
+    async with _listening(_respond_large) as (_, _, writer):
+        kept = await _send(writer, GET * 16)
+    assert kept < 2 * BODY_LIMIT_BYTES + HARNESS_BYTES
+
+
+async def test_pipelined_requests_are_all_answered_in_order() -> None:
+    """Guards against requests lost where reading stops and continues."""
+    count = 4 * server.MAX_PENDING_REQUESTS
+    handled = 0
+
+    async def respond(request: messages.Request) -> messages.Response:
+        nonlocal handled
+        handled += 1
+        await asyncio.sleep(0)
+        return messages.Response(200, [], request.target + request.body)
+
+    requests = b"".join(
+        b"POST /%d HTTP/1.1\r\nhost: x\r\ncontent-length: 2000\r\n\r\n"
+        % number
+        + b"b" * 2000
+        for number in range(count)
+    )
+    async with _listening(respond) as (_, reader, writer):
+        writer.write(requests)
+        for number in range(count):
+            async with asyncio.timeout(5.0):
+                await reader.readuntil(b"\r\n\r\n")
+                expected = b"/%d" % number + b"b" * 2000
+                assert await reader.readexactly(len(expected)) == expected
+    assert handled == count
