End connections whose callers stop reading

A response that its caller doesn't read stayed in memory for as long as the caller kept its connection: the idle timeout closes a connection only after everything has been written.

A connection whose unread bytes do not change for the idle timeout of the configuration is reset (`caller_stalled`). They are checked twice in that time, since a suspended host makes the first check before it has written more.

The test failed before: a response of 32 MB, of which the caller reads little, was kept for four times the idle timeout. A caller that reads 1 MB of 16 each quarter of the timeout gets all of it, as before.

--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -20,6 +20,10 @@
 """Number of requests of a connection that wait behind the current one. No more
 are read from the connection meanwhile."""
 
+STALLED_CHECKS = 2
+"""Checks within the idle timeout of what a caller has not read. A suspended
+host makes the first one before it has written more."""
+
 PARSED_SLICE_BYTES = 16 * 1024
 """Received data that is parsed before the pending requests are counted,
 bytes."""
@@ -100,6 +104,7 @@
         self._is_reading = True
         self._can_write = asyncio.Event()
         self._can_write.set()
+        self._write_timer: asyncio.TimerHandle | None = None
         self._is_rejected = False
         self._is_in_message = False
         self._reset_request()
@@ -126,6 +131,7 @@
         """Cancel the request, since its response cannot be delivered."""
         self._listener.connections.discard(self)
         self._stop_timer()
+        self._stop_write_timer()
         if self._task is not None:
             self._task.cancel()
 
@@ -141,12 +147,19 @@
         self._parse_received()
 
     def pause_writing(self) -> None:
-        """Handle no further request until the caller reads."""
+        """Handle no further request until the caller reads.
+
+        The connection ends if the caller reads nothing for the idle timeout.
+        """
         self._can_write.clear()
+        if self._transport is not None:
+            size = self._transport.get_write_buffer_size()
+            self._start_write_timer(size, STALLED_CHECKS)
 
     def resume_writing(self) -> None:
         """Continue with the pending requests."""
         self._can_write.set()
+        self._stop_write_timer()
 
     def _parse_received(self) -> None:
         """Parse while few requests are pending, and else stop reading."""
@@ -312,6 +325,34 @@
             self._listener.limits().idle_timeout, self.close_if_idle
         )
 
+    def _start_write_timer(self, unread: int, checks: int) -> None:
+        self._stop_write_timer()
+        self._write_timer = self._loop.call_later(
+            self._listener.limits().idle_timeout / STALLED_CHECKS,
+            self._check_unread,
+            unread,
+            checks,
+        )
+
+    def _check_unread(self, unread: int, checks: int) -> None:
+        self._write_timer = None
+        transport = self._transport
+        if transport is None:
+            return
+        size = transport.get_write_buffer_size()
+        if size != unread:
+            self._start_write_timer(size, STALLED_CHECKS)
+        elif checks > 1:
+            self._start_write_timer(size, checks - 1)
+        else:
+            events.emit("caller_stalled", unread_bytes=size)
+            self.abort()
+
+    def _stop_write_timer(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/transport/test_endless_requests.py
+++ b/tests/transport/test_endless_requests.py
@@ -127,3 +127,32 @@
                 expected = b"/%d" % number + b"b" * 2000
                 assert await reader.readexactly(len(expected)) == expected
     assert handled == count
+
+
+async def test_response_that_is_not_read_ends_with_the_idle_timeout() -> None:
+    """Guards against a response kept until its caller goes away."""
+
+    async def respond(request: messages.Request) -> messages.Response:
+        return messages.Response(200, [], bytes(32 * 1024 * 1024))
+
+    async with _listening(respond) as (listener, reader, writer):
+        # The reader's own limit stops it before it has read everything.
+        writer.write(GET)
+        await asyncio.sleep(4 * LIMITS.idle_timeout)
+        assert not listener.connections
+
+
+async def test_response_that_is_read_slowly_is_delivered_whole() -> None:
+    """Guards against a slow caller that is taken for one that has stopped."""
+    size = 16 * 1024 * 1024
+
+    async def respond(request: messages.Request) -> messages.Response:
+        return messages.Response(200, [], bytes(size))
+
+    async with _listening(respond) as (_, reader, writer):
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(16):
+            await asyncio.sleep(LIMITS.idle_timeout / 4)
+            async with asyncio.timeout(1.0):
+                await reader.readexactly(size // 16)
