Limit the number of headers in a response

A server that sends a head of 64 KB in small headers and stops made a host keep 1.0 MB for each request until its deadline (50 connections at once, 9,200 headers each): each header is a pair of two strings, and the limit counts bytes only.

A response has at most 500 headers; beyond that it fails.

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -30,6 +30,10 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Largest response head, bytes."""
 
+MAX_HEADERS = 500
+"""Largest number of headers in a response. A short one takes about 110 bytes
+beside its own."""
+
 MAX_FRAMING_RATIO = 0.5
 """Framing bytes per byte of a body that a response may have in addition to
 `MAX_HEAD_BYTES`. Chunks of 10 bytes have as many."""
@@ -320,8 +324,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
-        if self._result is None and not self._has_head:
-            self._headers.append((name.lower(), value.strip()))
+        if self._result is not None or self._has_head:
+            return
+        if len(self._headers) == MAX_HEADERS:
+            self.fail(f"response has more than {MAX_HEADERS} headers")
+            raise ValueError("the response failed")
+        self._headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Evaluate the status and the headers that frame the body."""
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -121,6 +121,35 @@
     assert result.kind is messages.FailureKind.UNKNOWN
 
 
+async def test_head_of_small_headers_costs_little_more_than_its_bytes() -> (
+    None
+):
+    """Guards against heads that cost many times the limit of their size.
+
+    Their servers stop in the middle, so that each request keeps one until its
+    deadline.
+    """
+    count = 50
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"ab:cd\r\n" * 9_000)
+        await reader.read()
+
+    async with support.serving(serve) as address:
+        pool = client.Pool(asyncio.get_running_loop().time)
+        with _traced() as peak:
+            results = await asyncio.gather(
+                *(pool.call(address, REQUEST, 2.0) for _ in range(count))
+            )
+            kept = peak()
+    assert all(isinstance(result, messages.Failure) for result in results)
+    # Twice for the client, once for the server.
+    assert kept < 3 * count * client.MAX_HEAD_BYTES + HARNESS_BYTES
+
+
 async def test_declared_length_beyond_the_limit_fails_with_the_head() -> None:
     """Guards against memory and time spent on a body that can't be kept."""
 
