--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import math
 import socket
 import struct
@@ -29,12 +30,28 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Largest response head, bytes."""
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Largest response body kept in memory, bytes. It includes the bodies of late
-responses that precede the expected one."""
+MAX_HEADERS = 500
+"""Largest number of headers in a response. A short one takes about 110 bytes
+beside its own."""
+
+MAX_FRAMING_RATIO = 0.5
+"""Framing bytes per byte of a body that a response may have in addition to
+`MAX_HEAD_BYTES`. Chunks of 10 bytes have as many."""
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Largest response body kept in memory, bytes, unless the caller names another
+limit. It includes the bodies of late responses that precede the expected
+one."""
 
 MAX_BUFFERED_BYTES = 96 * 1024 * 1024
-"""Limit of the incomplete bodies of all responses of a pool, bytes."""
+"""Limit of the incomplete bodies of all responses that share one, bytes, where
+the memory of the machine is unknown."""
+
+BUFFERED_MEMORY_SHARE = 0.125
+"""Share of the memory of a machine that incomplete bodies may take."""
+
+PARSED_SLICE_BYTES = 64 * 1024
+"""Received data that is parsed before the limits are checked, bytes."""
 
 _LINGER_RESET = struct.pack("ii", 1, 0)
 """SO_LINGER value (on, 0 seconds) that makes a close reset the connection."""
@@ -43,10 +60,70 @@
 
 
 class BufferedBytes:
-    """Counts the bytes of incomplete responses of several connections."""
+    """Limits the incomplete bodies of the responses of several connections.
+
+    Parameters
+    ----------
+    limit : int, optional
+        Limit of the bodies together, bytes; `MAX_BUFFERED_BYTES` by default.
+
+    Attributes
+    ----------
+    total : int
+        Bytes of the bodies.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int | None = None) -> None:
+        self.limit = MAX_BUFFERED_BYTES if limit is None else limit
         self.total = 0
+        self._size_by_connection: dict[Connection, int] = {}
+
+    @classmethod
+    def from_memory(cls, memory: int | None) -> BufferedBytes:
+        """Create the limit for a machine.
+
+        Parameters
+        ----------
+        memory : int or None
+            Memory of the machine, bytes; None if unknown.
+        """
+        if memory is None:
+            return cls()
+        return cls(int(memory * BUFFERED_MEMORY_SHARE))
+
+    def add(self, connection: Connection, size: int) -> None:
+        """Count `size` bytes that a connection keeps.
+
+        Beyond the limit the largest body fails of the peer whose bodies are
+        the largest together, so that faulty servers don't end the responses
+        of others.
+        """
+        sizes = self._size_by_connection
+        sizes[connection] = sizes.get(connection, 0) + size
+        self.total += size
+        while self.total > self.limit:
+            self._find_largest().fail(
+                f"responses exceed {self.limit} bytes in all"
+            )
+
+    def discard(self, connection: Connection) -> None:
+        """Count nothing for a connection any more."""
+        self.total -= self._size_by_connection.pop(connection, 0)
+
+    def _find_largest(self) -> Connection:
+        sizes = self._size_by_connection
+        size_by_peer: collections.Counter[typing.Hashable] = (
+            collections.Counter()
+        )
+        for connection, size in sizes.items():
+            size_by_peer[connection.peer] += size
+        return max(
+            sizes,
+            key=lambda connection: (
+                size_by_peer[connection.peer],
+                sizes[connection],
+            ),
+        )
 
 
 class Connection(asyncio.Protocol):
@@ -55,11 +132,24 @@
     Where the caller passes an echo value, responses are matched to requests
     by the echoed header, since the response to an earlier request may arrive
     late.
+
+    Parameters
+    ----------
+    echo_header : bytes
+        Header that responses echo, in lower case.
+    buffered : BufferedBytes, optional
+        Limit that the connection shares with others.
+    peer : hashable, optional
+        Peer whose connections are counted together in the shared limit.
     """
 
     def __init__(
-        self, echo_header: bytes, buffered: BufferedBytes | None = None
+        self,
+        echo_header: bytes,
+        buffered: BufferedBytes | None = None,
+        peer: typing.Hashable = None,
     ) -> None:
+        self.peer = peer
         self._echo_header = echo_header
         self._buffered = buffered or BufferedBytes()
         self._transport: asyncio.Transport | None = None
@@ -68,9 +158,10 @@
         self._waiter: asyncio.Future[None] | None = None
         self._result: messages.Response | messages.Failure | None = None
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_size = 0
-        self._framing_size = 0
+        self._max_body = MAX_BODY_BYTES
+        self._received_size = 0
         self._has_head = False
         self._first_data_at: float | None = None
         self._ends_at_close = False
@@ -91,11 +182,23 @@
         content: bytes,
         echo: bytes | None = None,
         is_head: bool = False,
+        max_body: int | None = None,
     ) -> messages.Response | messages.Failure:
         """Send a request and return its response.
 
         Cancellation closes the connection, which ends the request on a
         server that detects the close.
+
+        Parameters
+        ----------
+        content : bytes
+            Encoded request.
+        echo : bytes, optional
+            Value of the echoed header that identifies the response.
+        is_head : bool, optional
+            Whether the response has no body, whatever its head says.
+        max_body : int, optional
+            Largest body of the response, bytes; `MAX_BODY_BYTES` by default.
         """
         if not self.is_usable or self._transport is None:
             return _not_sent("the connection was closed while idle")
@@ -105,7 +208,8 @@
         self._has_head = False
         self._ends_at_close = False
         self._body_size = 0
-        self._framing_size = 0
+        self._max_body = MAX_BODY_BYTES if max_body is None else max_body
+        self._received_size = 0
         self._first_data_at = None
         self._transport.write(content)
         self._waiter = asyncio.get_running_loop().create_future()
@@ -116,8 +220,7 @@
             raise
         finally:
             self._waiter = None
-            self._buffered.total -= self._body_size
-            self._body = []
+            self._discard_body()
         result = self._result
         if result is None:
             return _outcome_unknown("the connection closed before a response")
@@ -158,7 +261,7 @@
         if exc is None and self._has_head and self._ends_at_close:
             self._complete()
         if self._waiter is not None and self._result is None:
-            self._fail(f"connection lost: {exc or 'closed by the server'}")
+            self.fail(f"connection lost: {exc or 'closed by the server'}")
 
     def eof_received(self) -> bool:
         """Return False so that the transport closes itself."""
@@ -174,16 +277,39 @@
             self._first_data_at = _loop_time()
         if self.on_data is not None:
             self.on_data()
-        self._framing_size += len(data)
+        view = memoryview(data)
+        for start in range(0, len(view), PARSED_SLICE_BYTES):
+            if self._result is not None:
+                # The rest belongs to no request.
+                self.is_usable = False
+                break
+            self._parse(view[start : start + PARSED_SLICE_BYTES])
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if len(view) >= PARSED_SLICE_BYTES:
+            # The event loop otherwise reads on as long as there is data.
+            transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _parse(self, data: memoryview) -> None:
+        self._received_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"malformed HTTP response: {error!r}")
+            self.fail(f"malformed HTTP response: {error!r}")
         except httptools.HttpParserUpgrade:
-            self._fail("the response upgrades the protocol")
-        if self._framing_size > MAX_HEAD_BYTES:
-            self._fail(
-                f"response has {self._framing_size} bytes without a body"
+            self.fail("the response upgrades the protocol")
+        framing_size = self._received_size - self._body_size
+        allowed = MAX_HEAD_BYTES + self._body_size * MAX_FRAMING_RATIO
+        if framing_size > allowed:
+            self.fail(
+                f"response has {framing_size} bytes of framing for"
+                f" {self._body_size} bytes of a body"
             )
 
     def on_message_begin(self) -> None:
@@ -192,14 +318,18 @@
             self.is_usable = False
             return
         self._headers = []
-        self._body = []
+        self._discard_body()
         self._has_head = False
         self._ends_at_close = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
-        if self._result is None and not self._has_head:
-            self._headers.append((name.lower(), value.strip()))
+        if self._result is not None or self._has_head:
+            return
+        if len(self._headers) == MAX_HEADERS:
+            self.fail(f"response has more than {MAX_HEADERS} headers")
+            raise ValueError("the response failed")
+        self._headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Evaluate the status and the headers that frame the body."""
@@ -212,30 +342,36 @@
         find = messages.find_header
         if not self._parser.should_keep_alive():
             self.is_usable = False
-        has_length = find(self._headers, b"content-length") is not None
+        length = find(self._headers, b"content-length")
         is_chunked = find(self._headers, b"transfer-encoding") is not None
-        self._ends_at_close = not has_length and not is_chunked
+        self._ends_at_close = length is None and not is_chunked
         keep_alive = find(self._headers, b"keep-alive")
         if keep_alive is not None:
             self._set_idle_timeout(keep_alive)
         if self._is_head_request:
             self.is_usable = False
             self._complete()
+        elif length is not None and status not in (204, 304):
+            if int(length) > self._max_body:
+                self.fail(
+                    f"response body of {int(length)} bytes exceeds"
+                    f" {self._max_body} bytes"
+                )
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         if self._result is not None:
             self.is_usable = False
             return
-        self._body.append(body)
-        # What remains counts toward a head or the framing of a chunk.
-        self._framing_size = 0
         self._body_size += len(body)
-        self._buffered.total += len(body)
-        if self._body_size > MAX_BODY_BYTES:
-            self._fail(f"response body exceeds {MAX_BODY_BYTES} bytes")
-        elif self._buffered.total > MAX_BUFFERED_BYTES:
-            self._fail(f"responses exceed {MAX_BUFFERED_BYTES} bytes in all")
+        if self._body_size > self._max_body:
+            self.fail(f"response body exceeds {self._max_body} bytes")
+        else:
+            self._body += body
+            self._buffered.add(self, len(body))
+        if self._result is not None:
+            # Ends the parsing of what has been received.
+            raise ValueError("the response failed")
 
     def on_message_complete(self) -> None:
         """Complete the response."""
@@ -254,24 +390,31 @@
                 self._has_head = False
                 self.is_usable = False
                 if echo is None:
-                    self._fail(
+                    self.fail(
                         f"the response lacks the header {self._echo_header!r}"
                     )
                 return
         self._result = messages.Response(
             self._parser.get_status_code(),
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             _loop_time() - (self._first_data_at or _loop_time()),
         )
+        self._discard_body()
         self._notify_waiter()
 
-    def _fail(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
+        """End the current response, unless it is complete, and close."""
         if self._result is None:
             self._result = _outcome_unknown(reason)
+        self._discard_body()
         self.abort()
         self._notify_waiter()
 
+    def _discard_body(self) -> None:
+        self._body = bytearray()
+        self._buffered.discard(self)
+
     def _notify_waiter(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -292,17 +435,26 @@
         Clock of the event loop, seconds.
     echo_header : bytes
         Header that responses echo, in lower case.
+    buffered : BufferedBytes, optional
+        Limit that the pool shares with others.
     """
 
     def __init__(
-        self, now: typing.Callable[[], float], echo_header: bytes = b""
+        self,
+        now: typing.Callable[[], float],
+        echo_header: bytes = b"",
+        buffered: BufferedBytes | None = None,
     ) -> None:
         self._now = now
         self._echo_header = echo_header
-        self._buffered = BufferedBytes()
+        self._buffered = buffered or BufferedBytes()
         self._idle: dict[typing.Hashable, list[Connection]] = {}
         self.opened = 0
 
+    def sibling(self) -> Pool:
+        """Return a pool of other connections that shares this one's limit."""
+        return Pool(self._now, buffered=self._buffered)
+
     def now(self) -> float:
         """Return the time on the clock of the pool, seconds."""
         return self._now()
@@ -357,7 +509,9 @@
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._echo_header, self._buffered),
+                    lambda: Connection(
+                        self._echo_header, self._buffered, address
+                    ),
                     *address,
                 )
         except TimeoutError:
@@ -426,6 +580,7 @@
         on_data: typing.Callable[[], None] | None = None,
         needs_new_connection: bool = False,
         opened_before: float | None = None,
+        max_body: int | None = None,
     ) -> messages.Response | messages.Failure:
         """Send a request that this program originates.
 
@@ -453,6 +608,8 @@
         opened_before : float, optional
             Time up to which the connection was opened, seconds. No
             connection is opened for the request then.
+        max_body : int, optional
+            Largest body of the response, bytes; `MAX_BODY_BYTES` by default.
 
         Returns
         -------
@@ -485,7 +642,9 @@
                     scope, data_timeout, on_data
                 )
                 try:
-                    result = await connection.exchange(content)
+                    result = await connection.exchange(
+                        content, max_body=max_body
+                    )
                 finally:
                     connection.on_data = None
         except TimeoutError:
--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -16,6 +16,18 @@
 LINGER_SECONDS = 0.5
 """How long a rejected connection is still read before it is closed."""
 
+MAX_PENDING_REQUESTS = 16
+"""Number of requests of a connection that wait behind the current one. No more
+are read from the connection meanwhile."""
+
+STALLED_CHECKS = 2
+"""Checks within the idle timeout of what a caller has not read. A suspended
+host makes the first one before it has written more."""
+
+PARSED_SLICE_BYTES = 16 * 1024
+"""Received data that is parsed before the pending requests are counted,
+bytes."""
+
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 Handler = typing.Callable[
@@ -88,6 +100,11 @@
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._pending: list[tuple[messages.Request, bool]] = []
+        self._unparsed = memoryview(b"")
+        self._is_reading = True
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._write_timer: asyncio.TimerHandle | None = None
         self._is_rejected = False
         self._is_in_message = False
         self._reset_request()
@@ -95,9 +112,8 @@
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._head_bytes = 0
-        self._body_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -115,6 +131,7 @@
         """Cancel the request, since its response cannot be delivered."""
         self._listener.connections.discard(self)
         self._stop_timer()
+        self._stop_write_timer()
         if self._task is not None:
             self._task.cancel()
 
@@ -124,14 +141,56 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
+        if self._unparsed:
+            data = bytes(self._unparsed) + data
+        self._unparsed = memoryview(data)
+        self._parse_received()
+
+    def pause_writing(self) -> None:
+        """Handle no further request until the caller reads.
+
+        The connection ends if the caller reads nothing for the idle timeout.
+        """
+        self._can_write.clear()
+        if self._transport is not None:
+            size = self._transport.get_write_buffer_size()
+            self._start_write_timer(size, STALLED_CHECKS)
+
+    def resume_writing(self) -> None:
+        """Continue with the pending requests."""
+        self._can_write.set()
+        self._stop_write_timer()
+
+    def _parse_received(self) -> None:
+        """Parse while few requests are pending, and else stop reading."""
+        while (
+            self._unparsed
+            and not self._is_rejected
+            and len(self._pending) <= MAX_PENDING_REQUESTS
+        ):
+            data = self._unparsed[:PARSED_SLICE_BYTES]
+            self._unparsed = self._unparsed[PARSED_SLICE_BYTES:]
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserCallbackError:
+                self._unparsed = memoryview(b"")
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._reject(400)
         if self._is_rejected:
+            self._unparsed = memoryview(b"")
+        self._set_reading(not self._unparsed)
+
+    def _set_reading(self, is_reading: bool) -> None:
+        transport = self._transport
+        if transport is None or self._is_reading == is_reading:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError:
+        if transport.is_closing():
             return
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(400)
+        self._is_reading = is_reading
+        if is_reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request and start its header timeout."""
@@ -159,9 +218,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._listener.limits().body_bytes:
+        self._body += body
+        if len(self._body) > self._listener.limits().body_bytes:
             self._reject(413)
             raise ValueError("request body exceeds the limit")
 
@@ -172,7 +230,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
         )
         self._reset_request()
         self._pending.append((request, self._parser.should_keep_alive()))
@@ -192,7 +250,10 @@
     async def _handle_pending(self) -> None:
         try:
             while self._pending:
+                await self._can_write.wait()
                 request, keep_alive = self._pending.pop(0)
+                if not self._is_reading:
+                    self._parse_received()
                 try:
                     response = await self._listener.handler(request)
                 except Exception as error:
@@ -264,6 +325,34 @@
             self._listener.limits().idle_timeout, self.close_if_idle
         )
 
+    def _start_write_timer(self, unread: int, checks: int) -> None:
+        self._stop_write_timer()
+        self._write_timer = self._loop.call_later(
+            self._listener.limits().idle_timeout / STALLED_CHECKS,
+            self._check_unread,
+            unread,
+            checks,
+        )
+
+    def _check_unread(self, unread: int, checks: int) -> None:
+        self._write_timer = None
+        transport = self._transport
+        if transport is None:
+            return
+        size = transport.get_write_buffer_size()
+        if size != unread:
+            self._start_write_timer(size, STALLED_CHECKS)
+        elif checks > 1:
+            self._start_write_timer(size, checks - 1)
+        else:
+            events.emit("caller_stalled", unread_bytes=size)
+            self.abort()
+
+    def _stop_write_timer(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
