Guard the wait for an earlier leader's tokens

The third test of test_superseded passed without the wait, as a renewal of the first leader was refused before the restart.

--- a/tests/assignment/test_superseded.py
+++ b/tests/assignment/test_superseded.py
@@ -115,11 +115,13 @@
 
     async def scenario(one: Succession) -> None:
         one.servers.release_seconds["b"] = 0.8
-        for name in ("b", "c"):
-            one.fleets[0].add(name, is_leaving=True)
-        one.first.request_plan()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(one.first.run)
+            # The next renewals come after the restart.
+            await support.confirmed_sleep(one.first, 0.7)
+            for name in ("b", "c"):
+                one.fleets[0].add(name, is_leaving=True)
+            one.first.request_plan()
             await support.confirmed_sleep(one.first, 0.2)
             for name in ("b", "c"):
                 del one.fleets[0].by_id[name]
