Release keys whose lease counts as expired

Two servers held the same keys for a whole key lease (3.4 s in virtual time): one had been paused while its keys were moved, and took a grant from its socket when it ran again. The lease counts from then.

A lease that had expired by the coordinator's count was taken for the end of it. No release was sent if the server's entry had expired, if it took no connections meanwhile, or if a successor had never reached it.

Such a server is now told to release its keys beside the move, for 10 s or until it confirms, at the last known address if service discovery has dropped it. Whichever of the two it reads first, it refuses the grant or drops the keys, as the release has the higher fence. It gets no keys before, since the release could undo a newer grant. Moves don't wait for it. New event: released_late.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -419,6 +419,9 @@
             {name: server.answer_rate for name, server in servers.items()},
             state.load,
         )
+        self._moves.remember(
+            servers, {owner.server_id for owner in self._mapped_owners()}
+        )
         self._moves.resume(service, tasks)
         if now < self._earlier_tokens_end_at:
             # An earlier leader may still send tokens to the stored owners,
@@ -448,11 +451,15 @@
     def _exclude_if_unresponsive(
         self, candidate: planner.OwnerCandidate
     ) -> planner.OwnerCandidate:
-        if not self._grant_sender.is_unresponsive(
+        if self._grant_sender.is_unresponsive(
             (candidate.id, candidate.incarnation)
         ):
-            return candidate
-        return candidate._replace(accepts_keys=False, must_release_keys=True)
+            return candidate._replace(
+                accepts_keys=False, must_release_keys=True
+            )
+        if self._moves.may_hold_late_grants(candidate.id):
+            return candidate._replace(accepts_keys=False)
+        return candidate
 
     async def _start_moves(
         self,
--- a/src/agatestile/assignment/moves.py
+++ b/src/agatestile/assignment/moves.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import math
 import typing
 
 import anyio
@@ -28,6 +30,11 @@
 RETRY_DELAY_SECONDS = 0.3
 """Delay before an unanswered order is repeated."""
 
+LATE_RELEASE_SECONDS = 10.0
+"""Time after the end of a lease for which a source that has not confirmed its
+release is told to release its keys: a process that was paused takes a grant
+that came meanwhile, and its lease starts only then."""
+
 
 class Revocation(typing.NamedTuple):
     """How it became certain that a source holds its keys no longer.
@@ -76,11 +83,40 @@
         self._orders = orders
         self._now = now
         self._moves_in_progress: set[tuple[str, int, int]] = set()
+        self._recipients_by_server: dict[str, ports.Recipient] = {}
+        self._late_releases: collections.Counter[str] = collections.Counter()
+        self._late_locks_by_server: dict[str, anyio.Lock] = {}
 
     def start_epoch(self) -> None:
         """Forget the moves of an earlier epoch."""
         self._moves_in_progress.clear()
 
+    def remember(
+        self, servers: dict[str, state.RegisteredServer], mapped: set[str]
+    ) -> None:
+        """Keep the addresses of servers that service discovery may drop.
+
+        Parameters
+        ----------
+        servers : dict of str to state.RegisteredServer
+            Registered servers by identifier.
+        mapped : set of str
+            Servers in the range maps; the others are forgotten.
+        """
+        for server_id in self._recipients_by_server.keys() - mapped:
+            del self._recipients_by_server[server_id]
+        for server_id in servers.keys() & mapped:
+            self._recipients_by_server[server_id] = servers[
+                server_id
+            ].recipient
+
+    def may_hold_late_grants(self, server_id: str) -> bool:
+        """Return whether a server still has to confirm a release.
+
+        It gets no keys meanwhile, as the release could undo their grant.
+        """
+        return self._late_releases[server_id] > 0
+
     def is_moving(self, service: str, key_range: ranges.KeyRange) -> bool:
         """Return whether a range is being moved."""
         return (
@@ -97,7 +133,7 @@
     ) -> None:
         """Start executing a stored move."""
         self._moves_in_progress.add((service, change.first, change.last))
-        tasks.start_soon(self._move, service, change)
+        tasks.start_soon(self._move, service, change, tasks)
 
     def resume(self, service: str, tasks: anyio.abc.TaskGroup) -> None:
         """Resume moves that a previous leader started."""
@@ -107,22 +143,33 @@
             if not self.is_moving(service, key_range):
                 self.start(service, key_range, tasks)
 
-    async def _move(self, service: str, change: ranges.KeyRange) -> None:
+    async def _move(
+        self,
+        service: str,
+        change: ranges.KeyRange,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
         try:
-            await self._execute(service, change, self._leader.epoch)
+            await self._execute(service, change, self._leader.epoch, tasks)
         finally:
             self._moves_in_progress.discard(
                 (service, change.first, change.last)
             )
 
     async def _execute(
-        self, service: str, change: ranges.KeyRange, epoch: int
+        self,
+        service: str,
+        change: ranges.KeyRange,
+        epoch: int,
+        tasks: anyio.abc.TaskGroup,
     ) -> None:
         revocation = Revocation("")
         started = self._now()
         if change.source != ranges.UNOWNED:
             await anyio.sleep(ROUTE_UPDATE_SECONDS)
-            revocation = await self._revoke_source(service, change, epoch)
+            revocation = await self._revoke_source(
+                service, change, epoch, tasks
+            )
         target = leases.instance_of(change.owner)
         while epoch == self._leader.epoch and self._leader.is_active:
             server = state.find_server(self._fleet, service, target)
@@ -185,12 +232,17 @@
         )
 
     async def _revoke_source(
-        self, service: str, change: ranges.KeyRange, epoch: int
+        self,
+        service: str,
+        change: ranges.KeyRange,
+        epoch: int,
+        tasks: anyio.abc.TaskGroup,
     ) -> Revocation:
         """Return once the source certainly holds no keys.
 
-        That is so when its leases have expired, when the process at its
-        address has ended, or when it has released the keys. A later
+        That is so when its leases have expired, except for grants that it
+        takes late, which a release in the background undoes; when the process
+        at its address has ended; or when it has released the keys. A later
         incarnation may hold them by a grant that was meant for the earlier
         one, so it has to release them too.
         """
@@ -206,6 +258,8 @@
             held_until = self._grant_sender.key_leases.until(instance[0])
         while epoch == self._leader.epoch:
             if self._now() >= held_until:
+                self._late_releases[instance[0]] += 1
+                tasks.start_soon(self._release_late, service, order, epoch)
                 return Revocation("lease expired")
             if self._fleet.is_address_reused(instance):
                 return Revocation("address reused")
@@ -227,3 +281,61 @@
                 return Revocation("released", result.handover)
             await anyio.sleep(min(RETRY_DELAY_SECONDS, max(0.0, remaining)))
         return Revocation("")
+
+    async def _release_late(
+        self, service: str, order: ranges.KeyRange, epoch: int
+    ) -> None:
+        """Release keys of a source whose lease counts as expired.
+
+        It refuses late grants once it has seen the token of the release, and
+        drops what it took by them before.
+        """
+        server_id = order.owner.server_id
+        recipient = self._recipients_by_server.get(server_id)
+        started = self._now()
+        lock = self._late_locks_by_server.setdefault(server_id, anyio.Lock())
+        try:
+            while (
+                epoch == self._leader.epoch
+                and self._leader.is_active
+                and self._now() < started + LATE_RELEASE_SECONDS
+            ):
+                server = self._fleet.registered_server(service, server_id)
+                if server is not None:
+                    recipient = server.recipient
+                if recipient is None:
+                    await anyio.sleep(RETRY_DELAY_SECONDS)
+                    continue
+                # A server that is gone is tried for all its keys at once.
+                async with lock:
+                    is_reachable = await self._is_reachable(recipient)
+                if not is_reachable:
+                    continue
+                result = await self._orders.release(
+                    recipient, order, RELEASE_TIMEOUT_SECONDS
+                )
+                if result.reply is ports.Reply.DONE:
+                    events.emit(
+                        "released_late",
+                        server=server_id,
+                        first=order.first,
+                        last=order.last,
+                        fence=order.owner.fence,
+                        seconds=round(self._now() - started, 3),
+                    )
+                    return
+                await anyio.sleep(RETRY_DELAY_SECONDS)
+        finally:
+            self._late_releases[server_id] -= 1
+            if not self._late_releases[server_id]:
+                del self._late_releases[server_id]
+                del self._late_locks_by_server[server_id]
+
+    async def _is_reachable(self, recipient: ports.Recipient) -> bool:
+        """Return whether a server can be connected to; wait if it can't."""
+        if self._orders.is_connected(recipient, math.inf):
+            return True
+        if not await self._orders.connect(recipient):
+            return True
+        await anyio.sleep(RETRY_DELAY_SECONDS)
+        return False
--- a/tests/assignment/lives.py
+++ b/tests/assignment/lives.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -17,6 +18,9 @@
 ANSWER_SECONDS = 0.005
 """Time between the arrival of a grant and that of its answer."""
 
+WATCH_INTERVAL_SECONDS = 0.05
+"""Interval at which keys that two servers hold are looked for."""
+
 
 class Taken(typing.NamedTuple):
     """Keys that an incarnation of a server took with a fencing token."""
@@ -179,3 +183,131 @@
             if one.last > last:
                 kept.append(one._replace(first=last + 1))
         self._held = kept
+
+
+class Queued(typing.NamedTuple):
+    """An order in the socket of a paused server."""
+
+    carry_out: typing.Callable[
+        [], typing.Coroutine[typing.Any, typing.Any, ports.OrderResult]
+    ]
+    results: list[ports.OrderResult]
+    done: anyio.Event
+
+
+class PausableServers(RestartingServers):
+    """Servers whose processes can be paused.
+
+    A paused server accepts connections. It carries out the orders in its
+    sockets in their order when it resumes, also those that were given up.
+
+    Attributes
+    ----------
+    unreachable : set of str
+        Servers that can't be connected to.
+    refused_connections : int
+        Number of connections to these that were tried.
+    longest_overlap : float
+        Longest time for which two servers held the same keys, seconds.
+    """
+
+    def __init__(self, now: typing.Callable[[], float]) -> None:
+        super().__init__(now)
+        self._queue_by_id: dict[str, list[Queued]] = {}
+        self._overlapping_since: dict[tuple[str, str], float] = {}
+        self.unreachable: set[str] = set()
+        self.refused_connections = 0
+        self.longest_overlap = 0.0
+
+    def pause(self, server_id: str) -> None:
+        self._queue_by_id[server_id] = []
+
+    async def resume(self, server_id: str) -> None:
+        self.unreachable.discard(server_id)
+        for queued in self._queue_by_id.pop(server_id):
+            queued.results.append(await queued.carry_out())
+            queued.done.set()
+
+    async def connect(self, recipient: ports.Recipient) -> str:
+        if recipient.server_id in self.unreachable:
+            self.refused_connections += 1
+            return "connection refused"
+        return await super().connect(recipient)
+
+    async def grant(
+        self,
+        recipient: ports.Recipient,
+        key_range: ranges.KeyRange,
+        hold: float,
+        handover: str | None,
+        timeout: float,
+        opened_before: float,
+    ) -> ports.OrderResult:
+        name = recipient.server_id
+        if not self.is_connected(recipient, opened_before):
+            return UNSENT
+
+        async def carry_out() -> ports.OrderResult:
+            self._opened_at_by_id.setdefault(name, -math.inf)
+            return await super(PausableServers, self).grant(
+                recipient, key_range, hold, handover, timeout, math.inf
+            )
+
+        return await self._receive(name, carry_out, timeout)
+
+    async def release(
+        self,
+        recipient: ports.Recipient,
+        key_range: ranges.KeyRange,
+        timeout: float,
+    ) -> ports.OrderResult:
+        if recipient.server_id in self.unreachable:
+            self.refused_connections += 1
+            return UNSENT
+
+        async def carry_out() -> ports.OrderResult:
+            return await super(PausableServers, self).release(
+                recipient, key_range, timeout
+            )
+
+        return await self._receive(recipient.server_id, carry_out, timeout)
+
+    async def watch(self) -> None:
+        """Measure for how long servers hold the same keys."""
+        while True:
+            self._measure_overlaps()
+            await anyio.sleep(WATCH_INTERVAL_SECONDS)
+
+    def _measure_overlaps(self) -> None:
+        now = self._now()
+        held = [one for one in self._held if one.until > now]
+        pairs = {
+            (one.server_id, other.server_id)
+            for one in held
+            for other in held
+            if one.server_id < other.server_id and one.overlaps(other)
+        }
+        for pair in pairs:
+            since = self._overlapping_since.setdefault(pair, now)
+            self.longest_overlap = max(self.longest_overlap, now - since)
+        for pair in self._overlapping_since.keys() - pairs:
+            del self._overlapping_since[pair]
+
+    async def _receive(
+        self,
+        server_id: str,
+        carry_out: typing.Callable[
+            [], typing.Coroutine[typing.Any, typing.Any, ports.OrderResult]
+        ],
+        timeout: float,
+    ) -> ports.OrderResult:
+        queue = self._queue_by_id.get(server_id)
+        if queue is None:
+            return await carry_out()
+        queued = Queued(carry_out, [], anyio.Event())
+        queue.append(queued)
+        with anyio.move_on_after(timeout):
+            await queued.done.wait()
+            return queued.results[0]
+        self.disconnect(server_id)
+        return SILENT
