Count longer leases while the own link is full

A grant that waits in the queue of the leader's own full link (2.2 s in the test, 0.4 to 2.2 s were seen) arrives after its call was given up, and the server holds its keys up to 1.9 s beside their new owner if it gets no release.

The lease counted from 0.3 s after the end of the call whatever the state of the link. Grants without an answer now count from 2.5 s after it if the link turns out to be full within a second, also those of the round that shows it.

--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -84,6 +84,7 @@
         self._locks_by_server: dict[str, anyio.Lock] = {}
         self._failures_by_instance: dict[leases.Instance, Failures] = {}
         self._first_sent_by_fence: dict[int, float] = {}
+        self._unanswered_at_by_server: dict[str, float] = {}
         self._epoch = 0
         self._link_health = link_health.LinkHealth()
         self.leader_lease = leases.LeaderLease()
@@ -205,6 +206,9 @@
             return result
         unanswered = (ports.Reply.SILENT, ports.Reply.UNSENT)
         self._record_time(started, result.reply not in unanswered)
+        if result.reply is ports.Reply.SILENT:
+            self._unanswered_at_by_server[recipient.server_id] = self._now()
+        self._extend_delayed_leases()
         self._record_result(recipient[:2], result, started)
         return result
 
@@ -267,6 +271,22 @@
         now = self._now()
         self._link_health.on_result(now, now - started, is_answered)
 
+    def _extend_delayed_leases(self) -> None:
+        """Extend leases for grants that may wait in this host's own queue.
+
+        The delay shows only once several grants have not been answered.
+        """
+        oldest = self._now() - link_health.WINDOW_SECONDS
+        for server_id, at in list(self._unanswered_at_by_server.items()):
+            if at < oldest:
+                del self._unanswered_at_by_server[server_id]
+        if not self._unanswered_at_by_server or not self.is_link_slow():
+            return
+        for server_id, at in self._unanswered_at_by_server.items():
+            self.key_leases.record_grant(
+                server_id, at, leases.SLOW_ARRIVAL_SLACK_SECONDS
+            )
+
     async def check_reachable(self, recipient: ports.Recipient) -> None:
         """Try to connect to a server that currently gets no grants.
 
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -21,7 +21,12 @@
 
 ARRIVAL_SLACK_SECONDS = 0.3
 """Longest time between the end of a call at the sender and its arrival at the
-server; an abandoned call is reset and not sent again."""
+server; an abandoned call is reset and not sent again. A server that was paused
+may take it later, which a release undoes."""
+
+SLOW_ARRIVAL_SLACK_SECONDS = 2.5
+"""The same while this host's own link is full: bytes that were sent wait in
+its queue."""
 
 GRANT_TIMEOUT_SECONDS = 0.6
 """Timeout of a grant."""
@@ -136,9 +141,24 @@
                 result.append((*instance, until - now))
         return result
 
-    def record_grant(self, server_id: str, now: float) -> None:
-        """Extend the lease for a grant that may have arrived until now."""
-        until = now + ARRIVAL_SLACK_SECONDS + _longest_key_lease()
+    def record_grant(
+        self,
+        server_id: str,
+        ended_at: float,
+        arrival_slack: float = ARRIVAL_SLACK_SECONDS,
+    ) -> None:
+        """Extend the lease for a grant whose call has ended.
+
+        Parameters
+        ----------
+        server_id : str
+            Server to which it was sent.
+        ended_at : float
+            Clock at the end of the call, seconds.
+        arrival_slack : float
+            Longest time from then to its arrival, seconds.
+        """
+        until = ended_at + arrival_slack + _longest_key_lease()
         self._extend(server_id, until)
 
     def until(self, server_id: str) -> float:
--- a/tests/assignment/lives.py
+++ b/tests/assignment/lives.py
@@ -228,6 +228,10 @@
             queued.results.append(await queued.carry_out())
             queued.done.set()
 
+    def is_open(self, server_id: str) -> bool:
+        """Return whether a connection to a server is open."""
+        return server_id in self._opened_at_by_id
+
     async def connect(self, recipient: ports.Recipient) -> str:
         if recipient.server_id in self.unreachable:
             self.refused_connections += 1
--- a/tests/assignment/test_late_grants.py
+++ b/tests/assignment/test_late_grants.py
@@ -26,6 +26,9 @@
 EXPIRY_SECONDS = 2.5
 """Time after its last heartbeat at which service discovery drops a server."""
 
+QUEUE_SECONDS = 2.2
+"""Longest time that bytes were seen to wait in the queue of a full link."""
+
 HEARTBEAT_SECONDS = 0.5
 """Time after its pause at which a server is known again."""
 
@@ -35,7 +38,9 @@
 ]
 
 
-def _run(scenario: Scenario) -> lives.PausableServers:
+def _run(
+    scenario: Scenario, names: typing.Sequence[str] = NAMES
+) -> lives.PausableServers:
     """Run a scenario after the keys of the servers were assigned."""
     servers: list[lives.PausableServers] = []
 
@@ -44,7 +49,7 @@
         harness.orders = servers[0]
         harness.coordinator = harness.add_coordinator("host-1")
         harness.hosts.by_address["host-1"] = harness.coordinator
-        for name in NAMES:
+        for name in names:
             harness.fleet.add(name)
         assert await harness.coordinator.take_leadership() is None
         async with anyio.create_task_group() as tasks:
@@ -253,3 +258,28 @@
         + moves.RETRY_DELAY_SECONDS
         + 2 * lives.WATCH_INTERVAL_SECONDS
     )
+
+
+def test_lease_covers_a_grant_that_waited_in_a_full_link() -> None:
+    """Guards against a lease that is counted as if the link were free.
+
+    The grants of the round that shows the delay first are covered, too. The
+    server takes no connections later, so that it gets no release.
+    """
+    names = [f"server-{number}" for number in range(8)] + ["a"]
+
+    async def scenario(
+        harness: support.CoordinatorHarness, servers: lives.PausableServers
+    ) -> None:
+        for name in names:
+            servers.pause(name)
+        while servers.is_open("a"):
+            await _sleep(harness.coordinator, 0.05)
+        del harness.fleet.by_id["a"]
+        await _sleep(harness.coordinator, QUEUE_SECONDS)
+        for name in names:
+            await servers.resume(name)
+        servers.unreachable.add("a")
+        await _sleep(harness.coordinator, 2 * leases.KEY_LEASE_SECONDS)
+
+    _assert_served_by_one(_run(scenario, names))
