Cut links and stop servers in the soak

The soak's only proxy stood in front of the store, and its servers were tasks of its own process: a leader that reaches some servers while its successor reaches others did not occur, nor a server that reads a grant after it was suspended.

Three more keyed servers are processes, which report what they hold and begin with times of the monotonic clock.

Excuses, for these faults only: grants that a server takes within 0.3 s after one of these links healed don't count; those that it takes within 0.3 s after it was resumed, or over a slow link, don't count for the half-second rule, and break OWNER only if both servers begin requests.

--- a/bench/ownership_faults.py
+++ b/bench/ownership_faults.py
@@ -72,6 +72,12 @@
         if server is not None:
             await self._restart(server, self._random.uniform(0.05, 1.5))
 
+    async def restart_server_once(
+        self, server: platform_server.PlatformServer
+    ) -> None:
+        """Let a server start again at once."""
+        await self._restart(server, 0.1)
+
     async def restart_server_in_series(self) -> None:
         """Let a server start again several times within a few seconds."""
         server = self._random_server()
@@ -172,6 +178,8 @@
         )
         later.reaches_store = reaches_store
         later.clock_rate = server.clock_rate
+        later.advertised_port = server.advertised_port
+        later.grant_excuses = server.grant_excuses
         later.warm_at = asyncio.get_running_loop().time() + (
             self._random.uniform(0.0, WARMUP_SECONDS)
         )
--- a/standins/key_holds.py
+++ b/standins/key_holds.py
@@ -42,7 +42,7 @@
 
     Parameters
     ----------
-    servers : list of platform_server.PlatformServer
+    servers : list of platform_server.Holder
         All servers of the run; the list may grow.
 
     Attributes
@@ -51,7 +51,7 @@
         Descriptions of the violated invariants.
     """
 
-    def __init__(self, servers: list[platform_server.PlatformServer]) -> None:
+    def __init__(self, servers: list[platform_server.Holder]) -> None:
         self._servers = servers
         self._taken: dict[Taken, None] = {}
         self._overlaps_since: dict[tuple[str, str], float] = {}
@@ -81,6 +81,7 @@
             for server in self._servers
             if server.is_up
             for lease in server.current_leases()
+            if lease.counted_until > now
         )
         overlaps: set[tuple[str, str]] = set()
         widest = held[0] if held else None
--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -51,12 +51,15 @@
         Whether writes take effect but get no response.
     delay : float
         Delay of each response, seconds.
+    address_by_member : dict of str to str
+        Address under which hosts reach a member of a group.
     """
 
     def __init__(self) -> None:
         self.is_down = False
         self.loses_answers = False
         self.delay = 0.0
+        self.address_by_member: dict[str, str] = {}
         self._topics: dict[str, _Topic] = {}
         self._groups: dict[str, _Group] = {}
         self._listener = server.Listener(self._handle, _limits)
@@ -183,6 +186,7 @@
         self, query: dict[str, str], body: bytes
     ) -> messages.Response:
         owner = self._group(query["group"]).owner()
+        owner = self.address_by_member.get(owner, owner)
         rows = [[query["group"], 0, owner, 0]] if owner else []
         return _json(200, {"rows": rows})
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -46,12 +46,79 @@
         Fencing token of the grant.
     until : float
         Clock of the event loop at the end of the lease, seconds.
+    since : float
+        Clock of the event loop when the grant was first taken, seconds.
+    counted_until : float
+        End of the part of the lease that late grants don't explain, seconds.
+    is_late : bool
+        Whether the last grant was held up on its way or taken late.
+    is_excused : bool
+        Whether the last grant arrived as a link had just healed.
     """
 
     first: int
     last: int
     fence: int
     until: float
+    since: float = -math.inf
+    counted_until: float = math.inf
+    is_late: bool = False
+    is_excused: bool = False
+
+
+class GrantExcuse(typing.NamedTuple):
+    """A time in which grants that a server takes are excused.
+
+    Attributes
+    ----------
+    start, end : float
+        Clock of the event loop, seconds.
+    is_healed : bool
+        Whether a link has just healed: no rule counts the grants. Otherwise
+        they count where both servers begin requests.
+    """
+
+    start: float
+    end: float
+    is_healed: bool
+
+
+def mark(
+    lease: KeyLease,
+    taken_at: float,
+    earlier: list[KeyLease],
+    excuses: list[GrantExcuse],
+) -> KeyLease:
+    """Return a lease with what earlier ones and excuses say of its grant."""
+    kinds = [
+        excuse.is_healed
+        for excuse in excuses
+        if excuse.start <= taken_at <= excuse.end
+    ]
+    since, counted_until = taken_at, -math.inf
+    for one in earlier:
+        if one[:3] == lease[:3]:
+            since, counted_until = one.since, one.counted_until
+    return lease._replace(
+        since=since,
+        counted_until=counted_until if kinds else lease.until,
+        is_late=bool(kinds),
+        is_excused=any(kinds),
+    )
+
+
+class Holder(typing.Protocol):
+    """A server that may hold keys."""
+
+    id: str
+    life: int
+    is_up: bool
+
+    def current_leases(self) -> list[KeyLease]:
+        """Return the leases that have not expired."""
+
+    def lease_on(self, key: int) -> KeyLease | None:
+        """Return the current lease on a key, None if there is none."""
 
 
 class InvariantChecker:
@@ -78,7 +145,8 @@
             collections.Counter()
         )
         self.violations: list[str] = []
-        self.servers: list[PlatformServer] = []
+        self.servers: list[Holder] = []
+        self._starts: list[tuple[float, Holder, int]] = []
         self.key_holds = key_holds.KeyHolds(self.servers)
         self.dropped_at_by_request: dict[str, float] = {}
         self.sent_at_by_request: dict[str, float] = {}
@@ -132,11 +200,17 @@
         del self._arrivals_by_number[number]
 
     def on_started(
-        self, running: PlatformServer, key: int, request: str
+        self,
+        running: Holder,
+        key: int,
+        request: str,
+        started_at: float | None = None,
     ) -> None:
         """Count an execution; check that no other server holds the key."""
         self.executions_by_request[request] += 1
-        now = asyncio.get_running_loop().time()
+        now = started_at or asyncio.get_running_loop().time()
+        self._starts.append((now, running, key))
+        own = running.lease_on(key)
         for other in self.servers:
             if other is running or not other.is_up:
                 continue
@@ -144,11 +218,31 @@
             if (
                 lease is not None
                 and lease.until > now + HANDOVER_SLACK_SECONDS
+                and lease.since <= now
+                and not self._is_excused(other, lease, own)
             ):
                 self.violations.append(
                     f"key {key} is held by {running.id} and {other.id}"
                 )
 
+    def _is_excused(
+        self, other: Holder, lease: KeyLease, own: KeyLease | None
+    ) -> bool:
+        """Return whether late grants excuse two holders of a key.
+
+        They don't if both servers begin requests, unless a link had healed.
+        """
+        if own is None or not (lease.is_late or own.is_late):
+            return False
+        if lease.is_excused or own.is_excused:
+            return True
+        first, last = max(lease[0], own[0]), min(lease[1], own[1])
+        both_since = max(lease.since, own.since)
+        return not any(
+            server is other and first <= key <= last and at >= both_since
+            for at, server, key in self._starts
+        )
+
 
 class PlatformServer:
     """One incarnation of a server.
@@ -180,6 +274,10 @@
         0 to carry out grants at once.
     loses_answers : bool
         Whether its answers to grants are lost.
+    advertised_port : int
+        Port that its reports name; 0 for the one on which it listens.
+    grant_excuses : list of GrantExcuse
+        Times in which the grants that it takes are excused.
     rate_limit : float or None
         Limit that its responses name, requests per second.
     says_it_leaves : bool
@@ -225,6 +323,8 @@
         self._fence_by_range: dict[tuple[int, int], int] = {}
         self._sequence = 0
         self._port = 0
+        self.advertised_port = 0
+        self.grant_excuses: list[GrantExcuse] = []
         self._started_ms = int(time.time() * 1000)
         self._listener = server.Listener(
             self._handle, configuration.CallerLimits
@@ -284,7 +384,7 @@
         self._sequence += 1
         fields = {
             "service": self._service,
-            "address": f"127.0.0.1:{self._port}",
+            "address": f"127.0.0.1:{self.advertised_port or self._port}",
             "zone": "anna",
             "version": "v1",
             "slots": self.SLOTS,
@@ -342,11 +442,18 @@
         has_ended = is_late and not self.is_up
         if has_ended or self._highest_fence(first, last) > fence:
             return messages.Response(409, [], b"")
+        earlier = self._leases
         self._remove_leases(first, last)
         until = arrived + self.clock_rate * order["holdMs"] / 1000.0
-        self._leases.append(KeyLease(first, last, fence, until))
+        lease = mark(
+            KeyLease(first, last, fence, until),
+            arrived,
+            earlier,
+            self.grant_excuses,
+        )
+        self._leases.append(lease)
         self._fence_by_range[first, last] = fence
-        if not is_late:
+        if not is_late and not lease.is_excused:
             self._checker.key_holds.on_taken(
                 key_holds.Taken(self.id, self.life, first, last, fence)
             )
--- /dev/null
+++ b/standins/platform_server_process.py
@@ -0,0 +1,107 @@
+"""Runs the stand-in of a keyed backend server as a process of its own.
+
+What the server reports to the store, holds and begins is written to the
+standard output, one JSON object a line.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import typing
+
+import msgspec
+
+from standins import platform_log
+from standins import platform_server
+
+STANDARD_OUTPUT = 1
+
+
+class Notice(msgspec.Struct, omit_defaults=True):
+    """A line of the output; times are of the monotonic clock, seconds."""
+
+    at: float
+    report: str = ""
+    leases: list[tuple[int, int, int, float]] | None = None
+    taken: tuple[int, int, int] | None = None
+    started: tuple[int, str] | None = None
+
+
+def _write(notice: Notice) -> None:
+    # Written before the answer that depends on it, and in one piece.
+    os.write(STANDARD_OUTPUT, msgspec.json.encode(notice) + b"\n")
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class _Store(platform_log.PlatformLog):
+    """Passes the reports of the server on."""
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        _write(Notice(_now(), report=value.decode()))
+
+
+class _Checker(platform_server.InvariantChecker):
+    """Passes on which requests the server begins."""
+
+    def on_started(
+        self,
+        running: platform_server.Holder,
+        key: int,
+        request: str,
+        started_at: float | None = None,
+    ) -> None:
+        _write(Notice(_now(), started=(key, request)))
+
+
+class _Server(platform_server.PlatformServer):
+    """Passes on what it holds."""
+
+    _is_granting = False
+
+    def _grant(
+        self,
+        order: dict[str, typing.Any],
+        arrived: float,
+        is_late: bool = False,
+    ) -> typing.Any:
+        self._is_granting = True
+        response = super()._grant(order, arrived, is_late)
+        self._is_granting = False
+        if response.status == 200:
+            taken = order["from"], order["to"], order["fence"]
+            self._write_leases(arrived, taken)
+        return response
+
+    def _remove_leases(self, first: int, last: int) -> None:
+        super()._remove_leases(first, last)
+        if not self._is_granting:
+            self._write_leases(_now(), None)
+
+    def _write_leases(
+        self, at: float, taken: tuple[int, int, int] | None
+    ) -> None:
+        leases = [
+            (lease.first, lease.last, lease.fence, lease.until)
+            for lease in self._leases
+        ]
+        _write(Notice(at, leases=leases, taken=taken))
+
+
+async def _run(
+    name: str, life: str, port: str, advertised: str, service_time: str
+) -> None:
+    checker = _Checker()
+    running = _Server(
+        name, "keyed", True, checker, float(service_time), int(life)
+    )
+    running.advertised_port = int(advertised)
+    await running.run(_Store(), int(port))
+
+
+if __name__ == "__main__":
+    asyncio.run(_run(*sys.argv[1:]))
