--- a/standins/key_holds.py
+++ b/standins/key_holds.py
@@ -42,7 +42,7 @@
 
     Parameters
     ----------
-    servers : list of platform_server.Holder
+    servers : list of platform_server.PlatformServer
         All servers of the run; the list may grow.
 
     Attributes
@@ -51,7 +51,7 @@
         Descriptions of the violated invariants.
     """
 
-    def __init__(self, servers: list[platform_server.Holder]) -> None:
+    def __init__(self, servers: list[platform_server.PlatformServer]) -> None:
         self._servers = servers
         self._taken: dict[Taken, None] = {}
         self._overlaps_since: dict[tuple[str, str], float] = {}
