--- a/bench/ownership_faults.py
+++ b/bench/ownership_faults.py
@@ -23,8 +23,13 @@
 class Host(typing.Protocol):
     """A daemon that the faults stop."""
 
+    name: str
     ports: list[int]
 
+    @property
+    def pid(self) -> int | None:
+        """Identifier of the process while it runs."""
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
 
--- a/tests/standins/test_platform_server.py
+++ b/tests/standins/test_platform_server.py
@@ -46,3 +46,55 @@
     checker.on_started(first, 50, "r1")
     assert checker.violations
     await asyncio.sleep(0)
+
+
+async def _make_holders(
+    is_healed: bool,
+) -> tuple[
+    platform_server.InvariantChecker, list[platform_server.PlatformServer]
+]:
+    """Return servers that hold the same keys, the first by a late grant."""
+    checker = platform_server.InvariantChecker()
+    servers = [
+        platform_server.PlatformServer(name, "keyed", True, checker)
+        for name in ("s1", "s2")
+    ]
+    now = asyncio.get_running_loop().time()
+    servers[0].grant_excuses.append(
+        platform_server.GrantExcuse(now - 1.0, now + 1.0, is_healed)
+    )
+    for server in servers:
+        server.is_up = True
+        await server._handle(_make_order(b"/grant"))
+    return checker, servers
+
+
+async def test_late_grant_is_a_violation_once_both_servers_begin() -> None:
+    """Guards against an excuse for requests that both servers begin."""
+    checker, (first, second) = await _make_holders(is_healed=False)
+    checker.on_started(second, 50, "r1")
+    assert not checker.violations
+    checker.on_started(first, 50, "r2")
+    assert checker.violations
+
+
+async def test_grant_after_a_link_healed_is_excused() -> None:
+    """Guards against violations that the rules don't count."""
+    checker, (first, second) = await _make_holders(is_healed=True)
+    checker.on_started(second, 50, "r1")
+    checker.on_started(first, 50, "r2")
+    assert not checker.violations
+
+
+@pytest.mark.parametrize("is_healed", [True, False])
+async def test_late_renewal_excuses_no_lease_in_force(is_healed: bool) -> None:
+    """Guards against a late renewal that hides two timely grants."""
+    checker, (first, second) = await _make_holders(is_healed)
+    (excuse,) = first.grant_excuses
+    first.grant_excuses.clear()
+    first._remove_leases(0, 99)
+    await first._handle(_make_order(b"/grant"))
+    first.grant_excuses.append(excuse)
+    await first._handle(_make_order(b"/grant"))
+    checker.on_started(second, 50, "r1")
+    assert checker.violations
