Soak a suspended leader in the tests

Guards against new tokens of a leader that wakes up within its lease after its keys moved and servers restarted.

--- a/bench/link_faults.py
+++ b/bench/link_faults.py
@@ -109,11 +109,8 @@
             return
         with self._run.disrupt(host):
             host.send(signal.SIGSTOP)
-            async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(
-                    asyncio.sleep(self._random.uniform(2.5, 6.5))
-                )
-                tasks.create_task(self._restart_holders())
+            sleep = asyncio.sleep(self._random.uniform(2.5, 6.5))
+            await asyncio.gather(sleep, self._restart_holders())
             host.send(signal.SIGCONT)
 
     async def suspend_process(self) -> None:
--- a/bench/links.py
+++ b/bench/links.py
@@ -64,25 +64,23 @@
         self._callers = callers
         self._mode_by_caller: dict[str, Mode] = {}
         self._writers: dict[asyncio.StreamWriter, str] = {}
-        self._listening: asyncio.Server | None = None
+        self._server: asyncio.Server | None = None
         self.port = 0
         self.grant_excuses: list[platform_server.GrantExcuse] = []
 
     async def start(self) -> int:
         """Start to listen and return the port."""
-        self._listening = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0
-        )
-        self.port = self._listening.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
         return self.port
 
     async def stop(self) -> None:
         """Close all connections and stop to listen."""
         for caller in set(self._writers.values()):
             self.reset(caller)
-        if self._listening is not None:
-            self._listening.close()
-            await self._listening.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
 
     def set_mode(self, mode: Mode, caller: str = "") -> None:
         """Set the state of the link from a caller."""
--- a/standins/platform_server_process.py
+++ b/standins/platform_server_process.py
@@ -9,6 +9,7 @@
 import asyncio
 import os
 import sys
+import time
 import typing
 
 import msgspec
@@ -35,10 +36,6 @@
     os.write(STANDARD_OUTPUT, msgspec.json.encode(notice) + b"\n")
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 class _Checker(platform_server.InvariantChecker):
     """Passes on which requests the server begins."""
 
@@ -49,14 +46,14 @@
         request: str,
         started_at: float | None = None,
     ) -> None:
-        _write(Notice(_now(), started=(key, request)))
+        _write(Notice(time.monotonic(), started=(key, request)))
 
 
 class _Server(platform_server.PlatformServer):
     """Passes on what it holds, and when it reports to the store."""
 
     def _report_if_connected(self, log: platform_log.PlatformLog) -> None:
-        _write(Notice(_now(), is_report=True))
+        _write(Notice(time.monotonic(), is_report=True))
 
     def _grant(
         self,
@@ -74,7 +71,7 @@
         self, order: dict[str, typing.Any]
     ) -> messages.Response:
         self._remove_leases(order["from"], order["to"])
-        self._write_leases(_now(), None)
+        self._write_leases(time.monotonic(), None)
         return await super()._release(order)
 
     def _write_leases(
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -29,6 +29,24 @@
     assert outcome.faults
 
 
+@pytest.mark.slow
+@pytest.mark.parametrize("seed", [8])
+def test_no_keys_are_granted_by_a_leader_that_wakes_up(seed: int) -> None:
+    """Guards against new tokens of a leader that others have superseded.
+
+    Leaders are suspended while servers restart, links are cut for one host
+    and servers are suspended. This seed broke OWNER on 284428b.
+    """
+    outcome = platform_soak.run_soak(
+        seed,
+        20.0,
+        faults=["suspend_leader", "cut_links", "suspend_process"],
+        has_links=True,
+    )
+    assert outcome.violations == []
+    assert outcome.faults
+
+
 @pytest.mark.slow
 @pytest.mark.parametrize("seed", [3])
 def test_planned_stops_cut_no_request_off(seed: int) -> None:
