--- a/bench/ownership_faults.py
+++ b/bench/ownership_faults.py
@@ -23,8 +23,13 @@
 class Host(typing.Protocol):
     """A daemon that the faults stop."""
 
+    name: str
     ports: list[int]
 
+    @property
+    def pid(self) -> int | None:
+        """Identifier of the process while it runs."""
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
 
@@ -72,6 +77,11 @@
         if server is not None:
             await self._restart(server, self._random.uniform(0.05, 1.5))
 
+    async def restart_at_once(self, server_id: str) -> None:
+        """Let a server start again, unless it has left."""
+        if server_id in self._servers:
+            await self._restart(self._servers[server_id][0], 0.1)
+
     async def restart_server_in_series(self) -> None:
         """Let a server start again several times within a few seconds."""
         server = self._random_server()
@@ -162,7 +172,7 @@
         await asyncio.sleep(pause)
         if self._servers.get(server.id) is not known:
             return None
-        later = platform_server.PlatformServer(
+        later = type(server)(
             server.id,
             "keyed",
             True,
@@ -172,6 +182,8 @@
         )
         later.reaches_store = reaches_store
         later.clock_rate = server.clock_rate
+        later.advertised_port = server.advertised_port
+        later.grant_excuses = server.grant_excuses
         later.warm_at = asyncio.get_running_loop().time() + (
             self._random.uniform(0.0, WARMUP_SECONDS)
         )
--- a/standins/key_holds.py
+++ b/standins/key_holds.py
@@ -81,6 +81,7 @@
             for server in self._servers
             if server.is_up
             for lease in server.current_leases()
+            if lease.counted_until > now
         )
         overlaps: set[tuple[str, str]] = set()
         widest = held[0] if held else None
