--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -74,6 +74,9 @@
 )
 """Entries of service discovery that another writer left."""
 
+LISTENING_PORTS = range(12_000, 32_000)
+"""Ports below those that the system chooses for connections by default."""
+
 START_SECONDS = 15.0
 FAULT_PAUSE_SECONDS = (0.5, 2.0)
 SERVED_SHARE = 0.25
@@ -674,10 +677,18 @@
 
 
 def free_port() -> int:
-    """Return a free loopback port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
+    """Return a free loopback port that the system gives no connection.
+
+    A server that restarts needs its port again.
+    """
+    generator = random.SystemRandom()
+    while True:
+        port = generator.choice(LISTENING_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         return port
 
 
