Join no more once a host leaves

A host that stopped could keep the leadership vacant for the 1.5 s of its membership: since joins and confirmations run side by side, a join that was due as the host left came after it had left. The new test fails without it each time.

--- a/src/agatestile/node/leadership.py
+++ b/src/agatestile/node/leadership.py
@@ -165,6 +165,8 @@
 
     async def _join(self) -> port.Membership | None:
         """Renew the membership; return None if the store refuses it."""
+        if self._is_leaving:
+            return None
         started = self._now()
         joined = await self._store.join(
             GROUP, self._member, MEMBERSHIP_TTL_SECONDS, self._generation
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -63,6 +63,24 @@
     support.run(scenario)
 
 
+def test_host_that_leaves_does_not_join_again() -> None:
+    """Guards against a leadership that is kept by a host that stops.
+
+    A renewal that was due as the host left came after it had left.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        first, leader = _elector(harness, "host-1")
+        first.campaign()
+        await first.join_once()
+        assert leader.is_active
+        await first.leave()
+        assert await first._join() is None
+        assert harness.store.members == []
+
+    support.run(scenario)
+
+
 def test_leader_dropped_by_the_store_detects_its_successor() -> None:
     """Guards against two leaders after the store drops the first one.
 
