--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -194,9 +194,8 @@
         The caller may have waited since it chose the token, while this host
         lost the leadership and took it again.
         """
-        epoch = leases.FencingTokens.epoch_of(key_range.owner.fence)
         is_leading = self.leader_lease.is_valid(self._now())
-        if epoch != self._epoch or not is_leading:
+        if not is_leading or not self._is_of_current_epoch(key_range):
             return None
         recipient = server.recipient
         started = self._now()
@@ -231,8 +230,8 @@
                 return ports.OrderResult(ports.Reply.UNSENT, None, reason)
         if is_new:
             # The host may have lost the leadership while it connected.
-            epoch = leases.FencingTokens.epoch_of(fence)
-            if epoch != self._epoch or not self.may_send_new_tokens():
+            is_current = self._is_of_current_epoch(key_range)
+            if not is_current or not self.may_send_new_tokens():
                 return _WITHHELD
             self._first_sent_by_fence[fence] = self._orders.now()
             self._log_new_token(server, key_range)
@@ -248,6 +247,10 @@
             self._first_sent_by_fence.pop(fence, None)
         return result
 
+    def _is_of_current_epoch(self, key_range: ranges.KeyRange) -> bool:
+        epoch = leases.FencingTokens.epoch_of(key_range.owner.fence)
+        return epoch == self._epoch
+
     def _log_new_token(
         self, server: state.RegisteredServer, key_range: ranges.KeyRange
     ) -> None:
