Find leaders and keyed servers once in the soak

link_faults had its own copies of what ownership_faults does, and test_late_grants its own of support.confirmed_sleep, with a shorter step.

--- a/bench/link_faults.py
+++ b/bench/link_faults.py
@@ -158,11 +158,7 @@
             await asyncio.sleep(self._random.uniform(0.2, 1.0))
 
     def _leader(self) -> ownership_faults.Host | None:
-        leader = self._run.log.leader()
-        for host in self._run.hosts:
-            if leader.endswith(f":{host.ports[2]}"):
-                return host
-        return None
+        return ownership_faults.find_leader(self._run.log, self._run.hosts)
 
     def _random_host(self) -> ownership_faults.Host:
         """Return a host, the leader in half of the cases."""
@@ -181,11 +177,7 @@
 
     def _some_servers(self) -> list[platform_server.PlatformServer]:
         """Return some of the keyed servers."""
-        servers = [
-            server
-            for server, _ in self._run.servers.values()
-            if server.is_partitioned and server.is_up
-        ]
+        servers = ownership_faults.running_keyed_servers(self._run.servers)
         return self._random.sample(
             servers, self._random.randint(min(1, len(servers)), len(servers))
         )
--- a/bench/ownership_faults.py
+++ b/bench/ownership_faults.py
@@ -139,21 +139,16 @@
         """Stop, kill or suspend leaders one after the other."""
         async with asyncio.TaskGroup() as tasks:
             for _ in range(self._random.randint(2, 3)):
-                leader = self._log.leader()
+                leader = find_leader(self._log, self._hosts)
                 number = self._random.choice(
                     (signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP)
                 )
-                for host in self._hosts:
-                    if leader.endswith(f":{host.ports[2]}"):
-                        tasks.create_task(_run(self._stop_host(host, number)))
+                if leader is not None:
+                    tasks.create_task(_run(self._stop_host(leader, number)))
                 await asyncio.sleep(self._random.uniform(0.3, 3.0))
 
     def _random_server(self) -> platform_server.PlatformServer | None:
-        keyed = [
-            server
-            for server, _ in self._servers.values()
-            if server.is_partitioned and server.is_up
-        ]
+        keyed = running_keyed_servers(self._servers)
         return self._random.choice(keyed) if keyed else None
 
     async def _restart(
@@ -192,5 +187,27 @@
         return later
 
 
+def find_leader(
+    log: platform_log.PlatformLog, hosts: typing.Sequence[Host]
+) -> Host | None:
+    """Return the host that leads according to the store, if any."""
+    leader = log.leader()
+    for host in hosts:
+        if leader.endswith(f":{host.ports[2]}"):
+            return host
+    return None
+
+
+def running_keyed_servers(
+    servers: Running,
+) -> list[platform_server.PlatformServer]:
+    """Return the servers of partitioned services that are up."""
+    return [
+        server
+        for server, _ in servers.values()
+        if server.is_partitioned and server.is_up
+    ]
+
+
 async def _run(work: typing.Awaitable[None]) -> None:
     await work
--- a/tests/assignment/test_late_grants.py
+++ b/tests/assignment/test_late_grants.py
@@ -55,7 +55,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(servers[0].watch)
             tasks.start_soon(harness.coordinator.run)
-            await _sleep(harness.coordinator, 3.0)
+            await support.confirmed_sleep(harness.coordinator, 3.0)
             await scenario(harness, servers[0])
             for key in (0, ranges.KEY_COUNT // 2, ranges.KEY_COUNT - 1):
                 assert len(servers[0].holders_of(key)) == 1
@@ -65,17 +65,6 @@
     return servers[0]
 
 
-async def _sleep(
-    leader: coordinator_module.Coordinator, seconds: float
-) -> None:
-    """Let time pass while the store confirms the leadership."""
-    end = trio.current_time() + seconds
-    while trio.current_time() < end:
-        if leader.epoch:
-            leader.leader_lease.confirm(trio.current_time())
-        await anyio.sleep(0.05)
-
-
 def _pause(
     harness: support.CoordinatorHarness, servers: lives.PausableServers
 ) -> None:
@@ -89,9 +78,9 @@
     leader: coordinator_module.Coordinator,
 ) -> None:
     await servers.resume("a")
-    await _sleep(leader, HEARTBEAT_SECONDS)
+    await support.confirmed_sleep(leader, HEARTBEAT_SECONDS)
     harness.fleet.add("a")
-    await _sleep(leader, 2 * leases.KEY_LEASE_SECONDS)
+    await support.confirmed_sleep(leader, 2 * leases.KEY_LEASE_SECONDS)
 
 
 def _assert_served_by_one(servers: lives.PausableServers) -> None:
@@ -108,7 +97,7 @@
         harness: support.CoordinatorHarness, servers: lives.PausableServers
     ) -> None:
         _pause(harness, servers)
-        await _sleep(harness.coordinator, seconds)
+        await support.confirmed_sleep(harness.coordinator, seconds)
         await _resume(harness, servers, harness.coordinator)
 
     _assert_served_by_one(_run(scenario))
@@ -124,10 +113,12 @@
         harness: support.CoordinatorHarness, servers: lives.PausableServers
     ) -> None:
         _pause(harness, servers)
-        await _sleep(harness.coordinator, EXPIRY_SECONDS)
+        await support.confirmed_sleep(harness.coordinator, EXPIRY_SECONDS)
         del harness.fleet.by_id["a"]
         harness.coordinator.request_plan()
-        await _sleep(harness.coordinator, seconds - EXPIRY_SECONDS)
+        await support.confirmed_sleep(
+            harness.coordinator, seconds - EXPIRY_SECONDS
+        )
         await _resume(harness, servers, harness.coordinator)
 
     _assert_served_by_one(_run(scenario))
@@ -146,9 +137,9 @@
         harness: support.CoordinatorHarness, servers: lives.PausableServers
     ) -> None:
         _pause(harness, servers)
-        await _sleep(harness.coordinator, 1.0)
+        await support.confirmed_sleep(harness.coordinator, 1.0)
         servers.unreachable.add("a")
-        await _sleep(harness.coordinator, seconds - 1.0)
+        await support.confirmed_sleep(harness.coordinator, seconds - 1.0)
         await _resume(harness, servers, harness.coordinator)
 
     _assert_served_by_one(_run(scenario))
@@ -165,9 +156,9 @@
     ) -> None:
         _pause(harness, servers)
         while harness.owner_of(0) == "a":
-            await _sleep(harness.coordinator, 0.1)
+            await support.confirmed_sleep(harness.coordinator, 0.1)
         for _ in range(100):
-            await _sleep(harness.coordinator, 0.1)
+            await support.confirmed_sleep(harness.coordinator, 0.1)
             key_map = harness.coordinator.services[support.SERVICE].key_map
             owners = {one.owner.server_id for one in key_map.ranges}
             assert owners == {"b", "c"}
@@ -189,17 +180,19 @@
         servers.disconnect("a")
         del harness.fleet.by_id["a"]
         while harness.owner_of(0) == "a" or servers.holders_of(0) == {"a"}:
-            await _sleep(harness.coordinator, 0.1)
-        await _sleep(harness.coordinator, 1.0)
+            await support.confirmed_sleep(harness.coordinator, 0.1)
+        await support.confirmed_sleep(harness.coordinator, 1.0)
         key_map = harness.coordinator.services[support.SERVICE].key_map
         assert len({one.owner for one in key_map.ranges}) > 2
         before = servers.refused_connections
-        await _sleep(harness.coordinator, 5.0)
+        await support.confirmed_sleep(harness.coordinator, 5.0)
         tried = servers.refused_connections - before
         assert 0 < tried <= 5.0 / moves.RETRY_DELAY_SECONDS + 1
-        await _sleep(harness.coordinator, moves.LATE_RELEASE_SECONDS)
+        await support.confirmed_sleep(
+            harness.coordinator, moves.LATE_RELEASE_SECONDS
+        )
         before = servers.refused_connections
-        await _sleep(harness.coordinator, 5.0)
+        await support.confirmed_sleep(harness.coordinator, 5.0)
         assert servers.refused_connections == before
 
     _assert_served_by_one(_run(scenario))
@@ -216,16 +209,16 @@
         harness: support.CoordinatorHarness, servers: lives.PausableServers
     ) -> None:
         _pause(harness, servers)
-        await _sleep(harness.coordinator, 1.5)
+        await support.confirmed_sleep(harness.coordinator, 1.5)
         second = harness.add_coordinator("host-2")
         assert await second.take_leadership() is None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(second.run)
-            await _sleep(second, EXPIRY_SECONDS - 1.5)
+            await support.confirmed_sleep(second, EXPIRY_SECONDS - 1.5)
             if is_dropped:
                 del harness.fleet.by_id["a"]
                 second.request_plan()
-            await _sleep(second, seconds - EXPIRY_SECONDS)
+            await support.confirmed_sleep(second, seconds - EXPIRY_SECONDS)
             await _resume(harness, servers, second)
             tasks.cancel_scope.cancel()
 
@@ -243,13 +236,13 @@
         harness: support.CoordinatorHarness, servers: lives.PausableServers
     ) -> None:
         _pause(harness, servers)
-        await _sleep(harness.coordinator, 1.5)
+        await support.confirmed_sleep(harness.coordinator, 1.5)
         del harness.fleet.by_id["a"]
         second = harness.add_coordinator("host-2")
         assert await second.take_leadership() is None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(second.run)
-            await _sleep(second, 8.0)
+            await support.confirmed_sleep(second, 8.0)
             await _resume(harness, servers, second)
             tasks.cancel_scope.cancel()
 
@@ -274,12 +267,14 @@
         for name in names:
             servers.pause(name)
         while servers.is_open("a"):
-            await _sleep(harness.coordinator, 0.05)
+            await support.confirmed_sleep(harness.coordinator, 0.05)
         del harness.fleet.by_id["a"]
-        await _sleep(harness.coordinator, QUEUE_SECONDS)
+        await support.confirmed_sleep(harness.coordinator, QUEUE_SECONDS)
         for name in names:
             await servers.resume(name)
         servers.unreachable.add("a")
-        await _sleep(harness.coordinator, 2 * leases.KEY_LEASE_SECONDS)
+        await support.confirmed_sleep(
+            harness.coordinator, 2 * leases.KEY_LEASE_SECONDS
+        )
 
     _assert_served_by_one(_run(scenario, names))
