Move late releases to a module of their own

MoveExecutor had two jobs: moves, and the releases that follow a move whose source has not confirmed one, with three tables of their own. These are LateReleases now; behaviour is the same. What new tokens and releases need is named for both, is_surely_leading, instead of for tokens only. Tests keep their assertions; only names changed in them. tests/assignment, tests/node and tests/platform pass.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -11,6 +11,7 @@
 from agatestile.assignment import admission
 from agatestile.assignment import grant_sender
 from agatestile.assignment import journal
+from agatestile.assignment import late_releases
 from agatestile.assignment import leases
 from agatestile.assignment import moves as moves_module
 from agatestile.assignment import planner
@@ -89,9 +90,12 @@
         self._grant_renewer = renewals.GrantRenewer(
             self, fleet, self._grant_sender, now
         )
-        self._moves = moves_module.MoveExecutor(
+        self._late_releases = late_releases.LateReleases(
             self, fleet, self._grant_sender, orders, now
         )
+        self._moves = moves_module.MoveExecutor(
+            self, fleet, self._grant_sender, orders, self._late_releases, now
+        )
         self._changed = anyio.Event()
         self._round_ended = anyio.Event()
         self._round_ends_at = -math.inf
@@ -220,8 +224,8 @@
         """
         until = (
             appended_at
-            + leases.NEW_TOKEN_SECONDS
-            + leases.NEW_TOKEN_MARGIN_SECONDS
+            + leases.SURE_LEADERSHIP_SECONDS
+            + leases.SURE_LEADERSHIP_MARGIN_SECONDS
         )
         await anyio.sleep(max(0.0, until - self._now()))
 
@@ -462,7 +466,7 @@
             {name: server.answer_rate for name, server in servers.items()},
             state.load,
         )
-        self._moves.remember(
+        self._late_releases.remember(
             servers, {owner.server_id for owner in self._mapped_owners()}
         )
         self._moves.resume(service, tasks)
@@ -496,7 +500,7 @@
             return candidate._replace(
                 accepts_keys=False, must_release_keys=True
             )
-        if self._moves.may_hold_late_grants(candidate.id):
+        if self._late_releases.may_hold_late_grants(candidate.id):
             return candidate._replace(accepts_keys=False)
         return candidate
 
--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -174,9 +174,9 @@
         """Return whether the token of a range has never been sent."""
         return key_range.owner.fence not in self._first_sent_by_fence
 
-    def may_send_new_tokens(self) -> bool:
-        """Return whether tokens may be sent for the first time."""
-        return self.leader_lease.covers_new_tokens(self._now())
+    def is_surely_leading(self) -> bool:
+        """Return whether new tokens and releases may be sent."""
+        return self.leader_lease.is_sure(self._now())
 
     def needs_new_fence(self, server_id: str) -> bool:
         """Return whether a server's lease ends before it reports in time."""
@@ -231,7 +231,7 @@
         if is_new:
             # The host may have lost the leadership while it connected.
             is_current = self._is_of_current_epoch(key_range)
-            if not is_current or not self.may_send_new_tokens():
+            if not is_current or not self.is_surely_leading():
                 return _WITHHELD
             self._first_sent_by_fence[fence] = self._orders.now()
             self._log_new_token(server, key_range)
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -36,15 +36,16 @@
 store. A successor waits as long before it reassigns the keys of a server that
 does not answer, so this bounds both."""
 
-NEW_TOKEN_SECONDS = 0.8
-"""Time after a confirmation by the store in which the leader may send a
-fencing token for the first time. Unlike a repeated grant, such a token can
-reach a server that restarted and forgot which keys it had released. A
-successor waits until it is over before it leads."""
+SURE_LEADERSHIP_SECONDS = 0.8
+"""Time after a confirmation by the store in which this host certainly leads,
+as a successor waits until it is over. Only then may it send a fencing token
+for the first time, which unlike a repeated grant can reach a server that
+restarted and forgot what it had released, or a release, which is never
+refused."""
 
-NEW_TOKEN_MARGIN_SECONDS = 0.2
-"""Longest time between the check of the leadership and the sending of a token,
-in which a process whose processor time is used up stands still."""
+SURE_LEADERSHIP_MARGIN_SECONDS = 0.2
+"""Longest time between the check of the leadership and the sending of an
+order, in which a process whose processor time is used up stands still."""
 
 Instance = tuple[str, int]
 """Identifier and incarnation of a server."""
@@ -202,9 +203,9 @@
         """Return whether grants may be sent."""
         return now < self._confirmed_at + LEADER_LEASE_SECONDS
 
-    def covers_new_tokens(self, now: float) -> bool:
-        """Return whether tokens may be sent for the first time."""
-        return self.confirmation_age(now) < NEW_TOKEN_SECONDS
+    def is_sure(self, now: float) -> bool:
+        """Return whether no other host can lead yet."""
+        return self.confirmation_age(now) < SURE_LEADERSHIP_SECONDS
 
     def confirmation_age(self, now: float) -> float:
         """Return the age of the last confirmation, seconds."""
--- a/src/agatestile/assignment/moves.py
+++ b/src/agatestile/assignment/moves.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import collections
-import math
 import typing
 
 import anyio
@@ -18,6 +16,7 @@
     import anyio.abc
 
     from agatestile.assignment import grant_sender as grant_sender_module
+    from agatestile.assignment import late_releases as late_releases_module
 
 ROUTE_UPDATE_SECONDS = 0.03
 """Time that hosts get to stop sending to the source before it is told to
@@ -30,11 +29,6 @@
 RETRY_DELAY_SECONDS = 0.3
 """Delay before an unanswered order is repeated."""
 
-LATE_RELEASE_SECONDS = 10.0
-"""Time after the end of a lease for which a source that has not confirmed its
-release is told to release its keys: a process that was paused takes a grant
-that came meanwhile, and its lease starts only then."""
-
 
 class Revocation(typing.NamedTuple):
     """How it became certain that a source holds its keys no longer.
@@ -65,6 +59,8 @@
         Sends grants to servers.
     orders : ports.Orders
         Sends releases to servers.
+    late_releases : late_releases.LateReleases
+        Releases keys of sources whose leases count as expired.
     now : callable
         Clock that keeps running while the machine is suspended, seconds.
     """
@@ -75,6 +71,7 @@
         fleet: state.Fleet,
         grant_sender: grant_sender_module.GrantSender,
         orders: ports.Orders,
+        late_releases: late_releases_module.LateReleases,
         now: typing.Callable[[], float],
     ) -> None:
         self._leader = leader
@@ -83,40 +80,12 @@
         self._orders = orders
         self._now = now
         self._moves_in_progress: set[tuple[str, int, int]] = set()
-        self._recipients_by_server: dict[str, ports.Recipient] = {}
-        self._late_releases: collections.Counter[str] = collections.Counter()
-        self._late_locks_by_server: dict[str, anyio.Lock] = {}
+        self._late_releases = late_releases
 
     def start_epoch(self) -> None:
         """Forget the moves of an earlier epoch."""
         self._moves_in_progress.clear()
 
-    def remember(
-        self, servers: dict[str, state.RegisteredServer], mapped: set[str]
-    ) -> None:
-        """Keep the addresses of servers that service discovery may drop.
-
-        Parameters
-        ----------
-        servers : dict of str to state.RegisteredServer
-            Registered servers by identifier.
-        mapped : set of str
-            Servers in the range maps; the others are forgotten.
-        """
-        for server_id in self._recipients_by_server.keys() - mapped:
-            del self._recipients_by_server[server_id]
-        for server_id in servers.keys() & mapped:
-            self._recipients_by_server[server_id] = servers[
-                server_id
-            ].recipient
-
-    def may_hold_late_grants(self, server_id: str) -> bool:
-        """Return whether a server still has to confirm a release.
-
-        It gets no keys meanwhile, as the release could undo their grant.
-        """
-        return self._late_releases[server_id] > 0
-
     def is_moving(self, service: str, key_range: ranges.KeyRange) -> bool:
         """Return whether a range is being moved."""
         return (
@@ -258,11 +227,10 @@
             held_until = self._grant_sender.key_leases.until(instance[0])
         while epoch == self._leader.epoch:
             if self._now() >= held_until:
-                self._late_releases[instance[0]] += 1
-                tasks.start_soon(self._release_late, service, order, epoch)
+                self._late_releases.start(service, order, epoch, tasks)
                 return Revocation("lease expired")
             server = self._fleet.registered_server(service, instance[0])
-            if server is None or not self._grant_sender.may_send_new_tokens():
+            if server is None or not self._grant_sender.is_surely_leading():
                 # A release is never refused, so that of a leader without a
                 # recent confirmation could undo a grant of a successor.
                 await anyio.sleep(RETRY_DELAY_SECONDS)
@@ -279,62 +247,3 @@
                 return Revocation("released", result.handover)
             await anyio.sleep(min(RETRY_DELAY_SECONDS, max(0.0, remaining)))
         return Revocation("")
-
-    async def _release_late(
-        self, service: str, order: ranges.KeyRange, epoch: int
-    ) -> None:
-        """Release keys of a source whose lease counts as expired.
-
-        It refuses late grants once it has seen the token of the release, and
-        drops what it took by them before.
-        """
-        server_id = order.owner.server_id
-        recipient = self._recipients_by_server.get(server_id)
-        started = self._now()
-        lock = self._late_locks_by_server.setdefault(server_id, anyio.Lock())
-        try:
-            while (
-                epoch == self._leader.epoch
-                and self._leader.is_active
-                and self._now() < started + LATE_RELEASE_SECONDS
-            ):
-                server = self._fleet.registered_server(service, server_id)
-                if server is not None:
-                    recipient = server.recipient
-                may_release = self._grant_sender.may_send_new_tokens()
-                if recipient is None or not may_release:
-                    await anyio.sleep(RETRY_DELAY_SECONDS)
-                    continue
-                # A server that is gone is tried for all its keys at once.
-                async with lock:
-                    is_reachable = await self._is_reachable(recipient)
-                if not is_reachable:
-                    continue
-                result = await self._orders.release(
-                    recipient, order, RELEASE_TIMEOUT_SECONDS
-                )
-                if result.reply is ports.Reply.DONE:
-                    events.emit(
-                        "released_late",
-                        server=server_id,
-                        first=order.first,
-                        last=order.last,
-                        fence=order.owner.fence,
-                        seconds=round(self._now() - started, 3),
-                    )
-                    return
-                await anyio.sleep(RETRY_DELAY_SECONDS)
-        finally:
-            self._late_releases[server_id] -= 1
-            if not self._late_releases[server_id]:
-                del self._late_releases[server_id]
-                del self._late_locks_by_server[server_id]
-
-    async def _is_reachable(self, recipient: ports.Recipient) -> bool:
-        """Return whether a server can be connected to; wait if it can't."""
-        if self._orders.is_connected(recipient, math.inf):
-            return True
-        if not await self._orders.connect(recipient):
-            return True
-        await anyio.sleep(RETRY_DELAY_SECONDS)
-        return False
--- a/src/agatestile/assignment/renewals.py
+++ b/src/agatestile/assignment/renewals.py
@@ -115,7 +115,7 @@
     ) -> bool:
         """Return whether a renewal needs a token that may not be sent yet."""
         sender = self._grant_sender
-        return not sender.may_send_new_tokens() and (
+        return not sender.is_surely_leading() and (
             sender.is_new(key_range)
             or (
                 not sender.may_send(server, key_range)
--- a/tests/assignment/test_late_grants.py
+++ b/tests/assignment/test_late_grants.py
@@ -13,6 +13,7 @@
 import trio
 
 from agatestile.assignment import coordinator as coordinator_module
+from agatestile.assignment import late_releases
 from agatestile.assignment import leases
 from agatestile.assignment import moves
 from agatestile.assignment import ranges
@@ -189,7 +190,7 @@
         tried = servers.refused_connections - before
         assert 0 < tried <= 5.0 / moves.RETRY_DELAY_SECONDS + 1
         await support.confirmed_sleep(
-            harness.coordinator, moves.LATE_RELEASE_SECONDS
+            harness.coordinator, late_releases.LATE_RELEASE_SECONDS
         )
         before = servers.refused_connections
         await support.confirmed_sleep(harness.coordinator, 5.0)
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -207,7 +207,7 @@
     support.run(scenario)
 
 
-def test_leader_may_send_new_tokens_after_a_slow_takeover(
+def test_leader_is_surely_leading_after_a_slow_takeover(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against keys that wait for a token after a change of leader."""
@@ -216,7 +216,7 @@
         supersede = harness.hosts.supersede
 
         async def supersede_slowly(host: str, epoch: int) -> typing.Any:
-            await anyio.sleep(leases.NEW_TOKEN_SECONDS)
+            await anyio.sleep(leases.SURE_LEADERSHIP_SECONDS)
             return await supersede(host, epoch)
 
         monkeypatch.setattr(harness.hosts, "supersede", supersede_slowly)
@@ -230,7 +230,7 @@
                 await anyio.sleep(0.01)
             await anyio.sleep(0.02)
             now = trio.current_time()
-            assert successor.leader_lease.covers_new_tokens(now)
+            assert successor.leader_lease.is_sure(now)
             tasks.cancel_scope.cancel()
 
     support.run(scenario)
