Let the late reply of a test wait for its call

Cause: the call had 0.1 s to connect and send; on a busy machine it timed out before it had sent anything, so that the server read the end of the stream.

The server now sends its late reply once the call has been refused, instead of 0.3 s after the request, and the call has 1 s.

--- a/tests/rpc/test_client.py
+++ b/tests/rpc/test_client.py
@@ -56,6 +56,7 @@
 async def test_late_reply_never_answers_the_next_call() -> None:
     """Guards against taking the reply of a timed-out call for a later one."""
     connections = 0
+    refused = anyio.Event()
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         nonlocal connections
@@ -63,15 +64,16 @@
         async with stream:
             await stream.receive()
             if connections == 1:
-                await anyio.sleep(0.3)
+                await refused.wait()
             await stream.send(b"\x00\x00\x00\x01x")
 
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, serve)
-        peer = rpc_client.PeerClient("127.0.0.1", port, timeout=0.1)
+        peer = rpc_client.PeerClient("127.0.0.1", port, timeout=1.0)
         first = await peer.call("status")
+        refused.set()
         assert isinstance(first, outcomes.Refusal)
         assert first.code is codes.ResultCode.SERVER_UNREACHABLE
         await peer.call("status")
