Read each configuration entry by itself

Change: entries are decoded one by one. `download` may be repeated like `safe`; an unknown route type is served and never repeated. An entry that cannot be used keeps its place and its requests are refused with 503, since a shorter prefix may belong to another service. Each has a line `configuration_entry_invalid`, and the gauge `configuration_problems` counts them. Tenants, their keys and quotas are decoded; nothing uses them yet. A starting host whose newest configuration is unreadable uses the last usable one that the store retains.

--- a/src/agatestile/catalog/configuration.py
+++ b/src/agatestile/catalog/configuration.py
@@ -5,13 +5,27 @@
 import enum
 import typing
 
+if typing.TYPE_CHECKING:
+    from agatestile.catalog import tenants as tenants_module
+
 
 class RouteKind(enum.Enum):
-    """Which requests of a route may be repeated."""
+    """Which requests of a route may be repeated.
+
+    `UNKNOWN` stands for kinds that this version does not know. Their
+    requests are not repeated.
+    """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
+    UNKNOWN = "unknown"
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self in (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 class Target(typing.NamedTuple):
@@ -48,6 +62,11 @@
         Highest number of servers that a request may be sent to.
     priority : int
         Priority of the requests; 0 is the highest.
+    is_public : bool
+        Whether callers need no API key.
+    invalid_reason : str
+        Why the entry cannot be used, empty for a valid one. Its requests are
+        refused: a shorter prefix may belong to another service.
     """
 
     name: str
@@ -57,6 +76,13 @@
     latency_objective: float
     max_attempts: int
     priority: int
+    is_public: bool = False
+    invalid_reason: str = ""
+
+    @classmethod
+    def invalid(cls, name: str, reason: str) -> Route:
+        """Return the route of an entry that cannot be used."""
+        return cls(name, RouteKind.UNKNOWN, (), 1.0, 0.0, 1, 0, False, reason)
 
 
 class Service(typing.NamedTuple):
@@ -116,12 +142,21 @@
         Services that the routes refer to.
     limits : CallerLimits
         Limits for callers.
+    tenants : tenants.Tenants or None
+        Tenants with their API keys, None if callers need no key.
+    problems : tuple of str
+        Entries that cannot be used, one sentence each.
+    invalid_services : frozenset of str
+        Names of services whose entries cannot be used.
     """
 
     version: int
     routes: dict[str, dict[str, Route]]
     services_by_name: dict[str, Service]
     limits: CallerLimits
+    tenants: tenants_module.Tenants | None = None
+    problems: tuple[str, ...] = ()
+    invalid_services: frozenset[str] = frozenset()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix.
--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -5,7 +5,6 @@
 import asyncio
 import typing
 
-from agatestile.catalog import configuration
 from agatestile.entry import picker as picker_module
 from agatestile.entry import refusals
 from agatestile.results import codes
@@ -14,6 +13,7 @@
 
 if typing.TYPE_CHECKING:
     from agatestile.balancing import load as load_module
+    from agatestile.catalog import configuration
     from agatestile.catalog import directory
     from agatestile.entry import handler as handler_module
     from agatestile.entry import header_port
@@ -335,7 +335,7 @@
         context = self._context
         pool = self._handler.pool
         peer = (entry.id, entry.incarnation)
-        is_safe = context.route.kind is configuration.RouteKind.SAFE
+        is_safe = context.route.kind.is_idempotent
         max_idle = (
             client.DEFAULT_IDLE_TIMEOUT * 10
             if is_safe
@@ -459,7 +459,7 @@
         now = self._now()
         if now >= context.deadline:
             return False
-        is_safe = context.route.kind is configuration.RouteKind.SAFE
+        is_safe = context.route.kind.is_idempotent
         if self._may_have_run and not is_safe:
             return False
         if self._attempt_count >= context.route.max_attempts:
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -29,6 +29,10 @@
 """Time before the bound on changes of the configuration from which the one in
 force counts as outdated: the transfer of a report between hosts."""
 
+INVALID_ENTRY_RETRY_AFTER = 1.0
+"""Retry-after time for requests to an entry of the configuration that cannot
+be used, seconds: another host may run another release."""
+
 SHUTDOWN_RETRY_AFTER = 0.2
 """Retry-after time of a host that stops, seconds: another host can take the
 request, but while many hosts stop the caller may reach this one again."""
@@ -139,11 +143,15 @@
             return self._refusal_without_route(
                 f"{name}{path}", current.version, started
             )
+        if route.invalid_reason:
+            return _invalid_entry(f"route {route.name}", route.invalid_reason)
         deadline = started + min(_time_left(caller_headers), route.timeout)
         stop_refusal = self.stop_refusal(route, deadline)
         if stop_refusal is not None:
             return stop_refusal
         service = self._select_service(route)
+        if service in current.invalid_services:
+            return _invalid_entry(f"service {service}", "see the log")
         key = None
         known = current.services_by_name.get(service)
         if known is not None and known.is_partitioned:
@@ -333,6 +341,14 @@
         )
 
 
+def _invalid_entry(name: str, reason: str) -> refusals.RequestRefusal:
+    return refusals.RequestRefusal(
+        _CODES.CONFIGURATION_INVALID,
+        f"the configuration of {name} cannot be used: {reason}",
+        INVALID_ENTRY_RETRY_AFTER,
+    )
+
+
 def _time_left(caller_headers: header_port.CallerHeaders) -> float:
     """Return how long the caller waits for a response, seconds."""
     if caller_headers.time_left is None:
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -21,6 +21,7 @@
     codes.ResultCode.NO_ROUTE: 404,
     codes.ResultCode.NO_CONFIGURATION: 503,
     codes.ResultCode.CONFIGURATION_OUTDATED: 503,
+    codes.ResultCode.CONFIGURATION_INVALID: 503,
     codes.ResultCode.NO_OWNER: 503,
     codes.ResultCode.RANGE_MOVING: 503,
     codes.ResultCode.NO_SERVER: 503,
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -365,6 +365,10 @@
             current = fleet.configuration
             return -1.0 if current is None else float(current.version)
 
+        def configuration_problems() -> float:
+            current = fleet.configuration
+            return 0.0 if current is None else float(len(current.problems))
+
         gauge("ready", lambda: float(self.is_ready()))
         gauge(
             "open_connections", lambda: len(self.caller_listener.connections)
@@ -374,6 +378,7 @@
             lambda: self.caller_listener.busy_connections,
         )
         gauge("configuration_version", configuration_version)
+        gauge("configuration_problems", configuration_problems)
         gauge(
             "configuration_age_seconds",
             lambda: self._now() - self.operator_watcher.confirmed_at,
--- a/src/agatestile/node/operator_watcher.py
+++ b/src/agatestile/node/operator_watcher.py
@@ -56,6 +56,10 @@
 RETRY_PAUSE_SECONDS = 0.5
 """Pause before a failed read is retried."""
 
+SEARCHED_RECORDS = 256
+"""Number of the operator's last records that a starting host searches for a
+configuration if it can't use the newest one."""
+
 RETAINED_CONFIGURATIONS = 4
 """Number of configurations that are kept as bases of patches."""
 
@@ -226,6 +230,8 @@
         self._skip_wait = False
         self._unanswered_reads = 0
         self._measure(page)
+        if is_listing and self._lacks_configuration(page):
+            await self._search_configuration(page.end)
         # Another host may have relayed later records meanwhile.
         if self.end is None or page.end >= self.end:
             self._apply_page(page, is_listing)
@@ -383,6 +389,36 @@
                 self._apply_configuration(record.value, is_relayed=False)
         self._apply_evacuations(evacuated, unseen_since)
 
+    def _lacks_configuration(self, page: port.Page) -> bool:
+        """Return whether the only configuration known can't be used."""
+        if self._history.version != content_history.NO_VERSION:
+            return False
+        return any(
+            self._format.is_configuration(record.key)
+            and record.value
+            and isinstance(
+                self._format.decode_configuration(record.value), str
+            )
+            for record in page.records
+        )
+
+    async def _search_configuration(self, end: int) -> None:
+        """Apply the last usable configuration that the store still has."""
+        page = await self._store.read(
+            self._format.operator_topic,
+            max(0, end - SEARCHED_RECORDS),
+            0.0,
+            OPERATOR_READ_LIMIT_BYTES,
+        )
+        if isinstance(page, outcomes.Refusal):
+            self._log_read(str(page), None)
+            return
+        for record in reversed(page.records):
+            if self._format.is_configuration(record.key) and record.value:
+                self._apply_configuration(record.value, is_relayed=False)
+                if self._history.version != content_history.NO_VERSION:
+                    return
+
     def _apply_evacuations(
         self, evacuated: set[str], unseen_since: float
     ) -> None:
@@ -417,7 +453,15 @@
                 len(by_prefix) for by_prefix in decoded.routes.values()
             ),
             services=len(decoded.services_by_name),
+            tenants=len(decoded.tenants.by_name) if decoded.tenants else 0,
+            problems=len(decoded.problems),
         )
+        for problem in decoded.problems:
+            events.emit(
+                "configuration_entry_invalid",
+                version=decoded.version,
+                reason=problem,
+            )
         self._on_configuration(decoded)
 
 
--- a/src/agatestile/platform/records.py
+++ b/src/agatestile/platform/records.py
@@ -1,15 +1,19 @@
-"""Decodes the records of service discovery and of the operator."""
+"""Topics and formats of the platform's records."""
 
 from __future__ import annotations
 
 import ipaddress
+import typing
 
 import msgspec
 
-from agatestile.catalog import configuration
 from agatestile.catalog import directory
+from agatestile.platform import manifest
 from agatestile.results import decoding
 
+if typing.TYPE_CHECKING:
+    from agatestile.catalog import configuration
+
 SERVERS_TOPIC = "servers"
 OPERATOR_TOPIC = "op"
 CONFIGURATION_KEY = "config"
@@ -41,59 +45,6 @@
     born: int = 0
 
 
-class _Target(msgspec.Struct):
-    service: str
-    weight: float
-
-
-class _Match(msgspec.Struct):
-    pathPrefix: str
-
-
-class _Action(msgspec.Struct):
-    timeoutMs: float
-    maxAttempts: int = 1
-    service: str = ""
-    trafficSplit: list[_Target] = []
-
-
-class _Rule(msgspec.Struct):
-    name: str
-    routeType: str
-    match: _Match
-    action: _Action
-    targetLatencyMs: float = 0
-    priority: int = 0
-
-
-class _Listener(msgspec.Struct):
-    host: str
-    rules: list[_Rule]
-
-
-class _Cluster(msgspec.Struct):
-    name: str
-    healthPath: str = ""
-    maxConnections: int = 0
-    warmupS: float = 0
-    warmupPerS: float = 0
-    sharded: bool = False
-
-
-class _Limits(msgspec.Struct):
-    maxHeaderBytes: int
-    maxBodyBytes: int
-    headerTimeoutMs: float
-    idleTimeoutMs: float
-
-
-class _Manifest(msgspec.Struct):
-    version: str
-    listeners: list[_Listener]
-    clusters: list[_Cluster]
-    limits: _Limits | None = None
-
-
 def decode_server(key: str, value: bytes) -> directory.ServerEntry | str:
     """Return the entry of a server, or the reason why it is invalid."""
     try:
@@ -151,70 +102,6 @@
     return None
 
 
-def decode_configuration(value: bytes) -> configuration.Configuration | str:
-    """Return the configuration, or the reason why it is invalid."""
-    try:
-        manifest = msgspec.json.decode(value, type=_Manifest)
-        version = int(manifest.version.removeprefix("r"))
-        routes: dict[str, dict[str, configuration.Route]] = {}
-        for listener in manifest.listeners:
-            by_prefix = routes.setdefault(listener.host.lower(), {})
-            for rule in listener.rules:
-                by_prefix[rule.match.pathPrefix] = _to_route(rule)
-    except decoding.DECODE_ERRORS as error:
-        return str(error)
-    return configuration.Configuration(
-        version=version,
-        routes=routes,
-        services_by_name={
-            cluster.name: _to_service(cluster) for cluster in manifest.clusters
-        },
-        limits=_to_limits(manifest.limits),
-    )
-
-
-def _to_route(rule: _Rule) -> configuration.Route:
-    action = rule.action
-    if action.trafficSplit:
-        targets = tuple(
-            configuration.Target(target.service, target.weight)
-            for target in action.trafficSplit
-        )
-    else:
-        targets = (configuration.Target(action.service, 1.0),)
-    return configuration.Route(
-        name=rule.name,
-        kind=configuration.RouteKind(rule.routeType),
-        targets=targets,
-        timeout=action.timeoutMs / 1000.0,
-        latency_objective=rule.targetLatencyMs / 1000.0,
-        max_attempts=max(1, action.maxAttempts),
-        priority=rule.priority,
-    )
-
-
-def _to_service(cluster: _Cluster) -> configuration.Service:
-    return configuration.Service(
-        name=cluster.name,
-        health_path=cluster.healthPath,
-        max_connections=cluster.maxConnections,
-        warmup_seconds=cluster.warmupS,
-        warmup_rate=cluster.warmupPerS,
-        is_partitioned=cluster.sharded,
-    )
-
-
-def _to_limits(limits: _Limits | None) -> configuration.CallerLimits:
-    if limits is None:
-        return configuration.CallerLimits()
-    return configuration.CallerLimits(
-        header_bytes=limits.maxHeaderBytes,
-        body_bytes=limits.maxBodyBytes,
-        header_timeout=limits.headerTimeoutMs / 1000.0,
-        idle_timeout=limits.idleTimeoutMs / 1000.0,
-    )
-
-
 class PlatformRecordFormat:
     """Topics and formats of the platform's records."""
 
@@ -231,7 +118,7 @@
         self, value: bytes
     ) -> configuration.Configuration | str:
         """Return the configuration, or the reason why it is invalid."""
-        return decode_configuration(value)
+        return manifest.decode_configuration(value)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether the record with this key is the configuration."""
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -85,7 +85,39 @@
     ]
 
 
-@pytest.mark.parametrize("kind", [KIND.UNSAFE, KIND.UPLOAD])
+@pytest.mark.parametrize("kind", [KIND.SAFE, KIND.DOWNLOAD])
+async def test_idempotent_request_is_repeated_after_a_failure(
+    kind: configuration.RouteKind,
+) -> None:
+    async with support.handler_harness() as harness:
+        harness.configure(kind)
+        await harness.add_server("a", _close_connection)
+        await harness.add_server("b", _close_connection)
+        await harness.send()
+    assert len(harness.non_probe_requests()) == 2
+
+
+async def test_request_of_an_invalid_entry_is_refused_as_not_run() -> None:
+    """Guards against a guess where the configuration can't be read."""
+    async with support.handler_harness() as harness:
+        harness.configure()
+        await harness.add_server("a", _respond)
+        valid = harness.fleet.configuration
+        assert valid is not None
+        invalid_route = configuration.Route.invalid("r", "no service is named")
+        changes: list[dict[str, object]] = [
+            {"routes": {"a.example": {"/x/": invalid_route}}},
+            {"invalid_services": frozenset(("prices",))},
+        ]
+        for change in changes:
+            harness.fleet.configuration = valid._replace(**change)
+            response = await harness.send()
+            assert response.status == 503
+            assert response.header(b"retry-after") is not None
+    assert not harness.received_requests
+
+
+@pytest.mark.parametrize("kind", [KIND.UNSAFE, KIND.UPLOAD, KIND.UNKNOWN])
 @pytest.mark.parametrize("responder", [_close_connection, _respond_unsigned])
 async def test_request_that_may_have_run_is_not_retried(
     kind: configuration.RouteKind, responder: support.Responder
--- a/tests/node/test_operator_watcher.py
+++ b/tests/node/test_operator_watcher.py
@@ -70,6 +70,32 @@
     assert evacuations == [{"anna"}, set()]
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("first_offset", [0, None])
+async def test_starting_host_uses_the_last_usable_configuration(
+    first_offset: int | None,
+) -> None:
+    """Guards against no service after all hosts restart.
+
+    The newest configuration can't be used, and an earlier one is retained.
+    """
+    versions: list[int] = []
+    broken = port.Record("config", b"{")
+    history: port.Page | outcomes.Refusal = port.Page(
+        [_configuration(5), _configuration(6), broken], 3
+    )
+    if first_offset is None:
+        history = support.UNAVAILABLE
+    store = support.ScriptedStore(port.Page([broken], 3), history)
+    watcher = _operator(
+        store,
+        lambda: 0.0,
+        on_configuration=lambda new: versions.append(new.version),
+    )
+    assert await watcher.poll()
+    assert versions == ([] if first_offset is None else [6])
+
+
 class _SilentStore(support.ScriptedStore):
     """Responds to the scripted reads only; further ones get no response."""
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -15,6 +15,7 @@
 from agatestile.catalog import configuration
 from agatestile.node import settings as node_settings
 from agatestile.platform import headers
+from agatestile.platform import manifest
 from agatestile.platform import records
 from agatestile.platform import settings
 from agatestile.platform import store
@@ -132,12 +133,12 @@
 @hypothesis.given(strategies.binary(max_size=200))
 def test_any_bytes_decode_to_a_value_or_a_reason(value: bytes) -> None:
     records.decode_server("a", value)
-    records.decode_configuration(value)
+    manifest.decode_configuration(value)
 
 
 def test_configuration_is_decoded() -> None:
     value = json.dumps(MANIFEST).encode()
-    decoded = records.decode_configuration(value)
+    decoded = manifest.decode_configuration(value)
     assert not isinstance(decoded, str)
     assert decoded.version == 12
     route = decoded.find_route("a.example", "/x/1")
