Fail responses with a status below 100 at once

Cause: a status such as 000 counted as interim, like 100, so that the exchange waited for another response. On a connection that its server keeps open, the caller got 504 at its deadline. It was never passed on as an answer.

Change: such a response fails the exchange when its head is complete.

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -336,6 +336,9 @@
         if self._result is not None:
             return
         status = self._parser.get_status_code()
+        if status < 100:
+            self.fail(f"response has the invalid status {status:03}")
+            raise ValueError("the response failed")
         if status < 200:
             return
         self._has_head = True
