Identify tenants by API keys

Requests of a configuration with tenants were forwarded with whatever identity the caller claimed. They are now refused unless their API key names one tenant, and servers get the tenant's name in place of the key. An unknown key gets 401 only if the configuration is recent and all tenants can be read, otherwise 503. With strictRevoke=true, a host that may have missed a revocation refuses all requests that need a key.

The identity is checked again before each attempt, so that a request that waited or is repeated isn't sent for a revoked key or for a former tenant.

The types that entry/handler.py and entry/exchange.py imported from each other are in entry/request_context.py, which imports neither.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -7,21 +7,17 @@
 
 from agatestile.entry import picker as picker_module
 from agatestile.entry import refusals
+from agatestile.entry import request_context
 from agatestile.results import codes
 from agatestile.transport import client
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
     from agatestile.balancing import load as load_module
-    from agatestile.catalog import configuration
     from agatestile.catalog import directory
-    from agatestile.entry import handler as handler_module
     from agatestile.entry import header_port
     from agatestile.limits import budget
 
-DEFAULT_TIME_LEFT = 30.0
-"""Time allowed for a request without a deadline, seconds."""
-
 OWNER_WAIT_SHARE = 0.3
 """Share of its time left that a request waits until the owner of its key
 is known."""
@@ -44,16 +40,6 @@
 _KIND = messages.FailureKind
 
 
-class AssignmentWaiter(typing.Protocol):
-    """Reports new assignments and counts requests by key."""
-
-    async def wait_changed(self, timeout: float) -> bool:
-        """Wait for a newer assignment; return whether one arrived."""
-
-    def count(self, service: str, key: int) -> None:
-        """Count a request for a key."""
-
-
 class Attempt(typing.NamedTuple):
     """Outcome of sending a request to a server once.
 
@@ -72,55 +58,21 @@
     failure: messages.Failure | None
 
 
-class RequestContext(typing.NamedTuple):
-    """Properties of a request that are fixed once its route is known.
-
-    Attributes
-    ----------
-    request : messages.Request
-        Request of the caller.
-    caller_headers : header_port.CallerHeaders
-        Parsed headers of the request.
-    route : configuration.Route
-        Route that matches the request.
-    service : str
-        Service that the route selected.
-    key : int or None
-        Key, for services divided by key.
-    started : float
-        Clock when the request arrived, seconds.
-    deadline : float
-        Clock when the response is due, or when the host stops, seconds.
-    caller_deadline : float
-        Clock when the response is due to the caller, seconds.
-    forwarded_headers : messages.Headers
-        Headers of the caller that are forwarded.
-    """
-
-    request: messages.Request
-    caller_headers: header_port.CallerHeaders
-    route: configuration.Route
-    service: str
-    key: int | None
-    started: float
-    deadline: float
-    caller_deadline: float
-    forwarded_headers: messages.Headers
-
-
 class Exchange:
     """Processes one request, from its first attempt to its response.
 
     Parameters
     ----------
-    handler : handler.Handler
+    handler : request_context.SharedState
         State that all requests of the host share.
-    context : RequestContext
+    context : request_context.RequestContext
         Properties of this request.
     """
 
     def __init__(
-        self, handler: handler_module.Handler, context: RequestContext
+        self,
+        handler: request_context.SharedState,
+        context: request_context.RequestContext,
     ) -> None:
         self._handler = handler
         self._context = context
@@ -192,6 +144,9 @@
             )
             if stop_refusal is not None and not self._may_have_run:
                 return stop_refusal
+            identity_refusal = self._handler.identity_refusal(context)
+            if identity_refusal is not None:
+                return identity_refusal
             pick = self._handler.picker.pick(
                 context.service,
                 context.key,
@@ -263,7 +218,7 @@
         time_left = self._context.deadline - now
         objective = self._context.route.latency_objective
         if not objective:
-            return min(time_left, DEFAULT_TIME_LEFT)
+            return min(time_left, request_context.DEFAULT_TIME_LEFT)
         return min(time_left, objective * MAX_WAIT_RATIO)
 
     # Sending
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -7,9 +7,12 @@
 
 from agatestile.balancing import split
 from agatestile.catalog import configuration
+from agatestile.entry import authentication
 from agatestile.entry import exchange
+from agatestile.entry import freshness
 from agatestile.entry import picker as picker_module
 from agatestile.entry import refusals
+from agatestile.entry import request_context
 from agatestile.entry import stopping
 from agatestile.limits import budget
 from agatestile.observability import events
@@ -18,21 +21,11 @@
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
+    from agatestile.catalog import tenants
     from agatestile.entry import fleet as fleet_module
     from agatestile.entry import header_port
     from agatestile.observability import counters
 
-CONFIGURATION_RETRY_AFTER = 0.2
-"""Retry-after time until a configuration is read, seconds."""
-
-CONFIGURATION_MARGIN_SECONDS = 0.3
-"""Time before the bound on changes of the configuration from which the one in
-force counts as outdated: the transfer of a report between hosts."""
-
-INVALID_ENTRY_RETRY_AFTER = 1.0
-"""Retry-after time for requests to an entry of the configuration that cannot
-be used, seconds: another host may run another release."""
-
 SHUTDOWN_RETRY_AFTER = 0.2
 """Retry-after time of a host that stops, seconds: another host can take the
 request, but while many hosts stop the caller may reach this one again."""
@@ -77,7 +70,7 @@
         self,
         fleet: fleet_module.Fleet,
         picker: picker_module.Picker,
-        assignments: exchange.AssignmentWaiter,
+        assignments: request_context.AssignmentWaiter,
         pool: client.Pool,
         header_format: header_port.HeaderFormat,
         now: typing.Callable[[], float],
@@ -107,33 +100,32 @@
         """Return the final response to a request."""
         started = self.now()
         caller_headers = self.header_format.read_request(request.headers)
-        context = self._create_context(request, caller_headers, started)
+        route = self._find_route(request, started)
+        if isinstance(route, refusals.RequestRefusal):
+            return self._refuse_early(route, caller_headers, started)
+        tenant = self._identify(route, caller_headers)
+        if isinstance(tenant, refusals.RequestRefusal):
+            return self._refuse_early(tenant, caller_headers, started)
+        context = self._create_context(
+            request, caller_headers, route, tenant, started
+        )
         if isinstance(context, refusals.RequestRefusal):
-            return self.refuse(
-                context,
-                caller_headers,
-                None,
-                started,
-                _time_left(caller_headers),
-            )
+            return self._refuse_early(context, caller_headers, started, tenant)
         self.budget(context.service).on_request(self.boot_time())
         self.fleet.count_demand(context.service)
         if context.key is not None:
             self.assignments.count(context.service, context.key)
         return await exchange.Exchange(self, context).run()
 
-    def _create_context(
-        self,
-        request: messages.Request,
-        caller_headers: header_port.CallerHeaders,
-        started: float,
-    ) -> exchange.RequestContext | refusals.RequestRefusal:
+    def _find_route(
+        self, request: messages.Request, started: float
+    ) -> configuration.Route | refusals.RequestRefusal:
         current = self.fleet.configuration
         if current is None:
             return refusals.RequestRefusal(
                 _CODES.NO_CONFIGURATION,
                 "no configuration has been read yet",
-                CONFIGURATION_RETRY_AFTER,
+                freshness.RETRY_AFTER,
             )
         host = request.header(b"host") or b""
         name = host.decode("latin-1").lower().partition(":")[0]
@@ -144,40 +136,119 @@
                 f"{name}{path}", current.version, started
             )
         if route.invalid_reason:
-            return _invalid_entry(f"route {route.name}", route.invalid_reason)
+            return refusals.invalid_entry(
+                f"route {route.name}", route.invalid_reason
+            )
+        return route
+
+    def _identify(
+        self,
+        route: configuration.Route,
+        caller_headers: header_port.CallerHeaders,
+    ) -> tenants.Tenant | None | refusals.RequestRefusal:
+        return authentication.identify(
+            self._tenants(),
+            route,
+            caller_headers.api_keys,
+            self.now() - self._configuration_confirmed_at(),
+            self.fleet.bounds,
+        )
+
+    def _tenants(self) -> tenants.Tenants | None:
+        current = self.fleet.configuration
+        return None if current is None else current.tenants
+
+    def identity_refusal(
+        self, context: request_context.RequestContext
+    ) -> refusals.RequestRefusal | None:
+        """Return the refusal of a request whose API key has changed, if so.
+
+        A request may wait, or be sent again, while its key is revoked or
+        given to another tenant. It has to be identified again then, so it is
+        refused with 503 also if its key no longer exists.
+
+        Parameters
+        ----------
+        context : request_context.RequestContext
+            Properties of the request.
+        """
+        found = self._identify(context.route, context.caller_headers)
+        if isinstance(found, refusals.RequestRefusal):
+            if found.code != _CODES.UNAUTHENTICATED:
+                return found
+        elif found is None or (
+            context.tenant is not None and found.name == context.tenant.name
+        ):
+            return None
+        return refusals.RequestRefusal(
+            _CODES.CONFIGURATION_OUTDATED,
+            "the tenant of the API key changed while the request waited",
+            freshness.RETRY_AFTER,
+        )
+
+    def _create_context(
+        self,
+        request: messages.Request,
+        caller_headers: header_port.CallerHeaders,
+        route: configuration.Route,
+        tenant: tenants.Tenant | None,
+        started: float,
+    ) -> request_context.RequestContext | refusals.RequestRefusal:
         deadline = started + min(_time_left(caller_headers), route.timeout)
         stop_refusal = self.stop_refusal(route, deadline)
         if stop_refusal is not None:
             return stop_refusal
         service = self._select_service(route)
-        if service in current.invalid_services:
-            return _invalid_entry(f"service {service}", "see the log")
+        current = self.fleet.configuration
+        if current is not None and service in current.invalid_services:
+            return refusals.invalid_entry(f"service {service}", "see the log")
         key = None
-        known = current.services_by_name.get(service)
+        known = self.service(service)
         if known is not None and known.is_partitioned:
             if caller_headers.key is None:
                 return refusals.RequestRefusal(
                     _CODES.BAD_REQUEST, f"service {service} requires a key"
                 )
             key = caller_headers.key
-        headers = [
-            pair
-            for pair in request.headers
-            if pair[0] not in messages.HOP_BY_HOP_HEADERS
-            and not self.header_format.is_replaced(pair[0])
-        ]
-        return exchange.RequestContext(
+        return request_context.RequestContext(
             request,
             caller_headers,
             route,
+            tenant,
             service,
             key,
+            authentication.effective_priority(route, tenant),
             started,
             min(deadline, self.stop_schedule.ends_at),
             deadline,
-            headers,
+            self._forwarded_headers(request.headers, tenant),
         )
 
+    def _forwarded_headers(
+        self, headers: messages.Headers, tenant: tenants.Tenant | None
+    ) -> messages.Headers:
+        """Return the headers for a server, without an API key.
+
+        Without tenants, the headers for identities mean nothing here and
+        belong to the caller and the server.
+        """
+        forwarded = [
+            pair
+            for pair in headers
+            if pair[0] not in messages.HOP_BY_HOP_HEADERS
+            and not self.header_format.is_replaced(pair[0])
+        ]
+        if self._tenants() is None:
+            return forwarded
+        forwarded = [
+            pair
+            for pair in forwarded
+            if not self.header_format.is_identity(pair[0])
+        ]
+        if tenant is not None:
+            forwarded += self.header_format.tenant_headers(tenant.name)
+        return forwarded
+
     def stop_refusal(
         self, route: configuration.Route, deadline: float
     ) -> refusals.RequestRefusal | None:
@@ -211,13 +282,12 @@
         """
         reason = f"no route matches {target} in configuration {version}"
         age = now - self._configuration_confirmed_at()
-        longest = self.fleet.bounds.configuration
-        if age <= longest - CONFIGURATION_MARGIN_SECONDS:
+        if not freshness.is_outdated(age, self.fleet.bounds):
             return refusals.RequestRefusal(_CODES.NO_ROUTE, reason)
         return refusals.RequestRefusal(
             _CODES.CONFIGURATION_OUTDATED,
             f"{reason}, which was confirmed {age:.1f} s ago",
-            CONFIGURATION_RETRY_AFTER,
+            freshness.RETRY_AFTER,
         )
 
     def service(self, name: str) -> configuration.Service | None:
@@ -249,11 +319,29 @@
             )
         return known
 
+    def _refuse_early(
+        self,
+        refusal: refusals.RequestRefusal,
+        caller_headers: header_port.CallerHeaders,
+        started: float,
+        tenant: tenants.Tenant | None = None,
+    ) -> messages.Response:
+        """Refuse a request that has no context."""
+        fields = {} if tenant is None else {"tenant": tenant.name}
+        return self.refuse(
+            refusal,
+            caller_headers,
+            None,
+            started,
+            _time_left(caller_headers),
+            **fields,
+        )
+
     def refuse(
         self,
         refusal: refusals.RequestRefusal,
         caller_headers: header_port.CallerHeaders,
-        context: exchange.RequestContext | None,
+        context: request_context.RequestContext | None,
         started: float,
         time_left: float,
         **fields: object,
@@ -266,7 +354,7 @@
             Why the request ends.
         caller_headers : header_port.CallerHeaders
             Parsed headers of the request.
-        context : exchange.RequestContext or None
+        context : request_context.RequestContext or None
             Properties of the request, None if it has no route.
         started : float
             Clock when the request arrived, seconds.
@@ -295,7 +383,7 @@
         kind: str,
         code: codes.ResultCode,
         caller_headers: header_port.CallerHeaders,
-        context: exchange.RequestContext | None,
+        context: request_context.RequestContext | None,
         started: float,
         reason: str,
         **fields: object,
@@ -310,7 +398,7 @@
             Result of the request.
         caller_headers : header_port.CallerHeaders
             Parsed headers of the request.
-        context : exchange.RequestContext or None
+        context : request_context.RequestContext or None
             Properties of the request, None if it has no route.
         started : float
             Clock when the request arrived, seconds.
@@ -324,6 +412,8 @@
             fields["route"] = context.route.name
             if context.key is not None:
                 fields["key"] = context.key
+            if context.tenant is not None:
+                fields["tenant"] = context.tenant.name
         elapsed = self.now() - started
         service = "" if context is None else context.service
         self.registry.count(
@@ -341,16 +431,8 @@
         )
 
 
-def _invalid_entry(name: str, reason: str) -> refusals.RequestRefusal:
-    return refusals.RequestRefusal(
-        _CODES.CONFIGURATION_INVALID,
-        f"the configuration of {name} cannot be used: {reason}",
-        INVALID_ENTRY_RETRY_AFTER,
-    )
-
-
 def _time_left(caller_headers: header_port.CallerHeaders) -> float:
     """Return how long the caller waits for a response, seconds."""
     if caller_headers.time_left is None:
-        return exchange.DEFAULT_TIME_LEFT
+        return request_context.DEFAULT_TIME_LEFT
     return caller_headers.time_left
--- a/src/agatestile/entry/header_port.py
+++ b/src/agatestile/entry/header_port.py
@@ -20,11 +20,14 @@
         How long the caller waits for a response, seconds.
     key : int or None
         Key, for services divided by key.
+    api_keys : tuple of bytes
+        All API keys of the request. They appear in no log line.
     """
 
     request_id: bytes
     time_left: float | None
     key: int | None
+    api_keys: tuple[bytes, ...] = ()
 
 
 class ServerHeaders(typing.NamedTuple):
@@ -83,6 +86,12 @@
     def is_replaced(self, name: bytes) -> bool:
         """Return whether this host replaces a header of the caller."""
 
+    def is_identity(self, name: bytes) -> bool:
+        """Return whether a header carries an API key or names a tenant."""
+
+    def tenant_headers(self, name: str) -> messages.Headers:
+        """Return the headers that name the tenant to a server."""
+
     def read_response(self, answer: messages.Response) -> ServerHeaders:
         """Parse the headers of a server's response."""
 
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -16,8 +16,13 @@
 MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
 """Largest share of its time left that a caller waits before a retry."""
 
+INVALID_ENTRY_RETRY_AFTER = 1.0
+"""Retry-after time for requests to an entry of the configuration that cannot
+be used, seconds: another host may run another release."""
+
 STATUS_BY_CODE = {
     codes.ResultCode.BAD_REQUEST: 400,
+    codes.ResultCode.UNAUTHENTICATED: 401,
     codes.ResultCode.NO_ROUTE: 404,
     codes.ResultCode.NO_CONFIGURATION: 503,
     codes.ResultCode.CONFIGURATION_OUTDATED: 503,
@@ -55,6 +60,23 @@
     retry_after: float | None = None
 
 
+def invalid_entry(name: str, reason: str) -> RequestRefusal:
+    """Return the refusal of a request to an entry that cannot be used.
+
+    Parameters
+    ----------
+    name : str
+        Entry of the configuration.
+    reason : str
+        Why it cannot be used.
+    """
+    return RequestRefusal(
+        codes.ResultCode.CONFIGURATION_INVALID,
+        f"the configuration of {name} cannot be used: {reason}",
+        INVALID_ENTRY_RETRY_AFTER,
+    )
+
+
 def response(
     refusal: RequestRefusal,
     time_left: float,
--- a/src/agatestile/node/settings.py
+++ b/src/agatestile/node/settings.py
@@ -30,6 +30,12 @@
         Factor by which the rate of a cold server may be exceeded.
     cold_slack : float
         Rate allowed in addition, in requests per second.
+    strict_revoke : bool
+        Whether a host that may have missed the revocation of an API key
+        refuses the requests that need one.
+    revoke : float
+        Time after which a revoked API key is not accepted by any host if
+        `strict_revoke` is set, in seconds.
     """
 
     drain: float = 2.0
@@ -41,6 +47,8 @@
     retry_slack: float = 20.0
     cold_ratio: float = 1.0
     cold_slack: float = 0.0
+    strict_revoke: bool = False
+    revoke: float = 5.0
 
 
 class NodeSettings(typing.NamedTuple):
--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -15,6 +15,8 @@
 _DEADLINE = b"x-deadline-ms"
 _INSTANCE = b"x-target-instance"
 _SHARD_KEY = b"x-shard-key"
+_API_KEY = b"x-api-key"
+_TENANT = b"x-tenant-id"
 _SIGNATURE = b"x-upstream-signature"
 _LOAD = b"x-upstream-load"
 _NOT_EXECUTED = b"x-not-executed"
@@ -37,10 +39,11 @@
     def read_request(
         self, headers: messages.Headers
     ) -> header_port.CallerHeaders:
-        """Extract the request identifier, the time left and the key."""
+        """Extract the request identifier, the time left and the keys."""
         request_id = b""
         deadline = None
         key = None
+        api_keys: tuple[bytes, ...] = ()
         for name, value in headers:
             if name == REQUEST_ID:
                 request_id = value
@@ -48,10 +51,13 @@
                 deadline = _parse_number(value)
             elif name == _SHARD_KEY:
                 key = _parse_key(value)
+            elif name == _API_KEY:
+                api_keys = (*api_keys, value)
         return header_port.CallerHeaders(
             request_id,
             None if deadline is None else deadline / 1000.0,
             key,
+            api_keys,
         )
 
     def server_headers(
@@ -67,6 +73,14 @@
         """Return whether a caller's header is replaced before forwarding."""
         return name in (_DEADLINE, _INSTANCE)
 
+    def is_identity(self, name: bytes) -> bool:
+        """Return whether a header carries an API key or names a tenant."""
+        return name in (_API_KEY, _TENANT)
+
+    def tenant_headers(self, name: str) -> messages.Headers:
+        """Return the headers that name the tenant to a server."""
+        return [(_TENANT, name.encode())]
+
     def read_response(
         self, response: messages.Response
     ) -> header_port.ServerHeaders:
--- a/src/agatestile/platform/settings.py
+++ b/src/agatestile/platform/settings.py
@@ -65,8 +65,11 @@
     "drainMs": "drain",
     "evacuateMs": "evacuate",
     "configApplyMs": "configuration",
+    "revokeMs": "revoke",
 }
 
+_FIELDS_BY_BOOLEAN_BOUND = {"strictRevoke": "strict_revoke"}
+
 
 def load() -> node_settings.NodeSettings | outcomes.Refusal:
     """Read the settings file that the environment names."""
@@ -148,4 +151,12 @@
             values[_FIELDS_BY_BOUND[name]] = float(value)
         elif name in _FIELDS_BY_MILLISECOND_BOUND:
             values[_FIELDS_BY_MILLISECOND_BOUND[name]] = float(value) / 1000.0
+        elif name in _FIELDS_BY_BOOLEAN_BOUND:
+            values[_FIELDS_BY_BOOLEAN_BOUND[name]] = _parse_boolean(value)
     return node_settings.Bounds(**values)
+
+
+def _parse_boolean(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false")
+    return text == "true"
--- a/src/agatestile/results/codes.py
+++ b/src/agatestile/results/codes.py
@@ -26,6 +26,7 @@
     HEADERS_TOO_LARGE = 105
     SLOW_SENDER = 106
     NO_ROUTE = 107
+    UNAUTHENTICATED = 108
 
     NO_OWNER = 200
     NO_GATE = 201
--- a/src/agatestile/transport/messages.py
+++ b/src/agatestile/transport/messages.py
@@ -11,9 +11,11 @@
 REASON_PHRASES_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -11,6 +11,7 @@
 from agatestile.assignment import ranges
 from agatestile.catalog import configuration
 from agatestile.catalog import directory
+from agatestile.catalog import tenants as tenants_module
 from agatestile.entry import fleet as fleet_module
 from agatestile.entry import handler as handler_module
 from agatestile.entry import picker as picker_module
@@ -120,6 +121,8 @@
         attempts: int = 2,
         timeout: float = 1.0,
         partitioned: bool = False,
+        tenants: tenants_module.Tenants | None = None,
+        public: bool = False,
     ) -> None:
         """Set a configuration with one route to one service."""
         route = configuration.Route(
@@ -130,6 +133,7 @@
             0.4,
             attempts,
             0,
+            public,
         )
         service = configuration.Service(
             "prices", "/healthz", 10, 3.0, 5.0, partitioned
@@ -139,6 +143,7 @@
             {"a.example": {"/x/": route}},
             {"prices": service},
             configuration.CallerLimits(),
+            tenants,
         )
 
     async def add_server(
@@ -225,6 +230,7 @@
         key: int | None = None,
         target: bytes = b"/x/1",
         request_id: bytes = b"id-1",
+        extra: messages.Headers | None = None,
     ) -> messages.Response:
         """Send a request of a caller and return its response."""
         fields = [
@@ -235,6 +241,7 @@
             fields.append((b"x-request-id", request_id))
         if key is not None:
             fields.append((b"x-shard-key", b"%d" % key))
+        fields += extra or []
         return await self.handler.handle(
             messages.Request(method, target, fields, body)
         )
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -30,10 +30,23 @@
     r"|X-Deadline-Ms|X-Request-Id|X-Warmup-Ms|log-append|log-read|log-newest"
     r"|log-join|keyed\.\w|warmupLeftMs|trafficSplit|edgeAddr"
     r"|pathPrefix|AGATESTILE_BOOT|Server-Leaving|Server-Limit|linkMbps"
-    r"|memoryMb",
+    r"|memoryMb|X-Api-Key|X-Tenant-Id|strictRevoke|revokeMs",
     re.IGNORECASE,
 )
 
+SETTINGS = """
+nodeName = "edge-1"
+ip = "10.1.0.1"
+zone = "anna"
+bounds = {bounds}
+[listen]
+edgeAddr = "10.1.0.1:1"
+ready = "10.1.0.1:2"
+control = "10.1.0.1:3"
+[platform]
+address = "10.2.0.1:4"
+"""
+
 HEARTBEAT = {
     "service": "prices",
     "address": "10.0.0.1:80",
@@ -164,9 +177,11 @@
             (b"x-request-id", b"id"),
             (b"x-deadline-ms", b"1500"),
             (b"x-shard-key", b"77"),
+            (b"x-api-key", b"k1"),
+            (b"x-api-key", b""),
         ]
     )
-    assert facts == (b"id", 1.5, 77)
+    assert facts == (b"id", 1.5, 77, (b"k1", b""))
     assert header_format.server_headers("s", 0.25) == [
         (b"x-deadline-ms", b"250"),
         (b"x-target-instance", b"s"),
@@ -229,6 +244,42 @@
     assert loaded.memory == 430_000_000
 
 
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [
+        ("[]", (False, 5.0)),
+        ('["strictRevoke=true", "revokeMs=4000"]', (True, 4.0)),
+        ('"strictRevoke=false,revokeMs=7500"', (False, 7.5)),
+    ],
+)
+def test_bounds_on_revocations_are_read(
+    bounds: str, expected: tuple[bool, float]
+) -> None:
+    """Guards against a host that accepts revoked keys against its settings."""
+    loaded = settings.decode(SETTINGS.format(bounds=bounds), "file")
+    assert isinstance(loaded, node_settings.NodeSettings)
+    assert (loaded.bounds.strict_revoke, loaded.bounds.revoke) == expected
+
+
+@pytest.mark.parametrize("value", ["", "yes", "True", "1"])
+def test_bound_that_is_neither_true_nor_false_is_refused(value: str) -> None:
+    """Guards against a misspelt bound that counts as false."""
+    text = SETTINGS.format(bounds=f'["strictRevoke={value}"]')
+    refusal = settings.decode(text, "file")
+    assert isinstance(refusal, outcomes.Refusal)
+    assert refusal.code is codes.ResultCode.SETTINGS_WRONG_TYPE
+
+
+def test_identity_headers_are_read_and_written() -> None:
+    """Guards against a second API key that is silently ignored."""
+    header_format = headers.PlatformHeaders()
+    assert header_format.read_request([]).api_keys == ()
+    assert header_format.is_identity(b"x-api-key")
+    assert header_format.is_identity(b"x-tenant-id")
+    assert not header_format.is_identity(b"x-shard-key")
+    assert header_format.tenant_headers("shop") == [(b"x-tenant-id", b"shop")]
+
+
 @pytest.mark.parametrize(
     "text", ["nodeName = 5", "= broken", "", 'nodeName = "a"\nip = "b"']
 )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -17,6 +17,8 @@
         b"x-deadline-ms",
         b"x-target-instance",
         b"x-shard-key",
+        b"x-api-key",
+        b"x-tenant-id",
         b"x-upstream-load",
         b"x-upstream-signature",
         b"x-not-executed",
