Count suspensions in the age of the configuration

The age of the operator's records is measured with the clock of the event loop, which stops while the machine is suspended. A host that resumed took its configuration for recent and, with strictRevoke=true, would have accepted a key that was revoked meanwhile; the age that it relayed to other hosts was too small as well. Times before a suspension are now corrected by its duration, which may make them appear too old until the next confirmation, never too recent.

--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -151,6 +151,7 @@
             self._on_evacuations,
             lambda: self.reporter.is_relayed(),
             lambda: self.fleet.bounds.configuration,
+            clock.boot_time,
         )
         self.reporter = reporter_module.Reporter(
             peer_pool,
--- a/src/agatestile/node/operator_watcher.py
+++ b/src/agatestile/node/operator_watcher.py
@@ -9,6 +9,7 @@
 
 from agatestile.node import content_history
 from agatestile.node import messages as peer_messages
+from agatestile.node import suspension
 from agatestile.node import watchers
 from agatestile.observability import events
 from agatestile.results import codes
@@ -89,14 +90,14 @@
     apply_bound : callable
         Returns the time within which a configuration has to be in force,
         seconds.
+    boot_time : callable, optional
+        Clock that includes the time of a suspension, seconds; without it,
+        none is noticed.
 
     Attributes
     ----------
     end : int or None
         Offset up to which the records are known, None before the first.
-    confirmed_at : float
-        Latest time at which the records were certainly complete, seconds;
-        minus infinity before the first read.
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         on_evacuations: typing.Callable[[set[str], float], None],
         is_relayed: typing.Callable[[], bool] = lambda: False,
         apply_bound: typing.Callable[[], float] = lambda: 2.0,
+        boot_time: typing.Callable[[], float] | None = None,
     ) -> None:
         self._store = store
         self._format = record_format
@@ -131,7 +133,8 @@
         self._large_page_seconds = 0.0
         self._read_state = watchers.ReadState("operator's records")
         self.end: int | None = None
-        self.confirmed_at = -math.inf
+        self._confirmed_at = -math.inf
+        self._suspensions = suspension.SuspensionTracker(now, boot_time)
 
     async def run(self) -> None:
         """Follow the records until cancelled."""
@@ -152,6 +155,17 @@
             elif self._pause:
                 await anyio.sleep(self._pause)
 
+    @property
+    def confirmed_at(self) -> float:
+        """Latest time at which the records were certainly complete, seconds.
+
+        Minus infinity before the first read. Its difference to the clock
+        includes the time for which the machine was suspended since then,
+        during which the operator may have written records.
+        """
+        self._confirmed_at -= self._suspensions.observe()
+        return self._confirmed_at
+
     def check_wait(self, coordinator_end: int | None) -> None:
         """Cancel a wait that misses records or got no response in time.
 
@@ -323,7 +337,9 @@
         )
 
     def _confirm(self, time: float) -> None:
-        self.confirmed_at = max(self.confirmed_at, time)
+        self._confirmed_at = max(
+            self.confirmed_at, self._suspensions.corrected(time)
+        )
 
     # Reads
 
--- a/tests/node/test_operator_watcher.py
+++ b/tests/node/test_operator_watcher.py
@@ -39,6 +39,7 @@
         callbacks.get("on_configuration", lambda new: None),
         callbacks.get("on_evacuations", lambda domains, since: None),
         callbacks.get("is_relayed", lambda: False),
+        boot_time=callbacks.get("boot_time"),
     )
 
 
@@ -470,3 +471,57 @@
         assert watcher.confirmed_at == trio.current_time()
 
     trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+
+
+def test_age_includes_the_time_of_a_suspension() -> None:
+    """Guards against a host that resumes and accepts keys revoked meanwhile.
+
+    The clock of the event loop stops while the machine is suspended, and the
+    age that the host relays to others is measured with it too.
+    """
+    clocks = {"now": 100.0, "boot": 500.0}
+    pages = [port.Page([_configuration(5)], 3), port.Page([], 3)]
+    store = support.ScriptedStore(*pages)
+
+    def suspend(seconds: float) -> None:
+        clocks["boot"] += seconds
+
+    watcher = _operator(
+        store, lambda: clocks["now"], boot_time=lambda: clocks["boot"]
+    )
+
+    async def main() -> None:
+        await watcher.poll()
+        assert watcher.confirmed_at == 100.0
+        suspend(8.0)
+        assert watcher.relay_to(None).age == 8.0
+        # A read that began before a suspension says nothing of its time.
+        store.during_read = lambda: suspend(7.0)
+        await watcher.poll()
+        assert clocks["now"] - watcher.confirmed_at >= 7.0
+
+    trio.run(main)
+
+
+def test_relayed_age_counts_from_before_a_suspension() -> None:
+    """Guards against a report that a suspension delayed."""
+    clocks = {"now": 100.0, "boot": 500.0}
+    watcher = _operator(
+        support.ScriptedStore(port.Page([_configuration(5)], 3)),
+        lambda: clocks["now"],
+        boot_time=lambda: clocks["boot"],
+    )
+
+    async def main() -> None:
+        await watcher.poll()
+        state = watcher.relay_to(None)
+        sent_at = clocks["now"] = 101.0
+        clocks["boot"] += 9.0
+        watcher.apply_relayed(state, sent_at)
+        assert watcher.confirmed_at == 93.0
+        clocks["now"] += 1.0
+        clocks["boot"] += 1.0
+        watcher.apply_relayed(state, clocks["now"])
+        assert watcher.confirmed_at == 102.0
+
+    trio.run(main)
