Test priorities of tenants and forged trailers

The handler's context carries the tenant and its priority, and a trailer after a chunked body names no tenant.

--- a/tests/entry/test_authentication.py
+++ b/tests/entry/test_authentication.py
@@ -20,6 +20,7 @@
 from agatestile.entry import authentication
 from agatestile.entry import exchange
 from agatestile.entry import refusals
+from agatestile.entry import request_context
 from agatestile.node import settings as node_settings
 from agatestile.observability import events
 from agatestile.platform import manifest
@@ -351,6 +352,34 @@
         assert (await harness.send()).status == 200
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("key", "priority"), [(b"shop-key", 2), (b"hall-key", 0)]
+)
+async def test_context_has_the_tenant_and_its_priority(
+    monkeypatch: pytest.MonkeyPatch, key: bytes, priority: int
+) -> None:
+    """Guards against a priority that later decisions do not get."""
+    contexts = []
+
+    class RecordingExchange(exchange.Exchange):
+        def __init__(
+            self,
+            handler: request_context.SharedState,
+            context: request_context.RequestContext,
+        ) -> None:
+            contexts.append(context)
+            super().__init__(handler, context)
+
+    monkeypatch.setattr(exchange, "Exchange", RecordingExchange)
+    async with support.handler_harness() as harness:
+        harness.configure(tenants=TENANTS)
+        await harness.send(extra=_key(key))
+    (context,) = contexts
+    assert context.tenant == TENANTS.by_key[key]
+    assert context.priority == priority
+
+
 # Changes of the configuration
 
 
@@ -363,11 +392,11 @@
         self._reader = reader
         self._writer = writer
 
-    async def send(self, *lines: bytes) -> int:
+    async def send(self, *lines: bytes, body: bytes = b"") -> int:
         """Send a request with header lines and return the status."""
         head = [b"GET /x/1 HTTP/1.1", b"Host: a.example", *lines]
         head.append(b"X-Request-Id: id-1")
-        self._writer.write(b"\r\n".join(head) + b"\r\n\r\n")
+        self._writer.write(b"\r\n".join(head) + b"\r\n\r\n" + body)
         answer = await self._reader.readuntil(b"\r\n\r\n")
         length = support.header_value(answer, b"content-length")
         await self._reader.readexactly(int(length))
@@ -439,6 +468,23 @@
             assert await connection.send(b"X-aPI-kEY:  shop-key ") == 200
 
 
+@pytest.mark.anyio
+async def test_trailers_name_no_tenant() -> None:
+    """Guards against a forged tenant after a chunked body."""
+    async with support.handler_harness() as harness:
+        harness.configure(tenants=TENANTS)
+        await harness.add_server("a", _respond)
+        async with _connection(harness) as connection:
+            status = await connection.send(
+                b"X-Api-Key: shop-key",
+                b"Transfer-Encoding: chunked",
+                body=b"1\r\nx\r\n0\r\nX-Tenant-Id: hall\r\n\r\n",
+            )
+            assert status == 200
+        (received,) = harness.non_probe_requests()
+    assert _identity_lines(received.head) == [b"x-tenant-id: shop"]
+
+
 @pytest.mark.anyio
 async def test_request_in_progress_ends_normally_when_its_tenant_goes() -> (
     None
