Divide quotas of tenants among hosts

A quota applies to all hosts together, and a host has to decide without asking another one. The coordinator now allocates shares by demand, and single tokens to hosts whose part of a tenant is too small for a share. Shares and tokens never exceed the whole at any moment, so the bound holds in every window: rate x 5 s, the burst, 16 tokens and the rate for 0.4 s.

The leadership record lists the hosts that may have shares; a new leader grants nothing before it knows what they have. Without quotas messages and record have the same bytes as before.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -16,6 +16,7 @@
 from agatestile.assignment import moves as moves_module
 from agatestile.assignment import planner
 from agatestile.assignment import ports
+from agatestile.assignment import predecessors
 from agatestile.assignment import ranges
 from agatestile.assignment import records
 from agatestile.assignment import renewals
@@ -43,9 +44,6 @@
 """Time that the first assignment of a service waits for further servers
 after the first one has registered."""
 
-SETTLING_SECONDS = leases.LEADER_LEASE_SECONDS + leases.GRANT_TIMEOUT_SECONDS
-"""Time after which no earlier leader renews grants any longer."""
-
 
 class Coordinator:
     """Assigns keys to servers while this host is the leader.
@@ -82,7 +80,8 @@
         self._address = address
         self._now = now
         self._last_own_epoch = 0
-        self._leadership = records.Leadership(0, address)
+        self._leadership_lock = anyio.Lock()
+        self._leadership = self.previous = records.Leadership(0, address)
         self._settles_at = 0.0
         self._superseded_by_epoch = 0
         self._store_retry_at = 0.0
@@ -114,6 +113,11 @@
         """Whether this host is the leader and its lease is valid."""
         return self.epoch > 0 and self.leader_lease.is_valid(self._now())
 
+    @property
+    def leadership(self) -> records.Leadership:
+        """Latest stored leadership of this host."""
+        return self._leadership
+
     @property
     def is_settled(self) -> bool:
         """Whether no earlier leader responds to hosts any longer."""
@@ -129,9 +133,7 @@
         stored = await self._journal.read()
         if isinstance(stored, outcomes.Refusal):
             return stored
-        leadership = records.Leadership(
-            stored.leadership.epoch + 1, self._address
-        )
+        leadership = stored.leadership.successor(self._address)
         sent = self._now()
         refusal = await self._journal.append(
             records.encode_leadership(leadership)
@@ -139,19 +141,19 @@
         if refusal is not None:
             return refusal
         now = appended_at = self._now()
-        self._settles_at = now + SETTLING_SECONDS
+        self._settles_at = now + predecessors.SETTLING_SECONDS
         self._fencing_tokens = leases.FencingTokens(leadership.epoch)
         if (
             stored.leadership.epoch != self._last_own_epoch
             or not self._last_own_epoch
         ):
-            predecessor = await self._query_predecessor(
-                stored.leadership, leadership.epoch
+            predecessor = await predecessors.query(
+                self._hosts, self._address, stored.leadership, leadership.epoch
             )
             now = self._now()
             self._grant_sender.key_leases.take_over(now, predecessor)
             if predecessor.is_settled:
-                leadership = _settled(leadership)
+                leadership = leadership.settled()
                 sent = self._now()
                 refusal = await self._journal.append(
                     records.encode_leadership(leadership)
@@ -168,7 +170,7 @@
                 f"superseded by epoch {self._superseded_by_epoch}",
             )
         self._last_own_epoch = leadership.epoch
-        self._leadership = leadership
+        self.previous, self._leadership = stored.leadership, leadership
         self._grant_sender.start_epoch(leadership.epoch)
         self._moves.start_epoch()
         self._late_releases.start_epoch(
@@ -199,33 +201,6 @@
         )
         return None
 
-    async def _query_predecessor(
-        self, previous: records.Leadership, epoch: int
-    ) -> leases.Predecessor:
-        """Return what is known of the grants of the previous leader."""
-        if not previous.epoch:
-            return leases.NO_PREDECESSOR
-        if previous.is_resigned:
-            return leases.Predecessor(
-                previous.remaining_leases, 0.0, previous.is_settled
-            )
-        ended = leases.Predecessor(None, leases.GRANT_TIMEOUT_SECONDS, True)
-        unknown = leases.Predecessor(None, SETTLING_SECONDS, False)
-        if not previous.is_settled:
-            # A leader before the previous one may still renew grants.
-            ended = unknown
-        if previous.host == self._address:
-            # An earlier process of this host, which has ended.
-            return ended
-        reply = await self._hosts.supersede(previous.host, epoch)
-        if reply is None:
-            return unknown
-        if reply.was_holder:
-            return leases.Predecessor(
-                reply.remaining_leases, 0.0, previous.is_settled
-            )
-        return ended
-
     async def _outlast_earlier_leaders(self, appended_at: float) -> None:
         """Wait until no earlier leader may send new tokens.
 
@@ -321,9 +296,24 @@
 
     async def _settle(self) -> None:
         """Record that no earlier leader can renew grants any longer."""
-        settled = _settled(self._leadership)
-        if await self._append(records.encode_leadership(settled)):
-            self._leadership = settled
+        async with self._leadership_lock:
+            await self._store_leadership(self._leadership.settled())
+
+    async def _store_leadership(self, changed: records.Leadership) -> bool:
+        if not await self._append(records.encode_leadership(changed)):
+            return False
+        self._leadership = changed
+        return True
+
+    async def store_quota_hosts(self, epoch: int, hosts: list[str]) -> bool:
+        """Store the hosts that may use shares in the quotas of tenants."""
+        async with self._leadership_lock:
+            changed = msgspec.structs.replace(
+                self._leadership, quota_hosts=hosts
+            )
+            return epoch == self.epoch and await self._store_leadership(
+                changed
+            )
 
     def supersede(self, epoch: int) -> ports.SupersedeReply:
         """Give up the leadership to a later epoch and return the leases.
@@ -632,7 +622,3 @@
                     f"unanswered append of {added[0].key} was applied late"
                 )
         return False
-
-
-def _settled(leadership: records.Leadership) -> records.Leadership:
-    return msgspec.structs.replace(leadership, is_settled=True)
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -37,6 +37,8 @@
     remaining_leases : list of (str, int, float)
         Identifier and incarnation of servers, and for how much longer each
         may hold keys, seconds; empty unless `is_resigned`.
+    quota_hosts : list of str
+        Hosts that may use shares in the quotas of tenants.
     """
 
     epoch: int
@@ -44,6 +46,17 @@
     is_resigned: bool = False
     is_settled: bool = False
     remaining_leases: list[tuple[str, int, float]] = []
+    quota_hosts: list[str] = []
+
+    def successor(self, host: str) -> Leadership:
+        """Return the next leadership, of another host or the same one."""
+        return Leadership(
+            self.epoch + 1, host, quota_hosts=list(self.quota_hosts)
+        )
+
+    def settled(self) -> Leadership:
+        """Return it with no earlier leader that can renew grants."""
+        return msgspec.structs.replace(self, is_settled=True)
 
 
 class ServiceRanges(msgspec.Struct, array_like=True):
@@ -257,7 +270,11 @@
 
 def encode_leadership(leadership: Leadership) -> port.Record:
     """Return the record that stores a leadership."""
-    return port.Record(LEADER_KEY, msgspec.msgpack.encode(leadership))
+    fields = msgspec.structs.astuple(leadership)
+    if not leadership.quota_hosts:
+        # The record stays as earlier releases write it.
+        fields = fields[:-1]
+    return port.Record(LEADER_KEY, msgspec.msgpack.encode(fields))
 
 
 def encode_map(service: str, key_map: ranges.RangeMap) -> port.Record:
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -12,6 +12,7 @@
 from agatestile.assignment import records
 from agatestile.balancing import load
 from agatestile.catalog import directory
+from agatestile.limits import quotas as quotas_module
 from agatestile.limits import shares as shares_module
 from agatestile.node import content_history
 
@@ -78,6 +79,8 @@
     shares : shares.AppliedShares or None
         Shares of the host in the limits of servers, None from a host that
         runs an earlier release.
+    quotas : quotas.Report or None
+        What the host has of the quotas of tenants, None without quotas.
     """
 
     host: str
@@ -93,6 +96,7 @@
     assignment_version: int | None = None
     directory_age: float = math.inf
     shares: shares_module.AppliedShares | None = None
+    quotas: quotas_module.Report | None = None
 
 
 class RelayedServer(msgspec.Struct, array_like=True):
@@ -201,6 +205,8 @@
     admitted_shares : dict of str to dict of int to float
         Share of the requests for hot keys that hosts may send to their
         owners, by service and key.
+    quotas : quotas.Grant or None
+        Changes of what the recipient has of the quotas of tenants.
     """
 
     epoch: int
@@ -218,6 +224,18 @@
     assignment: content_history.ContentPatch | None = None
     has_all_servers: bool = False
     admitted_shares: dict[str, dict[int, float]] = {}
+    quotas: quotas_module.Grant | None = None
+
+
+def encode(message: Report | ReportResponse) -> bytes:
+    """Return an encoded message, without the last field if it is None.
+
+    Messages of a deployment without quotas are as small as those of earlier
+    releases, which do not have the field.
+    """
+    if message.quotas is not None:
+        return msgspec.msgpack.encode(message)
+    return msgspec.msgpack.encode(msgspec.structs.astuple(message)[:-1])
 
 
 class SupersedeRequest(msgspec.Struct, array_like=True):
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -6,6 +6,7 @@
 import math
 import random
 import signal
+import time
 import typing
 
 import anyio
@@ -21,6 +22,7 @@
 from agatestile.node import leadership as leadership_module
 from agatestile.node import operator_watcher
 from agatestile.node import peers
+from agatestile.node import quota_exchange
 from agatestile.node import reporter as reporter_module
 from agatestile.node import supervision
 from agatestile.node import watchers
@@ -134,6 +136,9 @@
             member,
             clock.boot_time,
         )
+        self.quota_exchange = quota_exchange.QuotaExchange(
+            self.coordinator, settings.bounds, time.time_ns()
+        )
         self.elector = leadership_module.LeaderElector(
             platform.store,
             self.coordinator,
@@ -162,6 +167,7 @@
             self.elector,
             self.operator_watcher,
             now,
+            self.quota_exchange,
         )
         self.peer_service = peers.PeerService(
             self.coordinator,
@@ -170,6 +176,7 @@
             self._is_confirmed,
             self.operator_watcher,
             now,
+            self.quota_exchange,
         )
         self.reporter.set_local_service(self.peer_service)
         self.discovery_watcher = watchers.DiscoveryWatcher(
@@ -195,6 +202,7 @@
             self.registry,
             lambda: self.operator_watcher.confirmed_at,
             clock.boot_time,
+            self.quota_exchange.quotas,
         )
         self.caller_listener = server.Listener(
             self.handler.handle, self._caller_limits
@@ -241,6 +249,7 @@
                 ("service discovery", self.discovery_watcher.run),
                 ("leadership", self.elector.run),
                 ("reports", self._run_reporter),
+                ("quotas", self.quota_exchange.run),
             ):
                 tasks.start_soon(
                     supervision.supervise, name, component, self.registry
@@ -349,6 +358,7 @@
 
     def _on_configuration(self, new: configuration.Configuration) -> None:
         self.fleet.configuration = new
+        self.quota_exchange.on_configuration(new)
         self.coordinator.request_plan()
         self.coordinator.publish()
 
@@ -396,6 +406,7 @@
         gauge("assignment_epoch", lambda: self.view.epoch)
         gauge("is_leader", lambda: float(self.coordinator.is_active))
         gauge("server_connections_opened", lambda: self.server_pool.opened)
+        self.quota_exchange.add_gauges(self.registry)
 
     async def _on_metrics(
         self, request: messages.Request
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -11,6 +11,7 @@
 from agatestile.limits import shares
 from agatestile.node import content_history
 from agatestile.node import messages as peer_messages
+from agatestile.node import quota_exchange
 from agatestile.observability import events
 from agatestile.results import decoding
 from agatestile.transport import messages
@@ -114,6 +115,8 @@
         Operator's records that this host knows.
     now : callable
         Clock of the event loop, in seconds.
+    quotas : quota_exchange.QuotaExchange, optional
+        Quotas of tenants.
     """
 
     def __init__(
@@ -124,7 +127,9 @@
         is_confirmed: typing.Callable[[], bool],
         relay: OperatorRelay,
         now: typing.Callable[[], float],
+        quotas: quota_exchange.QuotaExchange | None = None,
     ) -> None:
+        self._quotas = quotas or quota_exchange.QuotaExchange(coordinator)
         self._relay = relay
         self._is_confirmed = is_confirmed
         self._coordinator = coordinator
@@ -160,7 +165,7 @@
             redirect = peer_messages.Redirect(self._reporter.coordinator)
             return messages.Response(503, [], msgspec.msgpack.encode(redirect))
         response = await self.handle_report(report)
-        return messages.Response(200, [], msgspec.msgpack.encode(response))
+        return messages.Response(200, [], peer_messages.encode(response))
 
     def _supersede(self, request: messages.Request) -> messages.Response:
         try:
@@ -182,7 +187,7 @@
         """Apply a report and respond once the assignment is newer.
 
         The response comes after `REPORT_WAIT_SECONDS` at the latest, and at
-        once if the epochs differ.
+        once if the epochs differ or the host needs tokens of a tenant.
         """
         now = self._now()
         self._members.on_report(report.host, now)
@@ -191,6 +196,7 @@
         if self._epoch != self._coordinator.epoch:
             self._epoch = self._coordinator.epoch
             self._start_epoch()
+        is_urgent = self._quotas.receive(report.host, report.quotas)
         self._shares.add_demand(report.host, report.demand, now, report.shares)
         for server_id, incarnation, rate, age in report.rate_limits:
             self._fleet.directory.set_rate_limit(
@@ -212,7 +218,7 @@
             self._coordinator.lose_leadership(
                 f"{report.host} reports the later epoch {report.epoch}"
             )
-        if report.epoch == self._coordinator.epoch:
+        if report.epoch == self._coordinator.epoch and not is_urgent:
             await self._coordinator.wait_changed(
                 report.version, REPORT_WAIT_SECONDS
             )
@@ -269,6 +275,7 @@
             assignment,
             is_newer and known_version == 0,
             coordinator.admitted_shares(),
+            self._quotas.grant(report.host, report.quotas),
         )
 
     def _service_ranges(self) -> dict[str, records.ServiceRanges]:
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -16,6 +16,7 @@
 from agatestile.node import leadership
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
+from agatestile.node import quota_exchange
 from agatestile.node import relayed_directory
 from agatestile.observability import events
 from agatestile.results import decoding
@@ -78,6 +79,8 @@
         Operator's records that this host knows.
     now : callable
         Clock of the event loop, in seconds.
+    quotas : quota_exchange.QuotaExchange, optional
+        Quotas of tenants.
 
     Attributes
     ----------
@@ -98,7 +101,9 @@
         elector: leadership.LeaderElector,
         relay: peers.OperatorRelay,
         now: typing.Callable[[], float],
+        quotas: quota_exchange.QuotaExchange | None = None,
     ) -> None:
+        self._quotas = quotas
         self._relay = relay
         self._elector = elector
         self._now = now
@@ -229,7 +234,7 @@
         """Send a report; return the response or why there is none."""
         ip, _, port_text = target.rpartition(":")
         request = messages.Request(
-            b"POST", peers.REPORT_TARGET, [], msgspec.msgpack.encode(report)
+            b"POST", peers.REPORT_TARGET, [], peer_messages.encode(report)
         )
         response = await self._pool.call(
             (ip, int(port_text)),
@@ -302,6 +307,8 @@
         self._fleet.update_host_count(response.host_count, self._now())
         self._fleet.host_rank = response.host_rank
         self._fleet.set_shares(response.shares, age)
+        if self._quotas is not None:
+            self._quotas.apply(response.quotas)
         self._view.set_admitted_shares(response.admitted_shares, self._now())
         if response.assignment is not None:
             content = self._received_assignment.apply(response.assignment)
@@ -387,6 +394,7 @@
             self._received_assignment_version(),
             self._relayed_directory.reported_age(),
             self._fleet.applied_shares(),
+            None if self._quotas is None else self._quotas.report(),
         )
 
     def _received_assignment_version(self) -> int:
--- a/src/agatestile/node/settings.py
+++ b/src/agatestile/node/settings.py
@@ -30,6 +30,12 @@
         Factor by which the rate of a cold server may be exceeded.
     cold_slack : float
         Rate allowed in addition, in requests per second.
+    quota_window : float
+        Window in which the requests of a tenant are counted, in seconds.
+    quota_overage : float
+        Fraction by which the quota of a tenant may be exceeded in a window.
+    quota_slack : float
+        Requests of a tenant that are allowed per window in addition.
     """
 
     drain: float = 2.0
@@ -41,6 +47,9 @@
     retry_slack: float = 20.0
     cold_ratio: float = 1.0
     cold_slack: float = 0.0
+    quota_window: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 class NodeSettings(typing.NamedTuple):
--- a/src/agatestile/platform/settings.py
+++ b/src/agatestile/platform/settings.py
@@ -59,6 +59,9 @@
     "retryBudgetSlack": "retry_slack",
     "warmupOvershoot": "cold_ratio",
     "warmupSlack": "cold_slack",
+    "quotaWindowS": "quota_window",
+    "quotaOverage": "quota_overage",
+    "quotaSlack": "quota_slack",
 }
 
 _FIELDS_BY_MILLISECOND_BOUND = {
--- a/tests/node/support.py
+++ b/tests/node/support.py
@@ -11,6 +11,7 @@
 from agatestile.node import leadership
 from agatestile.node import operator_watcher
 from agatestile.node import peers
+from agatestile.node import quota_exchange
 from agatestile.node import reporter as reporter_module
 from agatestile.node import settings as node_settings
 from agatestile.platform import records
@@ -68,6 +69,7 @@
 
 def peer_service(
     harness: coordinator_support.CoordinatorHarness,
+    quotas: quota_exchange.QuotaExchange | None = None,
 ) -> peers.PeerService:
     """Return the service of a host with an empty directory."""
     fleet = fleet_module.Fleet(
@@ -94,4 +96,5 @@
         elector.is_confirmed,
         operator_relay(),
         trio.current_time,
+        quotas,
     )
