Refuse requests beyond the quota of a tenant

A request takes a token before it is sent; without one it gets 429 with the time until there is one (QUOTA_EXCEEDED, 221). It gives the token back if it ends without having run, and takes a new one if it waited longer than 0.15 s, as the bound counts the time of sending.

RequestContext gets the field `tenant`, None until API keys are read, so that nothing changes yet.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -15,8 +15,10 @@
     from agatestile.balancing import load as load_module
     from agatestile.catalog import configuration
     from agatestile.catalog import directory
+    from agatestile.catalog import tenants
     from agatestile.entry import handler as handler_module
     from agatestile.entry import header_port
+    from agatestile.entry import quota_check
     from agatestile.limits import budget
 
 DEFAULT_TIME_LEFT = 30.0
@@ -95,6 +97,8 @@
         Clock when the response is due to the caller, seconds.
     forwarded_headers : messages.Headers
         Headers of the caller that are forwarded.
+    tenant : tenants.Tenant or None
+        Tenant of the caller, None without one.
     """
 
     request: messages.Request
@@ -106,6 +110,7 @@
     deadline: float
     caller_deadline: float
     forwarded_headers: messages.Headers
+    tenant: tenants.Tenant | None = None
 
 
 class Exchange:
@@ -117,11 +122,17 @@
         State that all requests of the host share.
     context : RequestContext
         Properties of this request.
+    ticket : quota_check.Ticket, optional
+        Token of its tenant, None without a quota.
     """
 
     def __init__(
-        self, handler: handler_module.Handler, context: RequestContext
+        self,
+        handler: handler_module.Handler,
+        context: RequestContext,
+        ticket: quota_check.Ticket | None = None,
     ) -> None:
+        self._ticket = ticket
         self._handler = handler
         self._context = context
         self._now = handler.now
@@ -142,6 +153,8 @@
         finally:
             if self._has_reserved_retry:
                 self._budget().release()
+            if self._ticket is not None:
+                self._ticket.finish()
 
     async def _run(self) -> messages.Response:
         while True:
@@ -151,6 +164,9 @@
                 return self._refuse(pick)
             if self._needs_same_connection(pick):
                 return self._refuse(self._last_refusal)
+            quota_refusal = self._check_quota()
+            if quota_refusal is not None:
+                return self._refuse(quota_refusal)
             attempt = await self._send(pick)
             response = self._evaluate(pick, attempt)
             if response is not None:
@@ -158,6 +174,12 @@
             if not self._may_retry() or not self._reserve_retry():
                 return self._refuse(self._last_refusal)
 
+    def _check_quota(self) -> refusals.RequestRefusal | None:
+        """Return a refusal if the request has waited and has no token now."""
+        if self._ticket is None or self._may_have_run:
+            return None
+        return self._ticket.check()
+
     def _needs_same_connection(self, pick: picker_module.Pick) -> bool:
         """Return whether only the connection of the last attempt is left.
 
@@ -526,6 +548,8 @@
                 _CODES.OUTCOME_UNKNOWN,
                 f"an earlier attempt may have run: {refusal.reason}",
             )
+        if self._ticket is not None and codes.did_not_run(refusal.code):
+            self._ticket.give_back()
         return self._handler.refuse(
             refusal,
             context.caller_headers,
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -9,6 +9,7 @@
 from agatestile.catalog import configuration
 from agatestile.entry import exchange
 from agatestile.entry import picker as picker_module
+from agatestile.entry import quota_check
 from agatestile.entry import refusals
 from agatestile.entry import stopping
 from agatestile.limits import budget
@@ -20,6 +21,7 @@
 if typing.TYPE_CHECKING:
     from agatestile.entry import fleet as fleet_module
     from agatestile.entry import header_port
+    from agatestile.limits import quotas as quotas_module
     from agatestile.observability import counters
 
 CONFIGURATION_RETRY_AFTER = 0.2
@@ -66,6 +68,8 @@
         Clock that includes the time of a suspension, seconds; `now` by
         default. The window of the retry budget is in time that passes for
         all hosts.
+    quotas : quotas.HostQuotas, optional
+        Quotas of tenants on this host.
 
     Attributes
     ----------
@@ -86,7 +90,9 @@
             math.inf
         ),
         boot_time: typing.Callable[[], float] | None = None,
+        quotas: quotas_module.HostQuotas | None = None,
     ) -> None:
+        self._quotas = quotas
         self.boot_time = boot_time or now
         self.registry = registry
         self._configuration_confirmed_at = configuration_confirmed_at
@@ -116,11 +122,22 @@
                 started,
                 _time_left(caller_headers),
             )
+        ticket = quota_check.admit(
+            self._quotas, context.tenant, self.boot_time, self.registry
+        )
+        if isinstance(ticket, refusals.RequestRefusal):
+            return self.refuse(
+                ticket,
+                caller_headers,
+                context,
+                started,
+                _time_left(caller_headers),
+            )
         self.budget(context.service).on_request(self.boot_time())
         self.fleet.count_demand(context.service)
         if context.key is not None:
             self.assignments.count(context.service, context.key)
-        return await exchange.Exchange(self, context).run()
+        return await exchange.Exchange(self, context, ticket).run()
 
     def _create_context(
         self,
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -22,6 +22,7 @@
     codes.ResultCode.NO_CONFIGURATION: 503,
     codes.ResultCode.CONFIGURATION_OUTDATED: 503,
     codes.ResultCode.CONFIGURATION_INVALID: 503,
+    codes.ResultCode.QUOTA_EXCEEDED: 429,
     codes.ResultCode.NO_OWNER: 503,
     codes.ResultCode.RANGE_MOVING: 503,
     codes.ResultCode.NO_SERVER: 503,
@@ -34,7 +35,8 @@
     codes.ResultCode.ANSWER_BROKEN: 502,
     codes.ResultCode.ANSWER_TIMEOUT: 504,
 }
-"""HTTP status by result code; 503 guarantees that the request did not run."""
+"""HTTP status by result code; 429 and 503 guarantee that the request did not
+run."""
 
 
 class RequestRefusal(typing.NamedTuple):
@@ -73,7 +75,7 @@
     """
     status = STATUS_BY_CODE[refusal.code]
     retry_after = None
-    if status == 503:
+    if status in (429, 503):
         retry_after = bounded_retry_after(refusal.retry_after, time_left)
     return messages.Response(
         status, header_format.refusal_headers(retry_after), b""
--- /dev/null
+++ b/tests/entry/test_quota_check.py
@@ -0,0 +1,157 @@
+"""Tests of the quotas of tenants in the request handler."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from agatestile.catalog import tenants
+from agatestile.entry import exchange
+from agatestile.entry import quota_check
+from agatestile.entry import refusals
+from agatestile.limits import quotas
+from agatestile.observability import counters
+from tests.entry import support
+
+TENANT = tenants.Tenant("shop", None, 0.001, 10.0)
+LIMITS = quotas.Limits(0.15, 0.0, 20)
+
+
+def _quotas(now: float, tokens: int) -> quotas.HostQuotas:
+    """Return the quotas of a host with single tokens."""
+    host = quotas.HostQuotas(1, LIMITS)
+    host.configure([TENANT], now)
+    for rows in ([], [], [quotas.GrantRow("shop", 0.0, tokens)]):
+        report = host.report(now)
+        assert report is not None
+        host.apply(quotas.Grant(report.number, 1, False, True, rows), now)
+    return host
+
+
+def _use_quotas(
+    harness: support.HandlerHarness,
+    tokens: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> quotas.HostQuotas:
+    """Give the handler quotas, and all requests a tenant."""
+    handler = harness.handler
+    host = _quotas(handler.boot_time(), tokens)
+    handler._quotas = host
+    create_context = handler._create_context
+
+    def with_tenant(
+        *arguments: object,
+    ) -> exchange.RequestContext | refusals.RequestRefusal:
+        context = create_context(*arguments)  # type: ignore[arg-type]
+        if isinstance(context, refusals.RequestRefusal):
+            return context
+        return context._replace(tenant=TENANT)
+
+    monkeypatch.setattr(handler, "_create_context", with_tenant)
+    return host
+
+
+async def _respond(received: support.ReceivedRequest) -> bytes:
+    return support.signed_response(received)
+
+
+async def _shed_request(received: support.ReceivedRequest) -> bytes:
+    return support.shed_response(received)
+
+
+async def _respond_error(received: support.ReceivedRequest) -> bytes:
+    return support.signed_response(received, 500, b"error")
+
+
+@pytest.mark.anyio
+async def test_request_beyond_the_quota_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a server that gets more than the quota."""
+    async with support.handler_harness() as harness:
+        harness.configure()
+        await harness.add_server("a", _respond)
+        _use_quotas(harness, 2, monkeypatch)
+        statuses = [(await harness.send()).status for _ in range(2)]
+        refused = await harness.send()
+    assert statuses == [200, 200]
+    assert refused.status == 429
+    assert 0.0 < float(refused.header(b"retry-after") or 0.0) <= 1.0 / 3.0
+    assert len(harness.non_probe_requests()) == 2
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("responder", "kept"), [(_shed_request, 0), (_respond_error, 1)]
+)
+async def test_only_requests_that_did_not_run_give_their_token_back(
+    responder: support.Responder, kept: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a lost credit, and against one that is used twice."""
+    async with support.handler_harness() as harness:
+        harness.configure(attempts=1)
+        await harness.add_server("a", responder)
+        host = _use_quotas(harness, 2, monkeypatch)
+        await harness.send()
+        assert host.totals(harness.handler.boot_time()).tokens == 2 - kept
+
+
+@pytest.mark.anyio
+async def test_request_without_a_server_gives_its_token_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a quota that is spent while a service is down."""
+    async with support.handler_harness() as harness:
+        harness.configure()
+        host = _use_quotas(harness, 1, monkeypatch)
+        assert (await harness.send()).status == 503
+        assert host.totals(harness.handler.boot_time()).tokens == 1
+
+
+@pytest.mark.anyio
+async def test_cancelled_request_keeps_its_token(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a credit for a request that may have run."""
+
+    async def never_respond(received: support.ReceivedRequest) -> None:
+        await asyncio.sleep(5.0)
+
+    async with support.handler_harness() as harness:
+        harness.configure()
+        await harness.add_server("a", never_respond)
+        host = _use_quotas(harness, 1, monkeypatch)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await harness.send()
+        assert host.totals(harness.handler.boot_time()).tokens == 0
+
+
+def test_request_that_waited_needs_a_token_again() -> None:
+    """Guards against requests that are sent in a later window."""
+    clock = [100.0]
+    host = _quotas(clock[0], 1)
+    ticket = quota_check.admit(
+        host, TENANT, lambda: clock[0], counters.Registry()
+    )
+    assert isinstance(ticket, quota_check.Ticket)
+    clock[0] += LIMITS.send_delay
+    assert ticket.check() is None
+    clock[0] += quotas.LEASE_SECONDS
+    refusal = ticket.check()
+    assert refusal is not None and refusal.retry_after is not None
+
+
+@pytest.mark.parametrize(
+    "tenant", [None, tenants.Tenant("free"), tenants.Tenant("other")]
+)
+def test_requests_without_a_quota_are_not_counted(
+    tenant: tenants.Tenant | None,
+) -> None:
+    """Guards against costs of deployments without quotas."""
+    registry = counters.Registry()
+    host = _quotas(100.0, 1)
+    assert quota_check.admit(host, tenant, lambda: 100.0, registry) is None
+    assert quota_check.admit(None, TENANT, lambda: 100.0, registry) is None
+    assert b"quota" not in registry.render()
