--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -16,6 +16,7 @@
     from agatestile.balancing import load as load_module
     from agatestile.catalog import directory
     from agatestile.entry import header_port
+    from agatestile.entry import quota_check
     from agatestile.limits import budget
 
 OWNER_WAIT_SHARE = 0.3
@@ -67,13 +68,17 @@
         State that all requests of the host share.
     context : request_context.RequestContext
         Properties of this request.
+    ticket : quota_check.Ticket, optional
+        Token of its tenant, None without a quota.
     """
 
     def __init__(
         self,
         handler: request_context.SharedState,
         context: request_context.RequestContext,
+        ticket: quota_check.Ticket | None = None,
     ) -> None:
+        self._ticket = ticket
         self._handler = handler
         self._context = context
         self._now = handler.now
@@ -94,6 +99,8 @@
         finally:
             if self._has_reserved_retry:
                 self._budget().release()
+            if self._ticket is not None:
+                self._ticket.finish()
 
     async def _run(self) -> messages.Response:
         while True:
@@ -103,6 +110,9 @@
                 return self._refuse(pick)
             if self._needs_same_connection(pick):
                 return self._refuse(self._last_refusal)
+            quota_refusal = self._check_quota()
+            if quota_refusal is not None:
+                return self._refuse(quota_refusal)
             attempt = await self._send(pick)
             response = self._evaluate(pick, attempt)
             if response is not None:
@@ -110,6 +120,12 @@
             if not self._may_retry() or not self._reserve_retry():
                 return self._refuse(self._last_refusal)
 
+    def _check_quota(self) -> refusals.RequestRefusal | None:
+        """Return a refusal if the request has waited and has no token now."""
+        if self._ticket is None or self._may_have_run:
+            return None
+        return self._ticket.check()
+
     def _needs_same_connection(self, pick: picker_module.Pick) -> bool:
         """Return whether only the connection of the last attempt is left.
 
@@ -481,6 +497,8 @@
                 _CODES.OUTCOME_UNKNOWN,
                 f"an earlier attempt may have run: {refusal.reason}",
             )
+        if self._ticket is not None and codes.did_not_run(refusal.code):
+            self._ticket.give_back()
         return self._handler.refuse(
             refusal,
             context.caller_headers,
--- a/src/agatestile/node/settings.py
+++ b/src/agatestile/node/settings.py
@@ -36,6 +36,12 @@
     revoke : float
         Time after which a revoked API key is not accepted by any host if
         `strict_revoke` is set, in seconds.
+    quota_window : float
+        Window in which the requests of a tenant are counted, in seconds.
+    quota_overage : float
+        Fraction by which the quota of a tenant may be exceeded in a window.
+    quota_slack : float
+        Requests of a tenant that are allowed per window in addition.
     """
 
     drain: float = 2.0
@@ -49,6 +55,9 @@
     cold_slack: float = 0.0
     strict_revoke: bool = False
     revoke: float = 5.0
+    quota_window: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 class NodeSettings(typing.NamedTuple):
--- a/tests/entry/test_authentication.py
+++ b/tests/entry/test_authentication.py
@@ -20,6 +20,7 @@
 from agatestile.entry import authentication
 from agatestile.entry import exchange
 from agatestile.entry import refusals
+from agatestile.entry import quota_check
 from agatestile.entry import request_context
 from agatestile.node import settings as node_settings
 from agatestile.observability import events
@@ -367,9 +368,10 @@
             self,
             handler: request_context.SharedState,
             context: request_context.RequestContext,
+            ticket: quota_check.Ticket | None = None,
         ) -> None:
             contexts.append(context)
-            super().__init__(handler, context)
+            super().__init__(handler, context, ticket)
 
     monkeypatch.setattr(exchange, "Exchange", RecordingExchange)
     async with support.handler_harness() as harness:
