--- a/src/agatestile/limits/quota_allocator.py
+++ b/src/agatestile/limits/quota_allocator.py
@@ -123,6 +123,10 @@
         Single tokens that each host may have.
     recalled_by_host : dict of str to int
         Single tokens that hosts are to drop.
+    free_share : float
+        Share that no host may use.
+    tokens_on_hosts : int
+        Sum of the single tokens of hosts.
     tokens : float
         Tokens of the coordinator's own share.
     """
@@ -137,17 +141,14 @@
         self.demand_by_host: dict[str, _Demand] = {}
         self.target_by_host: dict[str, float] = {}
         self.recalled_by_host: dict[str, int] = {}
+        self.free_share = 1.0
+        self.tokens_on_hosts = 0
         self.tokens = 0.0
         self._allocated_at = -math.inf
         self._allocated_hosts = 0
         self._allocated_requests = 0.0
         self._waiting_since_by_host: dict[str, float] = {}
 
-    @property
-    def free_share(self) -> float:
-        """Share that no host may use."""
-        return max(0.0, 1.0 - math.fsum(self.share_by_host.values()))
-
     @property
     def capacity(self) -> float:
         """Largest number of tokens here and of single ones on hosts."""
@@ -159,8 +160,7 @@
 
         The capacity of the rest has to cover the single tokens on hosts.
         """
-        on_hosts = sum(self.tokens_by_host.values())
-        covered = max(0.0, on_hosts - self._extra_tokens)
+        covered = max(0.0, self.tokens_on_hosts - self._extra_tokens)
         if covered <= 0.0:
             return self.free_share
         if self._burst <= 0.0:
@@ -196,20 +196,29 @@
         self.tokens = 0.0
 
     def _limit_tokens(self) -> None:
-        on_hosts = sum(self.tokens_by_host.values())
-        self.tokens = max(0.0, min(self.tokens, self.capacity - on_hosts))
+        room = self.capacity - self.tokens_on_hosts
+        self.tokens = max(0.0, min(self.tokens, room))
 
     def reserve(
         self, host: str, share: float, tokens: int, now: float
     ) -> None:
         """Set what a host may use."""
+        held_share = self.share_by_host.get(host, 0.0)
+        held_tokens = self.tokens_by_host.get(host, 0)
+        if (share, tokens) == (held_share, held_tokens):
+            return
         self.refill(now)
-        self.share_by_host.pop(host, None)
-        self.tokens_by_host.pop(host, None)
-        if share:
+        if share != held_share:
             self.share_by_host[host] = share
-        if tokens:
+            if not share:
+                del self.share_by_host[host]
+            allocated = math.fsum(self.share_by_host.values())
+            self.free_share = max(0.0, 1.0 - allocated)
+        if tokens != held_tokens:
             self.tokens_by_host[host] = tokens
+            if not tokens:
+                del self.tokens_by_host[host]
+            self.tokens_on_hosts += tokens - held_tokens
         self._limit_tokens()
 
     def take(self, wanted: int, kept: float, now: float) -> int:
@@ -290,8 +299,11 @@
         where they stay.
         """
         self.recalled_by_host = {}
-        on_hosts = sum(self.tokens_by_host.values())
-        excess = math.ceil(on_hosts - PLACED_FRACTION * self.capacity)
+        excess = math.ceil(
+            self.tokens_on_hosts - PLACED_FRACTION * self.capacity
+        )
+        if excess <= 0:
+            return
         for host in sorted(
             self.tokens_by_host,
             key=lambda one: requests_by_host.get(one, 0.0),
--- a/tests/limits/quota_guards.py
+++ b/tests/limits/quota_guards.py
@@ -174,7 +174,9 @@
 
 
 def allocate_the_cover_of_tokens(patch: Patch) -> None:
-    patch.setattr(QUOTA, "allocatable_share", QUOTA.free_share)
+    patch.setattr(
+        QUOTA, "allocatable_share", property(lambda self: self.free_share)
+    )
 
 
 DETECTED = [
