--- a/tests/entry/test_authentication.py
+++ b/tests/entry/test_authentication.py
@@ -19,8 +19,8 @@
 from agatestile.catalog import tenants as tenants_module
 from agatestile.entry import authentication
 from agatestile.entry import exchange
-from agatestile.entry import refusals
 from agatestile.entry import quota_check
+from agatestile.entry import refusals
 from agatestile.entry import request_context
 from agatestile.node import settings as node_settings
 from agatestile.observability import events
