Send bodies to servers in slices

The body of a request was joined with its head for each attempt and kept once more in the buffer of the connection, so that a body of 64 MiB took over twice its size. The head and slices of the body are now written as the server reads them.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -355,12 +355,14 @@
                         return opened
                     connection = opened
                 self._used_connections.append(connection)
-                content = self._encode(entry)
-                self._count_bytes(entry, "sent", len(content))
+                head = self._encode_head(entry)
+                body = context.request.body
+                self._count_bytes(entry, "sent", len(head) + len(body))
                 result = await connection.exchange(
-                    content,
+                    head,
                     expected_echo,
                     context.request.method == b"HEAD",
+                    body=body,
                 )
         except TimeoutError:
             return messages.Failure(
@@ -383,18 +385,13 @@
             direction=direction,
         )
 
-    def _encode(self, entry: directory.ServerEntry) -> bytes:
+    def _encode_head(self, entry: directory.ServerEntry) -> bytes:
         context = self._context
-        request = context.request
         time_left = context.deadline - self._now()
-        header_format = self._handler.header_format
-        headers = context.forwarded_headers + header_format.server_headers(
-            entry.id, time_left
+        added = self._handler.header_format.server_headers(entry.id, time_left)
+        return messages.encode_request_head(
+            context.request, context.forwarded_headers + added
         )
-        if request.body or request.method not in (b"GET", b"HEAD"):
-            headers.append((b"content-length", b"%d" % len(request.body)))
-        start = b"%b %b HTTP/1.1" % (request.method, request.target)
-        return messages.encode_head(start, headers) + request.body
 
     # Evaluation of responses
 
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -36,6 +36,7 @@
     from agatestile.entry import header_port
     from agatestile.node import settings as settings_module
     from agatestile.store import port
+    from agatestile.transport import buffered_bytes
 
 READINESS_NOTICE_SECONDS = 2.6
 """How long a stopping host accepts new connections: until the load balancer's
@@ -86,7 +87,7 @@
         Names and formats of HTTP headers.
     load_settings : callable
         Reads the settings again for a reload.
-    buffered : client.BufferedBytes
+    buffered : buffered_bytes.BufferedBytes
         Limit that all connections of the host share.
     """
 
@@ -97,7 +98,7 @@
     load_settings: typing.Callable[
         [], settings_module.NodeSettings | outcomes.Refusal
     ]
-    buffered: client.BufferedBytes
+    buffered: buffered_bytes.BufferedBytes
 
 
 class Node:
--- a/src/agatestile/platform/__main__.py
+++ b/src/agatestile/platform/__main__.py
@@ -16,6 +16,7 @@
 from agatestile.platform import settings
 from agatestile.platform import store
 from agatestile.results import outcomes
+from agatestile.transport import buffered_bytes
 from agatestile.transport import client
 
 
@@ -32,7 +33,7 @@
 
 async def _run(loaded: node_settings.NodeSettings) -> None:
     now = asyncio.get_running_loop().time
-    buffered = client.BufferedBytes.from_memory(loaded.memory)
+    buffered = buffered_bytes.BufferedBytes.from_memory(loaded.memory)
     adapter = node.PlatformAdapter(
         store.PlatformStore(client.Pool(now, buffered=buffered), loaded.store),
         orders.PlatformOrders(client.Pool(now, buffered=buffered)),
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import math
 import socket
 import struct
@@ -11,6 +10,8 @@
 
 import httptools
 
+from agatestile.transport import body_sender
+from agatestile.transport import buffered_bytes
 from agatestile.transport import messages
 
 CONNECT_TIMEOUT = 0.5
@@ -43,13 +44,6 @@
 limit. It includes the bodies of late responses that precede the expected
 one."""
 
-MAX_BUFFERED_BYTES = 96 * 1024 * 1024
-"""Limit of the incomplete bodies of all responses that share one, bytes, where
-the memory of the machine is unknown."""
-
-BUFFERED_MEMORY_SHARE = 0.125
-"""Share of the memory of a machine that incomplete bodies may take."""
-
 PARSED_SLICE_BYTES = 64 * 1024
 """Received data that is parsed before the limits are checked, bytes."""
 
@@ -59,73 +53,6 @@
 Address = tuple[str, int]
 
 
-class BufferedBytes:
-    """Limits the incomplete bodies of the responses of several connections.
-
-    Parameters
-    ----------
-    limit : int, optional
-        Limit of the bodies together, bytes; `MAX_BUFFERED_BYTES` by default.
-
-    Attributes
-    ----------
-    total : int
-        Bytes of the bodies.
-    """
-
-    def __init__(self, limit: int | None = None) -> None:
-        self.limit = MAX_BUFFERED_BYTES if limit is None else limit
-        self.total = 0
-        self._size_by_connection: dict[Connection, int] = {}
-
-    @classmethod
-    def from_memory(cls, memory: int | None) -> BufferedBytes:
-        """Create the limit for a machine.
-
-        Parameters
-        ----------
-        memory : int or None
-            Memory of the machine, bytes; None if unknown.
-        """
-        if memory is None:
-            return cls()
-        return cls(int(memory * BUFFERED_MEMORY_SHARE))
-
-    def add(self, connection: Connection, size: int) -> None:
-        """Count `size` bytes that a connection keeps.
-
-        Beyond the limit the largest body fails of the peer whose bodies are
-        the largest together, so that faulty servers don't end the responses
-        of others.
-        """
-        sizes = self._size_by_connection
-        sizes[connection] = sizes.get(connection, 0) + size
-        self.total += size
-        while self.total > self.limit:
-            self._find_largest().fail(
-                f"responses exceed {self.limit} bytes in all"
-            )
-
-    def discard(self, connection: Connection) -> None:
-        """Count nothing for a connection any more."""
-        self.total -= self._size_by_connection.pop(connection, 0)
-
-    def _find_largest(self) -> Connection:
-        sizes = self._size_by_connection
-        size_by_peer: collections.Counter[typing.Hashable] = (
-            collections.Counter()
-        )
-        for connection, size in sizes.items():
-            size_by_peer[connection.peer] += size
-        return max(
-            sizes,
-            key=lambda connection: (
-                size_by_peer[connection.peer],
-                sizes[connection],
-            ),
-        )
-
-
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time.
 
@@ -137,7 +64,7 @@
     ----------
     echo_header : bytes
         Header that responses echo, in lower case.
-    buffered : BufferedBytes, optional
+    buffered : buffered_bytes.BufferedBytes, optional
         Limit that the connection shares with others.
     peer : hashable, optional
         Peer whose connections are counted together in the shared limit.
@@ -146,13 +73,14 @@
     def __init__(
         self,
         echo_header: bytes,
-        buffered: BufferedBytes | None = None,
+        buffered: buffered_bytes.BufferedBytes | None = None,
         peer: typing.Hashable = None,
     ) -> None:
         self.peer = peer
         self._echo_header = echo_header
-        self._buffered = buffered or BufferedBytes()
+        self._buffered = buffered or buffered_bytes.BufferedBytes()
         self._transport: asyncio.Transport | None = None
+        self._sender: body_sender.BodySender | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._expected_echo: bytes | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -183,6 +111,7 @@
         echo: bytes | None = None,
         is_head: bool = False,
         max_body: int | None = None,
+        body: bytes | bytearray = b"",
     ) -> messages.Response | messages.Failure:
         """Send a request and return its response.
 
@@ -192,13 +121,15 @@
         Parameters
         ----------
         content : bytes
-            Encoded request.
+            Encoded request, up to its body.
         echo : bytes, optional
             Value of the echoed header that identifies the response.
         is_head : bool, optional
             Whether the response has no body, whatever its head says.
         max_body : int, optional
             Largest body of the response, bytes; `MAX_BODY_BYTES` by default.
+        body : bytes or bytearray, optional
+            Body of the request, which must not change until the response.
         """
         if not self.is_usable or self._transport is None:
             return _not_sent("the connection was closed while idle")
@@ -211,7 +142,8 @@
         self._max_body = MAX_BODY_BYTES if max_body is None else max_body
         self._received_size = 0
         self._first_data_at = None
-        self._transport.write(content)
+        self._sender = body_sender.BodySender(self._transport, content, body)
+        self._sender.send()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
@@ -220,12 +152,14 @@
             raise
         finally:
             self._waiter = None
+            sender, self._sender = self._sender, None
+            sender.stop()
             self._discard_body()
         result = self._result
         if result is None:
             return _outcome_unknown("the connection closed before a response")
         if isinstance(result, messages.Response):
-            if self._transport.get_write_buffer_size():
+            if sender.has_unsent:
                 # The server responded early and may still be reading the body.
                 self.is_usable = False
         return result
@@ -255,6 +189,16 @@
                 TCP_USER_TIMEOUT_MS,
             )
 
+    def pause_writing(self) -> None:
+        """Stop to send the body until the server has read more."""
+        if self._sender is not None:
+            self._sender.pause()
+
+    def resume_writing(self) -> None:
+        """Continue to send the body."""
+        if self._sender is not None:
+            self._sender.resume()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete or fail the current response."""
         self.is_usable = False
@@ -438,7 +382,7 @@
         Clock of the event loop, seconds.
     echo_header : bytes
         Header that responses echo, in lower case.
-    buffered : BufferedBytes, optional
+    buffered : buffered_bytes.BufferedBytes, optional
         Limit that the pool shares with others.
     """
 
@@ -446,11 +390,11 @@
         self,
         now: typing.Callable[[], float],
         echo_header: bytes = b"",
-        buffered: BufferedBytes | None = None,
+        buffered: buffered_bytes.BufferedBytes | None = None,
     ) -> None:
         self._now = now
         self._echo_header = echo_header
-        self._buffered = buffered or BufferedBytes()
+        self._buffered = buffered or buffered_bytes.BufferedBytes()
         self._idle: dict[typing.Hashable, list[Connection]] = {}
         self.opened = 0
 
--- a/src/agatestile/transport/messages.py
+++ b/src/agatestile/transport/messages.py
@@ -14,6 +14,7 @@
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
@@ -41,12 +42,22 @@
 
 
 class Request(typing.NamedTuple):
-    """A complete HTTP request."""
+    """A complete HTTP request.
+
+    Attributes
+    ----------
+    method, target : bytes
+        Method and target of the first line.
+    headers : Headers
+        Headers in the order in which they arrived.
+    body : bytes or bytearray
+        Complete body; a large one is not copied into `bytes`.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if it is absent."""
@@ -114,3 +125,12 @@
     lines += [b"%b: %b" % pair for pair in headers]
     lines.append(b"\r\n")
     return b"\r\n".join(lines)
+
+
+def encode_request_head(request: Request, headers: Headers) -> bytes:
+    """Encode the head of a request with these headers and its length."""
+    if request.body or request.method not in (b"GET", b"HEAD"):
+        length = b"%d" % len(request.body)
+        headers = [*headers, (b"content-length", length)]
+    start = b"%b %b HTTP/1.1" % (request.method, request.target)
+    return encode_head(start, headers)
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from agatestile.transport import buffered_bytes
 from agatestile.transport import client
 from agatestile.transport import messages
 from tests.transport import support
@@ -332,7 +333,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against memory that grows with the number of such servers."""
-    monkeypatch.setattr(client, "MAX_BUFFERED_BYTES", 1024 * 1024)
+    monkeypatch.setattr(buffered_bytes, "MAX_BUFFERED_BYTES", 1024 * 1024)
 
     async def server(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -23,6 +23,7 @@
 from agatestile.platform import store
 from agatestile.results import outcomes
 from agatestile.store import port
+from agatestile.transport import buffered_bytes
 from agatestile.transport import client
 from agatestile.transport import messages
 from tests.node import support as node_support
@@ -291,7 +292,7 @@
     The healthy server's answer is the one that reaches the limit, and is
     larger than each body of the server that opens many.
     """
-    monkeypatch.setattr(client, "MAX_BUFFERED_BYTES", 1024 * 1024)
+    monkeypatch.setattr(buffered_bytes, "MAX_BUFFERED_BYTES", 1024 * 1024)
 
     async def faulty(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -335,7 +336,7 @@
     Servers, probes, orders, the store and other hosts have a pool each.
     """
     memory = 8 * 1024 * 1024
-    buffered = client.BufferedBytes.from_memory(memory)
+    buffered = buffered_bytes.BufferedBytes.from_memory(memory)
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
