Limit what callers take together

Callers outside the operator's control made processes run out of memory with endless heads, bodies that stop short of their end, responses that they do not read and silent connections.

Heads are counted as they arrive, empty lines are limited, a body ends when it makes no progress or its caller's deadline passes, and requests, unread responses and connections of all callers have limits that follow from memoryMb and maxFds; those with the least progress end first. Large blocks are returned to the system when they are released.

A request that offers an upgrade lost its body and its answer, as the parser ends with its head. A new parser without the offer goes on.

--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -27,6 +27,7 @@
 from agatestile.observability import counters
 from agatestile.observability import events
 from agatestile.results import outcomes
+from agatestile.transport import caller_guard
 from agatestile.transport import client
 from agatestile.transport import messages
 from agatestile.transport import server
@@ -197,8 +198,16 @@
             lambda: self.operator_watcher.confirmed_at,
             clock.boot_time,
         )
+        header_format = platform.header_format
+        self.caller_guard = caller_guard.CallerGuard(
+            settings.memory,
+            settings.descriptors,
+            lambda headers: header_format.read_request(headers).time_left,
+            header_format.refusal_headers,
+            self._count_ended_caller,
+        )
         self.caller_listener = server.Listener(
-            self.handler.handle, self._caller_limits
+            self.handler.handle, self._caller_limits, self.caller_guard
         )
         self.readiness_listener = server.Listener(
             self._on_readiness_check, self._caller_limits
@@ -378,6 +387,9 @@
             "requests_in_progress",
             lambda: self.caller_listener.busy_connections,
         )
+        guard = self.caller_guard
+        gauge("caller_request_bytes", lambda: guard.requests.total)
+        gauge("caller_unread_bytes", lambda: guard.responses.total)
         gauge("configuration_version", configuration_version)
         gauge("configuration_problems", configuration_problems)
         gauge(
@@ -398,6 +410,9 @@
         gauge("is_leader", lambda: float(self.coordinator.is_active))
         gauge("server_connections_opened", lambda: self.server_pool.opened)
 
+    def _count_ended_caller(self, action: str, cause: str) -> None:
+        self.registry.count("callers_ended_total", action=action, cause=cause)
+
     async def _on_metrics(
         self, request: messages.Request
     ) -> messages.Response:
--- a/src/agatestile/node/settings.py
+++ b/src/agatestile/node/settings.py
@@ -65,6 +65,8 @@
         Rate of the host's link, in bytes per second; None if unknown.
     memory : int or None
         Memory that the host may use, in bytes; None if unknown.
+    descriptors : int or None
+        Descriptors that the process may open; None if unknown.
     """
 
     host: str
@@ -78,3 +80,4 @@
     metrics: Address | None = None
     link_rate: float | None = None
     memory: int | None = None
+    descriptors: int | None = None
--- a/src/agatestile/platform/__main__.py
+++ b/src/agatestile/platform/__main__.py
@@ -7,6 +7,7 @@
 
 import uvloop
 
+from agatestile.node import allocator
 from agatestile.node import node
 from agatestile.node import settings as node_settings
 from agatestile.observability import events
@@ -26,6 +27,7 @@
     if isinstance(loaded, outcomes.Refusal):
         print(loaded, file=sys.stderr)
         return 2
+    allocator.map_large_blocks()
     events.configure(events.EventLog(1, loaded.host))
     uvloop.run(_run(loaded))
     return 0
--- a/src/agatestile/platform/settings.py
+++ b/src/agatestile/platform/settings.py
@@ -35,6 +35,8 @@
     linkMbps: float | None = None
     # Memory of the host, in 10^6 bytes.
     memoryMb: float | None = None
+    # Descriptors that the process may open.
+    maxFds: int | None = None
 
 
 class _SettingsFile(msgspec.Struct):
@@ -98,6 +100,7 @@
             metrics=_metrics_address(decoded.ip),
             link_rate=_bytes_per_second(decoded.limits.linkMbps),
             memory=_bytes(decoded.limits.memoryMb),
+            descriptors=decoded.limits.maxFds,
         )
     except tomllib.TOMLDecodeError as error:
         return outcomes.Refusal(
--- a/src/agatestile/platform/store.py
+++ b/src/agatestile/platform/store.py
@@ -142,7 +142,7 @@
             return _to_refusal(response)
         try:
             topic_end, _ = _READ_HEADER.unpack_from(response.body)
-            records = list(_split_records(response.body))
+            records = list(_split_records(bytes(response.body)))
         except (ValueError, struct.error) as error:
             return _invalid_response(error)
         end = start + len(records)
@@ -207,7 +207,7 @@
         if response.status != 200:
             return _to_refusal(response)
         try:
-            rows = _decode_owner_rows(response.body)
+            rows = _decode_owner_rows(bytes(response.body))
         except decoding.DECODE_ERRORS as error:
             return _invalid_response(error)
         for _, owned, member, *_ in rows:
--- /dev/null
+++ b/src/agatestile/transport/caller_guard.py
@@ -0,0 +1,206 @@
+"""Limits that all connections of a listener's callers share."""
+
+from __future__ import annotations
+
+import resource
+import typing
+
+from agatestile.observability import events
+from agatestile.transport import caller_memory
+from agatestile.transport import messages
+
+RESERVED_DESCRIPTORS = 200
+"""Descriptors that are not used for callers and their requests: files, and
+connections to the store and to other hosts."""
+
+MIN_CONNECTIONS = 16
+"""Connections that are accepted however few descriptors there are."""
+
+RETRY_AFTER = 0.5
+"""Retry-after time of a request that is refused for memory or connections,
+seconds: twice the time after which progress counts half."""
+
+MIN_RETRY_AFTER = 0.05
+"""Shortest retry-after time, seconds."""
+
+RETRY_AFTER_SHARE = 0.3
+"""Largest share of its time left that a caller is told to wait; callers honour
+a third."""
+
+
+class Connection(typing.Protocol):
+    """A connection of a caller."""
+
+    def __hash__(self) -> int:
+        """Return the hash of its identity."""
+
+    @property
+    def response_memory(self) -> int:
+        """What a response takes until it is read, bytes."""
+
+    def take_read_progress(self) -> int:
+        """Return how much the caller has read since the last call, bytes."""
+
+    def refuse(self, status: int, cause: str) -> None:
+        """Refuse the request that is received, or close the connection."""
+
+    def abort_for(self, cause: str) -> None:
+        """Close the connection immediately."""
+
+
+def ignore_deadlines(headers: messages.Headers) -> float | None:
+    """Return that a request names no deadline."""
+    return None
+
+
+def standard_headers(retry_after: float | None) -> messages.Headers:
+    """Return the header for a retry-after time in whole seconds."""
+    if retry_after is None:
+        return []
+    return [(b"retry-after", b"%d" % max(1, round(retry_after)))]
+
+
+class CallerGuard:
+    """Keeps callers within the memory and the descriptors of the machine.
+
+    Parameters
+    ----------
+    memory : int or None, optional
+        Memory that the process may use, bytes; None if unknown.
+    descriptors : int or None, optional
+        Descriptors that the process may open; None to use the limit of the
+        system.
+    time_left : callable, optional
+        Returns how long the caller of a request with these headers waits,
+        seconds, None if it does not say.
+    refusal_headers : callable, optional
+        Returns the headers of a refusal for a retry-after time.
+    count : callable, optional
+        Called with "refused" or "closed" and a cause for each caller.
+    """
+
+    def __init__(
+        self,
+        memory: int | None = None,
+        descriptors: int | None = None,
+        time_left: typing.Callable[
+            [messages.Headers], float | None
+        ] = ignore_deadlines,
+        refusal_headers: typing.Callable[
+            [float | None], messages.Headers
+        ] = standard_headers,
+        count: typing.Callable[[str, str], None] = lambda action, cause: None,
+    ) -> None:
+        self.requests: caller_memory.CallerMemory[Connection] = (
+            caller_memory.CallerMemory.for_requests(memory)
+        )
+        self.responses: caller_memory.CallerMemory[Connection] = (
+            caller_memory.CallerMemory.for_responses(memory)
+        )
+        self.max_connections = max_connections(descriptors)
+        self.time_left = time_left
+        self._refusal_headers = refusal_headers
+        self._count = count
+
+    def refusal_headers(
+        self, status: int, time_left: float | None
+    ) -> messages.Headers:
+        """Return the headers of a refusal.
+
+        Parameters
+        ----------
+        status : int
+            Status of the refusal.
+        time_left : float or None
+            How long the caller waits, seconds; None if unknown.
+        """
+        if status != 503:
+            return self._refusal_headers(None)
+        retry_after = RETRY_AFTER
+        if time_left is not None:
+            retry_after = min(retry_after, time_left * RETRY_AFTER_SHARE)
+        return self._refusal_headers(max(MIN_RETRY_AFTER, retry_after))
+
+    def on_ended(self, action: str, cause: str, **fields: object) -> None:
+        """Count and log a caller that was refused or closed."""
+        self._count(action, cause)
+        events.emit(f"caller_{action}", cause=cause, **fields)
+
+    def on_request_memory(
+        self,
+        connection: Connection,
+        size: int,
+        progress: int,
+        now: float,
+        is_unfinished: bool,
+    ) -> None:
+        """Record what the requests of a connection take.
+
+        Parameters
+        ----------
+        connection : Connection
+            The connection.
+        size : int
+            What its requests take, bytes.
+        progress : int
+            Bytes received since the last call.
+        now : float
+            Clock, seconds.
+        is_unfinished : bool
+            Whether a request is being received.
+        """
+        self.requests.update(connection, size, progress, now, is_unfinished)
+        while True:
+            chosen = self.requests.excess(connection, now)
+            if chosen is None:
+                return
+            self.requests.discard(chosen)
+            chosen.refuse(503, "memory")
+
+    def on_unread(self, connection: Connection, now: float) -> None:
+        """Record that a caller does not read its response at present.
+
+        Parameters
+        ----------
+        connection : Connection
+            The connection.
+        now : float
+            Clock, seconds.
+        """
+        size = connection.response_memory
+        # The size counts as progress: the caller could not read it yet.
+        self.responses.update(connection, size, size, now)
+        if self.responses.excess(connection, now) is None:
+            return
+        for other in self.responses.callers():
+            self.responses.update(
+                other, other.response_memory, other.take_read_progress(), now
+            )
+        while True:
+            chosen = self.responses.excess(connection, now)
+            if chosen is None:
+                return
+            self.responses.discard(chosen)
+            chosen.abort_for("unread_responses")
+
+    def discard(self, connection: Connection) -> None:
+        """Forget a connection that has ended."""
+        self.requests.discard(connection)
+        self.responses.discard(connection)
+
+
+def max_connections(descriptors: int | None) -> int:
+    """Return how many callers may be connected.
+
+    Each may have a request at a server, which takes another descriptor.
+
+    Parameters
+    ----------
+    descriptors : int or None
+        Descriptors that the process may open; None to use the limit of the
+        system.
+    """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors is not None:
+        allowed = min(allowed, descriptors)
+    return max(MIN_CONNECTIONS, (allowed - RESERVED_DESCRIPTORS) // 2)
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -344,7 +344,7 @@
         self._result = messages.Response(
             self._parser.get_status_code(),
             self._headers,
-            bytes(self._body),
+            messages.fixed_body(self._body),
             _loop_time() - (self._first_data_at or _loop_time()),
         )
         self._discard_body()
@@ -607,6 +607,9 @@
             connection.abort()
         else:
             self.release(peer, connection)
+        if isinstance(result, messages.Response):
+            # Parts of it are kept and used as keys.
+            return result._replace(body=bytes(result.body))
         return result
 
 
--- a/src/agatestile/transport/messages.py
+++ b/src/agatestile/transport/messages.py
@@ -8,6 +8,9 @@
 Headers = list[tuple[bytes, bytes]]
 """Header names in lower case with values stripped of white space."""
 
+COPIED_BODY_BYTES = 64 * 1024
+"""Largest received body that is copied into one of fixed size, bytes."""
+
 REASON_PHRASES_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -73,15 +76,15 @@
         Status code.
     headers : Headers
         Headers in the order in which they arrived.
-    body : bytes
-        Complete body.
+    body : bytes or bytearray
+        Complete body; a large one is not copied into `bytes`.
     receive_seconds : float
         Time between the first and the last byte, for received responses.
     """
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     receive_seconds: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
@@ -134,3 +137,10 @@
         headers = [*headers, (b"content-length", length)]
     start = b"%b %b HTTP/1.1" % (request.method, request.target)
     return encode_head(start, headers)
+
+
+def fixed_body(received: bytearray) -> bytes | bytearray:
+    """Return a received body, as `bytes` unless it is large."""
+    if len(received) <= COPIED_BODY_BYTES:
+        return bytes(received)
+    return received
--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 import httptools
 
 from agatestile.observability import events
+from agatestile.transport import caller_guard
+from agatestile.transport import framing_counter
 from agatestile.transport import messages
+from agatestile.transport import upgrade_offers
 
 if typing.TYPE_CHECKING:
     from agatestile.catalog import configuration
@@ -28,6 +32,22 @@
 """Received data that is parsed before the pending requests are counted,
 bytes."""
 
+JOINED_BODY_BYTES = 64 * 1024
+"""Largest body that is written together with its head, bytes."""
+
+HEADER_MEMORY_BYTES = 130
+"""What a short header takes beside its own bytes."""
+
+WRITE_BUFFER_BYTES = 16 * 1024
+"""Unread bytes from which a connection's responses count as unread. What is
+below is kept for each connection."""
+
+BUSY_CHECK_SECONDS = 0.5
+"""Interval of the checks whether the requests before a body have ended."""
+
+TIMER_SLACK_SECONDS = 0.005
+"""Time by which a timer may be early."""
+
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 Handler = typing.Callable[
@@ -45,16 +65,25 @@
         disconnects.
     limits : callable
         Returns the limits on callers that currently apply.
+    guard : caller_guard.CallerGuard, optional
+        Limits that all callers share.
+
+    Attributes
+    ----------
+    connections : dict
+        Open connections, the one that was used last at the end.
     """
 
     def __init__(
         self,
         handler: Handler,
         limits: typing.Callable[[], configuration.CallerLimits],
+        guard: caller_guard.CallerGuard | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
-        self.connections: set[ServerConnection] = set()
+        self.guard = guard or caller_guard.CallerGuard()
+        self.connections: dict[ServerConnection, None] = {}
         self.is_draining = False
         self._server: asyncio.Server | None = None
 
@@ -83,6 +112,25 @@
         if self._server is not None:
             self._server.close()
 
+    def on_used(self, connection: ServerConnection) -> None:
+        """Record that a connection was opened or used."""
+        self.connections.pop(connection, None)
+        self.connections[connection] = None
+
+    def limit_connections(self) -> None:
+        """End the connection that was not used for longest, if too many.
+
+        Connections whose request is handled go on, unless all are.
+        """
+        if len(self.connections) <= self.guard.max_connections:
+            return
+        newest = next(reversed(self.connections))
+        for connection in self.connections:
+            if not connection.is_handling:
+                newest = connection
+                break
+        newest.end_for_connections()
+
     @property
     def busy_connections(self) -> int:
         """Number of connections with a request in progress."""
@@ -99,37 +147,80 @@
         self._parser = httptools.HttpRequestParser(self)
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
-        self._pending: list[tuple[messages.Request, bool]] = []
+        self._pending: list[tuple[messages.Request, bool, int]] = []
+        self._waiting_size = 0
+        self._framing = framing_counter.FramingCounter()
+        self._progress = 0
         self._unparsed = memoryview(b"")
         self._is_reading = True
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._write_timer: asyncio.TimerHandle | None = None
+        self._response_size = 0
+        self._last_unread = 0
         self._is_rejected = False
         self._is_in_message = False
+        self._is_replaying_head = False
         self._reset_request()
 
+    @property
+    def _guard(self) -> caller_guard.CallerGuard:
+        return self._listener.guard
+
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: messages.Headers = []
         self._body = bytearray()
         self._head_bytes = 0
+        self._has_head = False
+        self._began_at = 0.0
+        self._progress_at = 0.0
+        self._time_left: float | None = None
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being received or handled."""
         return self._task is not None or self._is_in_message
 
+    @property
+    def is_handling(self) -> bool:
+        """Whether a request is being handled."""
+        return self._task is not None
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of responses that the caller has not read."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def response_memory(self) -> int:
+        """What a response takes until it is read, bytes.
+
+        The transport keeps the whole body until it has sent the last byte.
+        """
+        return max(self.unread_bytes, self._response_size)
+
+    def take_read_progress(self) -> int:
+        """Return how much the caller has read since the last call, bytes."""
+        unread = self.unread_bytes
+        read, self._last_unread = self._last_unread - unread, unread
+        return max(0, read)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for a request."""
         # uvloop's transports are not derived from asyncio's.
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._listener.connections.add(self)
+        self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._listener.on_used(self)
         self._start_idle_timer()
+        self._listener.limit_connections()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request, since its response cannot be delivered."""
-        self._listener.connections.discard(self)
+        self._listener.connections.pop(self, None)
+        self._guard.discard(self)
         self._stop_timer()
         self._stop_write_timer()
         if self._task is not None:
@@ -141,6 +232,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
+        self._listener.on_used(self)
         if self._unparsed:
             data = bytes(self._unparsed) + data
         self._unparsed = memoryview(data)
@@ -153,12 +245,16 @@
         """
         self._can_write.clear()
         if self._transport is not None:
-            size = self._transport.get_write_buffer_size()
+            size = self.unread_bytes
             self._start_write_timer(size, STALLED_CHECKS)
+            self._last_unread = size
+            self._guard.on_unread(self, self._loop.time())
 
     def resume_writing(self) -> None:
         """Continue with the pending requests."""
         self._can_write.set()
+        self._response_size = 0
+        self._guard.responses.discard(self)
         self._stop_write_timer()
 
     def _parse_received(self) -> None:
@@ -168,17 +264,69 @@
             and not self._is_rejected
             and len(self._pending) <= MAX_PENDING_REQUESTS
         ):
-            data = self._unparsed[:PARSED_SLICE_BYTES]
-            self._unparsed = self._unparsed[PARSED_SLICE_BYTES:]
+            view = self._unparsed
+            data = view[:PARSED_SLICE_BYTES]
+            self._unparsed = view[PARSED_SLICE_BYTES:]
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserCallbackError:
                 self._unparsed = memoryview(b"")
-            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-                self._reject(400)
+            except httptools.HttpParserUpgrade as upgrade:
+                self._unparsed = view[upgrade.args[0] :]
+                self._continue_without_upgrade()
+            except httptools.HttpParserError:
+                self._reject(400, "malformed")
+            self._check_framing(len(data))
         if self._is_rejected:
             self._unparsed = memoryview(b"")
         self._set_reading(not self._unparsed)
+        self._count_memory()
+        if self._has_head and self._timer is None:
+            self._check_body_progress()
+
+    def _continue_without_upgrade(self) -> None:
+        """Receive the body of a request that offers another protocol."""
+        method = self._parser.get_method()
+        if method == b"CONNECT":
+            self._reject(400, "malformed")
+            return
+        head = upgrade_offers.head_without_offer(
+            self._parser.get_http_version(), method, self._headers
+        )
+        self._is_replaying_head = True
+        self._parser = httptools.HttpRequestParser(self)
+        try:
+            self._parser.feed_data(head)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(400, "malformed")
+
+    def _check_framing(self, size: int) -> None:
+        framing = self._framing
+        framing.add(size)
+        limit = self._listener.limits().header_bytes
+        if framing.exceeds(limit, self._is_in_message):
+            if self._is_in_message:
+                self._reject(431, "head_size")
+            else:
+                self._reject(400, "empty_lines")
+
+    def _count_memory(self) -> None:
+        """Record what the requests of the connection take."""
+        if self._is_rejected:
+            return
+        size = self._waiting_size + len(self._unparsed) + self._request_size()
+        progress, self._progress = self._progress, 0
+        self._guard.on_request_memory(
+            self, size, progress, self._loop.time(), self._is_in_message
+        )
+
+    def _request_size(self) -> int:
+        """Return what the request that is received takes, bytes."""
+        if not self._is_in_message:
+            return 0
+        headers = len(self._headers) * HEADER_MEMORY_BYTES
+        framing = self._framing.size
+        return self._head_bytes + headers + framing + len(self._body)
 
     def _set_reading(self, is_reading: bool) -> None:
         transport = self._transport
@@ -194,8 +342,12 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request and start its header timeout."""
+        if self._is_replaying_head:
+            return
         self._reset_request()
+        self._framing.on_progress()
         self._is_in_message = True
+        self._began_at = self._loop.time()
         self._stop_timer()
         self._timer = self._loop.call_later(
             self._listener.limits().header_timeout, self._on_head_timeout
@@ -203,37 +355,60 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
+        if self._is_replaying_head:
+            return
         self._target += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
+        if self._is_replaying_head:
+            return
         self._headers.append((name.lower(), value.strip()))
         # 4 bytes for the colon, the space and the line end.
         self._count_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Stop the header timeout."""
+        if self._is_replaying_head:
+            self._is_replaying_head = False
+            return
+        self._framing.on_progress()
+        self._has_head = True
+        self._progress_at = self._loop.time()
         self._stop_timer()
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
+        self._framing.on_progress()
+        self._progress_at = self._loop.time()
+        self._progress += len(body)
         self._body += body
         if len(self._body) > self._listener.limits().body_bytes:
-            self._reject(413)
+            self._reject(413, "body_size")
             raise ValueError("request body exceeds the limit")
+        self._count_memory()
+        if self._is_rejected:
+            raise ValueError("request body exceeds the memory for callers")
 
     def on_message_complete(self) -> None:
         """Queue the request behind those that arrived before it."""
+        if self._parser.should_upgrade():
+            # The parser stops here and leaves the body.
+            return
+        size = self._request_size()
+        self._framing.on_progress()
         self._is_in_message = False
         request = messages.Request(
             self._parser.get_method(),
             self._target,
             self._headers,
-            bytes(self._body),
+            messages.fixed_body(self._body),
         )
         self._reset_request()
-        self._pending.append((request, self._parser.should_keep_alive()))
+        self._stop_timer()
+        self._waiting_size += size
+        self._pending.append((request, self._parser.should_keep_alive(), size))
         if self._task is None:
             self._task = self._loop.create_task(self._handle_pending())
 
@@ -242,6 +417,42 @@
         if not self.is_busy and self._transport is not None:
             self._transport.close()
 
+    def refuse(self, status: int, cause: str) -> None:
+        """Refuse the request that is received, or close the connection."""
+        if self._is_in_message:
+            self._reject(status, cause)
+        else:
+            self.abort_for(cause)
+
+    def end_for_connections(self) -> None:
+        """End the connection, as there are too many.
+
+        A caller that reads gets a refusal if it may be sending a request.
+        """
+        transport = self._transport
+        if transport is None:
+            return
+        if self.is_handling or self._is_rejected or self.unread_bytes:
+            self.abort_for("connections")
+            return
+        self._reject(503, "connections")
+        transport.close()
+
+    def abort_for(self, cause: str) -> None:
+        """Close the connection immediately, with a line in the log."""
+        self._guard.on_ended("closed", cause)
+        self._release()
+        self.abort()
+
+    def _release(self) -> None:
+        """Release the memory of requests that are not handled."""
+        self._is_rejected = True
+        self._is_in_message = False
+        self._reset_request()
+        self._pending.clear()
+        self._unparsed = memoryview(b"")
+        self._guard.requests.discard(self)
+
     def abort(self) -> None:
         """Close the connection immediately."""
         if self._transport is not None:
@@ -251,7 +462,9 @@
         try:
             while self._pending:
                 await self._can_write.wait()
-                request, keep_alive = self._pending.pop(0)
+                if not self._pending:
+                    return
+                request, keep_alive, size = self._pending.pop(0)
                 if not self._is_reading:
                     self._parse_received()
                 try:
@@ -263,6 +476,10 @@
                     self.abort()
                     return
                 self._write(request, response, keep_alive)
+                # They may be large, and the next request may have to wait.
+                del request, response
+                self._waiting_size -= size
+                self._count_memory()
         finally:
             self._task = None
         if not self._is_in_message:
@@ -286,31 +503,80 @@
             headers.append((b"content-length", b"%d" % len(response.body)))
         if not keep_alive:
             headers.append((b"connection", b"close"))
-        transport.write(_encode_head(response.status, headers) + response.body)
+        head = _encode_head(response.status, headers)
+        self._listener.on_used(self)
+        self._response_size = len(head) + len(response.body)
+        if len(response.body) <= JOINED_BODY_BYTES:
+            transport.write(head + response.body)
+        else:
+            transport.write(head)
+            transport.write(response.body)
         if not keep_alive:
             transport.close()
 
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._listener.limits().header_bytes:
-            self._reject(431)
+            self._reject(431, "head_size")
             raise ValueError("request head exceeds the limit")
 
     def _on_head_timeout(self) -> None:
         self._timer = None
-        self._reject(408)
+        self._reject(408, "head_timeout")
+
+    def _check_body_progress(self) -> None:
+        """Reject a body that stalls or is later than its caller waits.
+
+        It waits for the requests before it, since it closes the connection.
+        """
+        self._timer = None
+        if self.is_handling:
+            self._timer = self._loop.call_later(
+                BUSY_CHECK_SECONDS, self._check_body_progress
+            )
+            return
+        ends = self._progress_at + self._listener.limits().idle_timeout
+        cause = "body_stalled"
+        deadline = self._deadline()
+        if deadline < ends:
+            ends, cause = deadline, "deadline"
+        left = ends - self._loop.time()
+        if left <= TIMER_SLACK_SECONDS:
+            self._reject(408, cause)
+            return
+        self._timer = self._loop.call_later(left, self._check_body_progress)
+
+    def _deadline(self) -> float:
+        """Return until when the caller waits, seconds."""
+        if self._time_left is None:
+            time_left = self._guard.time_left(self._headers)
+            self._time_left = math.inf if time_left is None else time_left
+        return self._began_at + self._time_left
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, cause: str) -> None:
+        """Refuse the request that is received and close the connection.
+
+        It has not run. Requests before it on the same connection may have, so
+        that the connection then closes without a response.
+        """
         self._stop_timer()
         transport = self._transport
         if transport is None or self._is_rejected:
             return
-        self._is_rejected = True
-        self._is_in_message = False
+        time_left = None
+        if self._has_head:
+            time_left = self._guard.time_left(self._headers)
+        self._release()
         if self._task is not None:
+            self._guard.on_ended("closed", cause)
             transport.close()
             return
-        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        self._guard.on_ended("refused", cause, status=status)
+        headers = [
+            *self._guard.refusal_headers(status, time_left),
+            (b"content-length", b"0"),
+            (b"connection", b"close"),
+        ]
         transport.write(_encode_head(status, headers))
         # An immediate close would reset the connection while the caller is
         # still sending, and the reset would discard the response.
@@ -346,6 +612,7 @@
             self._start_write_timer(size, checks - 1)
         else:
             events.emit("caller_stalled", unread_bytes=size)
+            self._guard.on_ended("closed", "response_stalled")
             self.abort()
 
     def _stop_write_timer(self) -> None:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -30,7 +30,7 @@
     r"|X-Deadline-Ms|X-Request-Id|X-Warmup-Ms|log-append|log-read|log-newest"
     r"|log-join|keyed\.\w|warmupLeftMs|trafficSplit|edgeAddr"
     r"|pathPrefix|AGATESTILE_BOOT|Server-Leaving|Server-Limit|linkMbps"
-    r"|memoryMb",
+    r"|memoryMb|maxFds",
     re.IGNORECASE,
 )
 
@@ -218,6 +218,7 @@
 cores = 2
 linkMbps = 200.0
 memoryMb = 430
+maxFds = 4100
 """,
         "file",
     )
@@ -227,6 +228,7 @@
     assert loaded.bounds.grace == 6.0
     assert loaded.link_rate == 25e6
     assert loaded.memory == 430_000_000
+    assert loaded.descriptors == 4100
 
 
 @pytest.mark.parametrize(
--- a/tests/transport/test_server_input.py
+++ b/tests/transport/test_server_input.py
@@ -51,6 +51,12 @@
 
     abort = close
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return self.is_closed
 
