Count nothing for callers that are gone

A handler that returned although its caller had disconnected counted the requests behind it again, and nothing ever discarded them. The connection now releases its requests when it is lost.

--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -220,6 +220,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request, since its response cannot be delivered."""
         self._listener.connections.pop(self, None)
+        # A handler that still returns must not count anything again.
+        self._release()
         self._guard.discard(self)
         self._stop_timer()
         self._stop_write_timer()
--- a/tests/transport/test_hostile_input.py
+++ b/tests/transport/test_hostile_input.py
@@ -233,3 +233,29 @@
         assert await _status(reader) == b"200"
         assert setup.ended == [("closed", "unread_responses")]
         assert setup.guard.responses.total == 0
+
+
+async def test_lost_connections_leave_nothing_behind() -> None:
+    """Guards against a sum that grows until every request is refused."""
+    ended = asyncio.Event()
+
+    async def respond(request: messages.Request) -> messages.Response:
+        try:
+            await asyncio.sleep(5.0)
+        except asyncio.CancelledError:
+            # The response of a handler that returns all the same.
+            ended.set()
+        return messages.Response(200, [], b"")
+
+    async with _listening() as setup:
+        setup.listener.handler = respond
+        _, writer = await setup.connect()
+        writer.write(GET * 3 + POST + b"content-length: 9\r\n\r\nb")
+        await asyncio.sleep(0.05)
+        assert setup.guard.requests.total > 0
+        writer.transport.abort()
+        async with asyncio.timeout(1.0):
+            await ended.wait()
+        await asyncio.sleep(0.05)
+        assert setup.guard.requests.total == 0
+        assert not setup.listener.connections
