--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -29,6 +29,7 @@
 from agatestile.observability import counters
 from agatestile.observability import events
 from agatestile.results import outcomes
+from agatestile.transport import caller_guard
 from agatestile.transport import client
 from agatestile.transport import messages
 from agatestile.transport import server
@@ -38,6 +39,7 @@
     from agatestile.entry import header_port
     from agatestile.node import settings as settings_module
     from agatestile.store import port
+    from agatestile.transport import buffered_bytes
 
 READINESS_NOTICE_SECONDS = 2.6
 """How long a stopping host accepts new connections: until the load balancer's
@@ -88,7 +90,7 @@
         Names and formats of HTTP headers.
     load_settings : callable
         Reads the settings again for a reload.
-    buffered : client.BufferedBytes
+    buffered : buffered_bytes.BufferedBytes
         Limit that all connections of the host share.
     """
 
@@ -99,7 +101,7 @@
     load_settings: typing.Callable[
         [], settings_module.NodeSettings | outcomes.Refusal
     ]
-    buffered: client.BufferedBytes
+    buffered: buffered_bytes.BufferedBytes
 
 
 class Node:
@@ -205,8 +207,16 @@
             clock.boot_time,
             self.quota_exchange.quotas,
         )
+        header_format = platform.header_format
+        self.caller_guard = caller_guard.CallerGuard(
+            settings.memory,
+            settings.descriptors,
+            lambda headers: header_format.read_request(headers).time_left,
+            header_format.refusal_headers,
+            self._count_ended_caller,
+        )
         self.caller_listener = server.Listener(
-            self.handler.handle, self._caller_limits
+            self.handler.handle, self._caller_limits, self.caller_guard
         )
         self.readiness_listener = server.Listener(
             self._on_readiness_check, self._caller_limits
@@ -388,6 +398,9 @@
             "requests_in_progress",
             lambda: self.caller_listener.busy_connections,
         )
+        guard = self.caller_guard
+        gauge("caller_request_bytes", lambda: guard.requests.total)
+        gauge("caller_unread_bytes", lambda: guard.responses.total)
         gauge("configuration_version", configuration_version)
         gauge("configuration_problems", configuration_problems)
         gauge(
@@ -409,6 +422,9 @@
         gauge("server_connections_opened", lambda: self.server_pool.opened)
         self.quota_exchange.add_gauges(self.registry)
 
+    def _count_ended_caller(self, action: str, cause: str) -> None:
+        self.registry.count("callers_ended_total", action=action, cause=cause)
+
     async def _on_metrics(
         self, request: messages.Request
     ) -> messages.Response:
--- a/src/agatestile/platform/__main__.py
+++ b/src/agatestile/platform/__main__.py
@@ -7,6 +7,7 @@
 
 import uvloop
 
+from agatestile.node import allocator
 from agatestile.node import node
 from agatestile.node import settings as node_settings
 from agatestile.observability import events
@@ -16,6 +17,7 @@
 from agatestile.platform import settings
 from agatestile.platform import store
 from agatestile.results import outcomes
+from agatestile.transport import buffered_bytes
 from agatestile.transport import client
 
 
@@ -25,6 +27,7 @@
     if isinstance(loaded, outcomes.Refusal):
         print(loaded, file=sys.stderr)
         return 2
+    allocator.map_large_blocks()
     events.configure(events.EventLog(1, loaded.host))
     uvloop.run(_run(loaded))
     return 0
@@ -32,7 +35,7 @@
 
 async def _run(loaded: node_settings.NodeSettings) -> None:
     now = asyncio.get_running_loop().time
-    buffered = client.BufferedBytes.from_memory(loaded.memory)
+    buffered = buffered_bytes.BufferedBytes.from_memory(loaded.memory)
     adapter = node.PlatformAdapter(
         store.PlatformStore(client.Pool(now, buffered=buffered), loaded.store),
         orders.PlatformOrders(client.Pool(now, buffered=buffered)),
--- a/src/agatestile/transport/messages.py
+++ b/src/agatestile/transport/messages.py
@@ -8,6 +8,9 @@
 Headers = list[tuple[bytes, bytes]]
 """Header names in lower case with values stripped of white space."""
 
+COPIED_BODY_BYTES = 64 * 1024
+"""Largest received body that is copied into one of fixed size, bytes."""
+
 REASON_PHRASES_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -43,12 +46,22 @@
 
 
 class Request(typing.NamedTuple):
-    """A complete HTTP request."""
+    """A complete HTTP request.
+
+    Attributes
+    ----------
+    method, target : bytes
+        Method and target of the first line.
+    headers : Headers
+        Headers in the order in which they arrived.
+    body : bytes or bytearray
+        Complete body; a large one is not copied into `bytes`.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if it is absent."""
@@ -64,15 +77,15 @@
         Status code.
     headers : Headers
         Headers in the order in which they arrived.
-    body : bytes
-        Complete body.
+    body : bytes or bytearray
+        Complete body; a large one is not copied into `bytes`.
     receive_seconds : float
         Time between the first and the last byte, for received responses.
     """
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     receive_seconds: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
@@ -116,3 +129,19 @@
     lines += [b"%b: %b" % pair for pair in headers]
     lines.append(b"\r\n")
     return b"\r\n".join(lines)
+
+
+def encode_request_head(request: Request, headers: Headers) -> bytes:
+    """Encode the head of a request with these headers and its length."""
+    if request.body or request.method not in (b"GET", b"HEAD"):
+        length = b"%d" % len(request.body)
+        headers = [*headers, (b"content-length", length)]
+    start = b"%b %b HTTP/1.1" % (request.method, request.target)
+    return encode_head(start, headers)
+
+
+def fixed_body(received: bytearray) -> bytes | bytearray:
+    """Return a received body, as `bytes` unless it is large."""
+    if len(received) <= COPIED_BODY_BYTES:
+        return bytes(received)
+    return received
