Read the era of the store

The store may return from an older copy and names an era in the header Store-Era of each response, which increases by one each time. The store's port names it with each page and membership and, for appends and refusals, as the newest era. A response of an earlier era than the newest one is refused, as is a listing whose pages are of two eras. Nothing uses the era yet; without the header it is 0.

--- a/bench/explorer/hosts.py
+++ b/bench/explorer/hosts.py
@@ -139,6 +139,7 @@
         self._host = host
         self._world = host.world
         self._draw = host.world.random(f"store {host.name}")
+        self.era = 0
 
     async def _travel(self) -> None:
         is_slow = self._world.slow_stores.fails(self._host.name)
--- a/src/agatestile/platform/store.py
+++ b/src/agatestile/platform/store.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from agatestile.observability import events
 from agatestile.results import codes
 from agatestile.results import decoding
 from agatestile.results import outcomes
@@ -26,6 +27,10 @@
 LISTING_PAGE_LIMIT = 1000
 """Number of pages after which a listing is abandoned."""
 
+_ERA_HEADER = b"store-era"
+_MAX_ERA_DIGITS = 18
+"""Longest number of an era; hosts send it to each other in 64 bits."""
+
 _CODES = codes.ResultCode
 _TOPIC_PREFIX = "keyed."
 """Prefix of topics that keep the newest record of each key."""
@@ -70,13 +75,20 @@
     def __init__(self, pool: client.Pool, address: client.Address) -> None:
         self._pool = pool
         self._address = address
+        self._era = 0
         self.calls = 0
 
+    @property
+    def era(self) -> int:
+        """Return the newest era that a response has named."""
+        return self._era
+
     async def read_newest(self, topic: str) -> port.Page | outcomes.Refusal:
         """Return the newest record of each key."""
         records: list[port.Record] = []
         after = ""
         end = None
+        era = None
         receive_seconds = 0.0
         for _ in range(LISTING_PAGE_LIMIT):
             query = {"topic": _TOPIC_PREFIX + topic, "part": "0"}
@@ -85,8 +97,14 @@
             response = await self._call(b"GET", "/log-newest", query)
             if isinstance(response, outcomes.Refusal):
                 return response
+            era = self._era if era is None else era
+            if era != self._era:
+                return outcomes.Refusal(
+                    _CODES.LOG_UNAVAILABLE,
+                    f"the store was restored while {topic} was listed",
+                )
             if response.status == 404:
-                return port.Page([], 0)
+                return port.Page([], 0, era=era)
             if response.status != 200:
                 return _to_refusal(response)
             try:
@@ -102,7 +120,9 @@
             # are read again from its end.
             end = listing.end if end is None else end
             if not listing.hasMore or not listing.items:
-                return port.Page(records, end, receive_seconds=receive_seconds)
+                return port.Page(
+                    records, end, receive_seconds=receive_seconds, era=era
+                )
             after = listing.items[-1].key
         return outcomes.Refusal(
             _CODES.LOG_UNAVAILABLE,
@@ -137,7 +157,7 @@
         if isinstance(response, outcomes.Refusal):
             return response
         if response.status == 404:
-            return port.Page([], start)
+            return port.Page([], start, era=self._era)
         if response.status != 200:
             return _to_refusal(response)
         try:
@@ -147,7 +167,11 @@
             return _invalid_response(error)
         end = start + len(records)
         return port.Page(
-            records, end, end >= topic_end, response.receive_seconds
+            records,
+            end,
+            end >= topic_end,
+            response.receive_seconds,
+            self._era,
         )
 
     async def append(
@@ -191,7 +215,7 @@
         except decoding.DECODE_ERRORS as error:
             return _invalid_response(error)
         partitions = frozenset(partition for _, partition, _ in joined.parts)
-        return port.Membership(joined.generation, partitions)
+        return port.Membership(joined.generation, partitions, self._era)
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group; without a response the membership expires."""
@@ -254,12 +278,37 @@
             max_body=max_body,
         )
         if isinstance(response, messages.Response):
-            return response
+            if self._is_of_newest_era(response):
+                return response
+            return outcomes.Refusal(
+                _CODES.LOG_UNAVAILABLE
+                if method == b"GET"
+                else _CODES.LOG_OUTCOME_UNKNOWN,
+                f"the response is older than era {self._era} of the store",
+            )
         is_not_sent = response.kind is messages.FailureKind.NOT_SENT
         if is_not_sent or method == b"GET":
             return outcomes.Refusal(_CODES.LOG_UNAVAILABLE, response.reason)
         return outcomes.Refusal(_CODES.LOG_OUTCOME_UNKNOWN, response.reason)
 
+    def _is_of_newest_era(self, response: messages.Response) -> bool:
+        """Note the era of a response; return whether none is newer.
+
+        A response without a readable era counts as of the newest one.
+        """
+        for name, value in response.headers:
+            if name.lower() != _ERA_HEADER:
+                continue
+            if not value.isdigit() or len(value) > _MAX_ERA_DIGITS:
+                continue
+            era = int(value)
+            if era < self._era:
+                return False
+            if era > self._era:
+                events.emit("store_era", era=era, earlier=self._era)
+                self._era = era
+        return True
+
 
 def _decode_owner_rows(body: bytes) -> list[tuple[str, int, str, int]]:
     """Return rows of topic, partition, member and offset.
--- a/src/agatestile/store/port.py
+++ b/src/agatestile/store/port.py
@@ -40,12 +40,15 @@
         Whether the topic has no further records.
     receive_seconds : float
         Time between the first and the last byte of the page.
+    era : int
+        Era of the store in which all of the page was read.
     """
 
     records: list[Record]
     end: int
     is_last: bool = True
     receive_seconds: float = 0.0
+    era: int = 0
 
 
 class Membership(typing.NamedTuple):
@@ -57,10 +60,13 @@
         Number of the last change of the group.
     partitions : frozenset of int
         Partitions that are assigned to the member.
+    era : int
+        Era of the store in which it was joined or renewed.
     """
 
     generation: int
     partitions: frozenset[int]
+    era: int = 0
 
 
 class Store(typing.Protocol):
@@ -70,8 +76,22 @@
     `LOG_UNAVAILABLE` if the call had no effect, `LOG_OUTCOME_UNKNOWN` if it
     may have had one, `RECORD_STALE` if the condition of an append is not
     met, `LOG_HISTORY_GONE` if the records were deleted.
+
+    The store begins a new era each time it is restored from an older copy.
+    What was acknowledged since that copy is lost, and offsets are assigned
+    again. A response from an earlier era than `era` is refused.
+
+    Attributes
+    ----------
+    era : int
+        Newest era that a response has named, also that of an append or of a
+        refusal; 0 if none has. It is the era of the call that has just ended.
     """
 
+    @property
+    def era(self) -> int:
+        """Return the newest era that a response has named."""
+
     async def read_newest(self, topic: str) -> Page | outcomes.Refusal:
         """Return the newest record of each key."""
 
--- a/tests/assignment/support.py
+++ b/tests/assignment/support.py
@@ -32,6 +32,7 @@
         self.lost_answers = 0
         self.members: list[str] = []
         self.generation = 0
+        self.era = 0
 
     async def read_newest(self, topic: str) -> port.Page | outcomes.Refusal:
         if self.is_down:
--- a/tests/assignment/test_confirmations.py
+++ b/tests/assignment/test_confirmations.py
@@ -43,6 +43,7 @@
     def __init__(self, store: support.MemoryStore) -> None:
         self._store = store
         self._tasks: anyio.abc.TaskGroup | None = None
+        self.era = 0
         self.is_cut = False
         self.refuses_joins = False
         self.suspension_seconds = 0.0
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -315,3 +315,73 @@
     refusal = await _store(result).append("x", [], 0)
     assert isinstance(refusal, outcomes.Refusal)
     assert refusal.code == code
+
+
+_END = b'{"end":9}'
+
+
+def _of_era(
+    era: bytes, body: bytes = b'{"items":[],"end":9}', status: int = 200
+) -> messages.Response:
+    return messages.Response(status, [(b"store-era", era)], body)
+
+
+@pytest.mark.anyio
+async def test_responses_name_the_era_of_the_store() -> None:
+    """Guards against a restored store that goes unnoticed."""
+    joined = b'{"generation":4,"parts":[["x",0,0]]}'
+    read = (9).to_bytes(8, "big") + bytes(8)
+    log = _store(
+        _of_era(b"3"),
+        _of_era(b"3", read),
+        _of_era(b"4", joined),
+        _of_era(b"5", _END),
+        _of_era(b"6", b"", 412),
+        _of_era(b"7", b"", 503),
+    )
+    listing = await log.read_newest("x")
+    page = await log.read("x", 9, 0.0)
+    membership = await log.join("x", "host-1", 1.0, 0)
+    assert isinstance(listing, port.Page) and listing.era == 3
+    assert isinstance(page, port.Page) and page.era == 3
+    assert isinstance(membership, port.Membership) and membership.era == 4
+    assert await log.append("x", [], 8) == 9
+    assert log.era == 5
+    assert isinstance(await log.append("x", [], 9), outcomes.Refusal)
+    assert log.era == 6
+    assert isinstance(await log.read_newest("x"), outcomes.Refusal)
+    assert log.era == 7
+
+
+@pytest.mark.anyio
+async def test_responses_of_an_earlier_era_are_refused() -> None:
+    """Guards against a late response that brings lost records back."""
+    log = _store(_of_era(b"4"), _of_era(b"3"), _of_era(b"3", _END))
+    await log.read_newest("x")
+    late_page = await log.read_newest("x")
+    late_append = await log.append("x", [], 8)
+    assert isinstance(late_page, outcomes.Refusal)
+    assert late_page.code == codes.ResultCode.LOG_UNAVAILABLE
+    assert isinstance(late_append, outcomes.Refusal)
+    assert late_append.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN
+    assert log.era == 4
+
+
+@pytest.mark.anyio
+async def test_listing_that_spans_two_eras_is_refused() -> None:
+    """Guards against a listing that mixes two copies of a topic."""
+    item = b'{"items":[{"key":"a","value":"eA==","offset":0}],"hasMore":true'
+    log = _store(_of_era(b"3", item + b',"end":6}'), _of_era(b"4"))
+    refusal = await log.read_newest("x")
+    assert isinstance(refusal, outcomes.Refusal)
+    assert refusal.code == codes.ResultCode.LOG_UNAVAILABLE
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("value", [b"", b"-1", b"x", b"1.5", b"9" * 30])
+async def test_unreadable_era_changes_nothing(value: bytes) -> None:
+    """Guards against an error or a huge era from a damaged header."""
+    log = _store(_of_era(value))
+    page = await log.read_newest("x")
+    assert isinstance(page, port.Page)
+    assert (page.era, log.era) == (0, 0)
