--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from agatestile.assignment import admission
+from agatestile.assignment import assignment_writer
 from agatestile.assignment import grant_sender
 from agatestile.assignment import journal
 from agatestile.assignment import late_releases
@@ -32,9 +33,6 @@
 PLAN_INTERVAL_SECONDS = 0.3
 """Interval between plans; a hot range of keys lasts only a few seconds."""
 
-STORE_RETRY_DELAY_SECONDS = 1.0
-"""Delay before the next append after the store refused one."""
-
 ROUND_SECONDS = 0.05
 """Interval in which changes that may wait are told to hosts together: each
 answer costs as much as a change, and there is one for each host."""
@@ -85,7 +83,6 @@
         self._leadership = records.Leadership(0, address)
         self._settles_at = 0.0
         self._superseded_by_epoch = 0
-        self._store_retry_at = 0.0
         self._fencing_tokens = leases.FencingTokens(0)
         self._grant_renewer = renewals.GrantRenewer(
             self, fleet, self._grant_sender, now
@@ -96,6 +93,9 @@
         self._moves = moves_module.MoveExecutor(
             self, fleet, self._grant_sender, self._late_releases, now
         )
+        self._writer = assignment_writer.AssignmentWriter(
+            self, self._journal, self.leader_lease, self._late_releases, now
+        )
         self._changed = anyio.Event()
         self._round_ended = anyio.Event()
         self._round_ends_at = -math.inf
@@ -322,7 +322,7 @@
     async def _settle(self) -> None:
         """Record that no earlier leader can renew grants any longer."""
         settled = _settled(self._leadership)
-        if await self._append(records.encode_leadership(settled)):
+        if await self._writer.append(records.encode_leadership(settled)):
             self._leadership = settled
 
     def supersede(self, epoch: int) -> ports.SupersedeReply:
@@ -556,7 +556,7 @@
         )
         state.changes_being_stored = changes
         try:
-            is_stored = await self._store(
+            is_stored = await self._writer.write_assignment(
                 service, state, state.key_map.replace(changes)
             )
         finally:
@@ -569,70 +569,6 @@
         for change in changes:
             self._moves.start(service, change, tasks)
 
-    async def _store(
-        self,
-        service: str,
-        state: state_module.ServiceState,
-        key_map: ranges.RangeMap,
-    ) -> bool:
-        """Store an assignment; return whether this host may act on it."""
-        servers = self._servers_of(service, state, key_map)
-        added = [records.encode_map(service, key_map)]
-        if servers != state.stored_servers:
-            added.append(records.encode_servers(service, servers))
-        if not await self._append(*added):
-            return False
-        state.stored_servers = servers
-        return True
-
-    def _servers_of(
-        self,
-        service: str,
-        state: state_module.ServiceState,
-        key_map: ranges.RangeMap,
-    ) -> records.ServiceServers:
-        """Return the servers that a successor may have to reach."""
-        names = {owed.server_id for owed in state.owed_releases}
-        for key_range in key_map.ranges:
-            names.add(key_range.owner.server_id)
-            names.add(key_range.source.server_id)
-        recipients = (
-            self._late_releases.recipient_of(service, name) for name in names
-        )
-        return records.ServiceServers.from_state(
-            (one for one in recipients if one is not None),
-            state.owed_releases,
-        )
-
-    async def _append(self, *added: port.Record) -> bool:
-        """Store records; return whether this host may act on them."""
-        epoch = self.epoch
-        if not epoch or self._now() < self._store_retry_at:
-            return False
-        sent = self._now()
-        refusal = await self._journal.append(*added)
-        if epoch != self.epoch:
-            return False
-        if refusal is None:
-            self.leader_lease.confirm(sent)
-            return True
-        self._store_retry_at = self._now() + STORE_RETRY_DELAY_SECONDS
-        events.emit(
-            "assignment_not_stored", record=added[0].key, reason=str(refusal)
-        )
-        if refusal.code == codes.ResultCode.RECORD_STALE:
-            # The condition also fails if an unanswered append of this host
-            # was applied late; taking the leadership again reads it.
-            self.lose_leadership(
-                "stored assignments were changed by another append"
-            )
-        elif refusal.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
-            if await self._journal.is_current() is False:
-                self.lose_leadership(
-                    f"unanswered append of {added[0].key} was applied late"
-                )
-        return False
-
 
 def _settled(leadership: records.Leadership) -> records.Leadership:
     return msgspec.structs.replace(leadership, is_settled=True)
