Store the state again in a new era

Cause: a store that returns from an older copy loses leaderships, moves and owed releases that were acknowledged, and assigns offsets again.

Change: the leadership names the era in which the whole state was last written. A leader that sees a new era sends no new tokens and releases, renews what was taken, and stores all maps, servers and a new epoch in one append once owners have accepted their earlier tokens; keys without that proof wait for all leases. A host that finds a leadership of an earlier era lets all keys wait so. Appends and reads that span two eras prove nothing.

--- a/bench/explorer/mutations.py
+++ b/bench/explorer/mutations.py
@@ -218,8 +218,8 @@
     ),
     "new_fences_at_takeover": (
         Replacement(
-            coordinator.Coordinator,
-            "_with_new_fences",
+            leases.FencingTokens,
+            "renew_all",
             lambda _, key_map: key_map,
         ),
     ),
@@ -228,8 +228,8 @@
     ),
     "new_fences_and_epoch_check": (
         Replacement(
-            coordinator.Coordinator,
-            "_with_new_fences",
+            leases.FencingTokens,
+            "renew_all",
             lambda _, key_map: key_map,
         ),
         Replacement(grant_sender.GrantSender, "_is_of_current_epoch", _always),
--- a/src/agatestile/assignment/assignment_writer.py
+++ b/src/agatestile/assignment/assignment_writer.py
@@ -14,6 +14,7 @@
     from agatestile.assignment import leases
     from agatestile.assignment import ranges
     from agatestile.assignment import state as state_module
+    from agatestile.results import outcomes
     from agatestile.store import port
 
 STORE_RETRY_DELAY_SECONDS = 1.0
@@ -52,6 +53,32 @@
         self._now = now
         self._retry_at = 0.0
 
+    async def write_all(
+        self,
+        leadership: records.Leadership,
+        services: dict[str, state_module.ServiceState],
+        maps: dict[str, ranges.RangeMap],
+    ) -> outcomes.Refusal | None:
+        """Store the leadership and all assignments in one append.
+
+        Parameters
+        ----------
+        leadership : records.Leadership
+            The leadership, last in the append.
+        services : dict of str to state.ServiceState
+            What else is known, by service.
+        maps : dict of str to ranges.RangeMap
+            Range maps to store by service.
+        """
+        added = []
+        for service, key_map in maps.items():
+            state = services[service]
+            state.stored_servers = self._servers_of(service, state, key_map)
+            added.append(records.encode_map(service, key_map))
+            added.append(records.encode_servers(service, state.stored_servers))
+        added.append(records.encode_leadership(leadership))
+        return await self._journal.append(*added)
+
     async def write_assignment(
         self,
         service: str,
@@ -92,6 +119,8 @@
         epoch = self._leader.epoch
         if not epoch or self._now() < self._retry_at:
             return False
+        if self._leader_lease.is_withheld():
+            return False
         sent = self._now()
         refusal = await self._journal.append(*added)
         if epoch != self._leader.epoch:
--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -9,7 +9,9 @@
 import msgspec
 
 from agatestile.assignment import admission
+from agatestile.assignment import announcements
 from agatestile.assignment import assignment_writer
+from agatestile.assignment import eras
 from agatestile.assignment import grant_sender
 from agatestile.assignment import journal
 from agatestile.assignment import late_releases
@@ -17,9 +19,11 @@
 from agatestile.assignment import moves as moves_module
 from agatestile.assignment import planner
 from agatestile.assignment import ports
+from agatestile.assignment import predecessors
 from agatestile.assignment import ranges
 from agatestile.assignment import records
 from agatestile.assignment import renewals
+from agatestile.assignment import restoration
 from agatestile.assignment import state as state_module
 from agatestile.observability import events
 from agatestile.results import codes
@@ -33,17 +37,10 @@
 PLAN_INTERVAL_SECONDS = 0.3
 """Interval between plans; a hot range of keys lasts only a few seconds."""
 
-ROUND_SECONDS = 0.05
-"""Interval in which changes that may wait are told to hosts together: each
-answer costs as much as a change, and there is one for each host."""
-
 INITIAL_REGISTRATION_SECONDS = 1.5
 """Time that the first assignment of a service waits for further servers
 after the first one has registered."""
 
-SETTLING_SECONDS = leases.LEADER_LEASE_SECONDS + leases.GRANT_TIMEOUT_SECONDS
-"""Time after which no earlier leader renews grants any longer."""
-
 
 class Coordinator:
     """Assigns keys to servers while this host is the leader.
@@ -74,7 +71,9 @@
         now: typing.Callable[[], float],
     ) -> None:
         self._journal = journal.Journal(store)
-        self._grant_sender = grant_sender.GrantSender(orders, now)
+        self._grant_sender = grant_sender.GrantSender(
+            orders, now, self._is_withheld
+        )
         self._hosts = hosts
         self._fleet = fleet
         self._address = address
@@ -82,6 +81,7 @@
         self._last_own_epoch = 0
         self._leadership = records.Leadership(0, address)
         self._settles_at = 0.0
+        self._uncertain_until = -math.inf
         self._superseded_by_epoch = 0
         self._fencing_tokens = leases.FencingTokens(0)
         self._grant_renewer = renewals.GrantRenewer(
@@ -96,14 +96,19 @@
         self._writer = assignment_writer.AssignmentWriter(
             self, self._journal, self.leader_lease, self._late_releases, now
         )
-        self._changed = anyio.Event()
-        self._round_ended = anyio.Event()
-        self._round_ends_at = -math.inf
+        self._restoration = restoration.Restoration(
+            self, self._journal, self._writer, self._grant_sender, now
+        )
+        self._announcements = announcements.Announcements(now)
         self._plan_requested = anyio.Event()
         self.epoch = 0
-        self.version = 0
         self.services: dict[str, state_module.ServiceState] = {}
 
+    @property
+    def version(self) -> int:
+        """Number of changes of the assignment that hosts were told of."""
+        return self._announcements.version
+
     @property
     def leader_lease(self) -> leases.LeaderLease:
         """Lease of this host on the leadership."""
@@ -129,8 +134,13 @@
         stored = await self._journal.read()
         if isinstance(stored, outcomes.Refusal):
             return stored
+        era = self._journal.era
+        is_outdated = eras.is_outdated(stored.leadership, era)
+        # The state counts as written in this era once it has been.
         leadership = records.Leadership(
-            stored.leadership.epoch + 1, self._address
+            eras.next_epoch(stored.leadership, stored.maps, era),
+            self._address,
+            era=stored.leadership.era if is_outdated else era,
         )
         sent = self._now()
         refusal = await self._journal.append(
@@ -139,17 +149,29 @@
         if refusal is not None:
             return refusal
         now = appended_at = self._now()
-        self._settles_at = now + SETTLING_SECONDS
+        self._settles_at = now + predecessors.SETTLING_SECONDS
         self._fencing_tokens = leases.FencingTokens(leadership.epoch)
+        services = self._to_services(stored, is_outdated)
+        recipients = [
+            recipient
+            for servers in stored.servers.values()
+            for recipient in servers.to_recipients()
+        ]
+        self._uncertain_until = -math.inf
         if (
-            stored.leadership.epoch != self._last_own_epoch
+            is_outdated
+            or stored.leadership.epoch != self._last_own_epoch
             or not self._last_own_epoch
         ):
-            predecessor = await self._query_predecessor(
-                stored.leadership, leadership.epoch
-            )
+            predecessor = predecessors.UNKNOWN
+            if not is_outdated:
+                predecessor = await predecessors.query(
+                    self._hosts, stored.leadership, leadership
+                )
             now = self._now()
             self._grant_sender.key_leases.take_over(now, predecessor)
+            if era > eras.FIRST_ERA and not predecessor.is_settled:
+                self._assume_unknown_holders(now)
             if predecessor.is_settled:
                 leadership = _settled(leadership)
                 sent = self._now()
@@ -159,7 +181,17 @@
             else:
                 await self._outlast_earlier_leaders(appended_at)
                 sent = self._now()
-                refusal = await self._check_current()
+                if is_outdated:
+                    leadership = msgspec.structs.replace(leadership, era=era)
+                    self._late_releases.start_epoch(recipients)
+                    maps = {
+                        name: state.key_map for name, state in services.items()
+                    }
+                    refusal = await self._writer.write_all(
+                        leadership, services, maps
+                    )
+                else:
+                    refusal = await self._check_current()
             if refusal is not None:
                 return refusal
         if self._superseded_by_epoch > leadership.epoch:
@@ -167,24 +199,7 @@
                 codes.ResultCode.RECORD_STALE,
                 f"superseded by epoch {self._superseded_by_epoch}",
             )
-        self._last_own_epoch = leadership.epoch
-        self._leadership = leadership
-        self._grant_sender.start_epoch(leadership.epoch)
-        self._moves.start_epoch()
-        self._late_releases.start_epoch(
-            recipient
-            for servers in stored.servers.values()
-            for recipient in servers.to_recipients()
-        )
-        self.services = {
-            name: state_module.ServiceState(
-                self._with_new_fences(key_map),
-                now,
-                stored.servers.get(name, records.NO_SERVERS),
-            )
-            for name, key_map in stored.maps.items()
-        }
-        self.epoch = leadership.epoch
+        self._start_epoch(leadership, services, recipients)
         self.leader_lease.confirm(sent)
         self.publish()
         events.emit(
@@ -192,6 +207,8 @@
             epoch=leadership.epoch,
             predecessor=stored.leadership.host,
             resigned=stored.leadership.is_resigned,
+            era=era,
+            stored_era=stored.leadership.era,
             wait=round(
                 self._grant_sender.key_leases.unlisted_remaining(self._now()),
                 2,
@@ -199,32 +216,88 @@
         )
         return None
 
-    async def _query_predecessor(
-        self, previous: records.Leadership, epoch: int
-    ) -> leases.Predecessor:
-        """Return what is known of the grants of the previous leader."""
-        if not previous.epoch:
-            return leases.NO_PREDECESSOR
-        if previous.is_resigned:
-            return leases.Predecessor(
-                previous.remaining_leases, 0.0, previous.is_settled
-            )
-        ended = leases.Predecessor(None, leases.GRANT_TIMEOUT_SECONDS, True)
-        unknown = leases.Predecessor(None, SETTLING_SECONDS, False)
-        if not previous.is_settled:
-            # A leader before the previous one may still renew grants.
-            ended = unknown
-        if previous.host == self._address:
-            # An earlier process of this host, which has ended.
-            return ended
-        reply = await self._hosts.supersede(previous.host, epoch)
-        if reply is None:
-            return unknown
-        if reply.was_holder:
-            return leases.Predecessor(
-                reply.remaining_leases, 0.0, previous.is_settled
+    def _to_services(
+        self, stored: records.StoredAssignments, is_outdated: bool
+    ) -> dict[str, state_module.ServiceState]:
+        """Return what is stored, with new fencing tokens."""
+        maps = stored.maps
+        if is_outdated:
+            known = dict.fromkeys(self._fleet.services(), ranges.RangeMap())
+            maps = {
+                name: eras.with_unknown_holders(key_map)
+                for name, key_map in (known | maps).items()
+            }
+        return {
+            name: state_module.ServiceState(
+                self._fencing_tokens.renew_all(key_map),
+                self._now(),
+                stored.servers.get(name, records.NO_SERVERS),
             )
-        return ended
+            for name, key_map in maps.items()
+        }
+
+    def _start_epoch(
+        self,
+        leadership: records.Leadership,
+        services: dict[str, state_module.ServiceState],
+        recipients: list[ports.Recipient],
+    ) -> None:
+        """Act as the leader of an epoch.
+
+        Parameters
+        ----------
+        leadership : records.Leadership
+            The stored leadership of this host.
+        services : dict of str to state.ServiceState
+            Assignments by service, with tokens of the epoch.
+        recipients : list of ports.Recipient
+            Servers that the stored assignments name.
+        """
+        self._last_own_epoch = leadership.epoch
+        self._leadership = leadership
+        self._grant_sender.start_epoch(leadership.epoch)
+        self._moves.start_epoch()
+        self._late_releases.start_epoch(recipients)
+        self.services = services
+        self.epoch = leadership.epoch
+
+    def _is_withheld(self) -> bool:
+        """Return whether the store lacks what this host has stored."""
+        return self._leadership.era != self._journal.newest_era
+
+    def _assume_unknown_holders(self, since: float) -> None:
+        """Assume that any server may hold keys of which nothing is known.
+
+        Parameters
+        ----------
+        since : float
+            Time after which the store confirmed no earlier leader, seconds.
+        """
+        until = leases.renewed_until(since, predecessors.SETTLING_SECONDS)
+        self._uncertain_until = until
+        self._grant_sender.key_leases.assume_held(
+            ranges.UNKNOWN.server_id, until
+        )
+
+    def _apply_restored(self, restored: restoration.Restored) -> None:
+        """Continue in the epoch under which the state was stored again."""
+        now = self._now()
+        self._settles_at = now + predecessors.SETTLING_SECONDS
+        self._assume_unknown_holders(restored.noticed_at)
+        self._fencing_tokens = restored.fencing_tokens
+        for name, state in self.services.items():
+            state.key_map = restored.maps.get(name, state.key_map)
+        self._start_epoch(restored.leadership, self.services, [])
+        self.leader_lease.confirm(restored.sent_at)
+        self.publish()
+        events.emit(
+            "restoration_finished",
+            era=restored.leadership.era,
+            epoch=self.epoch,
+            uncertain_ranges=restored.uncertain_ranges,
+            wait=round(self._uncertain_until - now, 2),
+            seconds=round(now - restored.noticed_at, 3),
+        )
 
     async def _outlast_earlier_leaders(self, appended_at: float) -> None:
         """Wait until no earlier leader may send new tokens.
@@ -257,32 +330,22 @@
         """
         epoch = self.epoch
         sent = self._now()
-        is_current = await self._journal.is_current()
-        if is_current is None or not epoch or epoch != self.epoch:
+        is_current = None
+        if not self._is_withheld():
+            is_current = await self._journal.is_current()
+        if not epoch or epoch != self.epoch:
             return
-        if is_current:
+        if self._is_withheld():
+            restored = await self._restoration.attempt(self._leadership)
+            if restored is not None:
+                self._apply_restored(restored)
+        elif is_current:
             self.leader_lease.confirm(sent)
-        else:
+        elif is_current is not None:
             self.lose_leadership(
                 "stored assignments were changed by another append"
             )
 
-    def _with_new_fences(self, key_map: ranges.RangeMap) -> ranges.RangeMap:
-        """Return a map with new fencing tokens for all owners.
-
-        Which incarnations have taken the tokens of an earlier leader is not
-        known to this one. The new tokens need not be stored, as a successor
-        replaces them too.
-        """
-        return ranges.RangeMap(
-            [
-                self._with_new_fence(one)
-                if one.owner != ranges.UNOWNED
-                else one
-                for one in key_map.ranges
-            ]
-        )
-
     def _with_new_fence(self, key_range: ranges.KeyRange) -> ranges.KeyRange:
         fence = self._fencing_tokens.next()
         return key_range._replace(owner=key_range.owner._replace(fence=fence))
@@ -384,13 +447,7 @@
 
     async def wait_changed(self, version: int, timeout: float) -> None:
         """Wait until the assignment is newer than a version, or a timeout."""
-        with anyio.move_on_after(timeout):
-            while self.version == version:
-                await self._changed.wait()
-        left = self._round_ends_at - self._now()
-        if left > 0 and self.version != version:
-            with anyio.move_on_after(left):
-                await self._round_ended.wait()
+        await self._announcements.wait_changed(version, timeout)
 
     async def run(self) -> None:
         """Renew grants and plan moves until cancelled."""
@@ -411,18 +468,7 @@
         may_wait : bool
             Whether hosts may learn it with the changes of the same round.
         """
-        now = self._now()
-        if not may_wait:
-            self._round_ends_at = now
-            self._round_ended.set()
-            self._round_ended = anyio.Event()
-        elif now >= self._round_ends_at:
-            # The first change after a quiet round does not wait.
-            is_first = now >= self._round_ends_at + ROUND_SECONDS
-            self._round_ends_at = now if is_first else now + ROUND_SECONDS
-        self.version += 1
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._announcements.publish(may_wait)
 
     # Planning
 
@@ -458,7 +504,10 @@
         for service in self._fleet.services():
             state = self.services.get(service)
             if state is None:
-                state = state_module.ServiceState(ranges.RangeMap(), now)
+                key_map = ranges.RangeMap()
+                if now < self._uncertain_until:
+                    key_map = eras.with_unknown_holders(key_map)
+                state = state_module.ServiceState(key_map, now)
                 self.services[service] = state
             await self._plan(service, state, tasks)
         self._grant_sender.discard_unused(
--- a/src/agatestile/assignment/grant_sender.py
+++ b/src/agatestile/assignment/grant_sender.py
@@ -67,6 +67,9 @@
         Client of the servers.
     now : callable
         Clock that keeps running while the machine is suspended, seconds.
+    is_withheld : callable, optional
+        Returns whether new tokens and releases may not be sent, as the store
+        lacks what this host has stored.
 
     Attributes
     ----------
@@ -77,17 +80,21 @@
     """
 
     def __init__(
-        self, orders: ports.Orders, now: typing.Callable[[], float]
+        self,
+        orders: ports.Orders,
+        now: typing.Callable[[], float],
+        is_withheld: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         self._orders = orders
         self._now = now
         self._locks_by_server: dict[str, anyio.Lock] = {}
         self._failures_by_instance: dict[leases.Instance, Failures] = {}
         self._first_sent_by_fence: dict[int, float] = {}
+        self._accepted_at_by_fence: dict[int, float] = {}
         self._unanswered_at_by_server: dict[str, float] = {}
         self._epoch = 0
         self._link_health = link_health.LinkHealth()
-        self.leader_lease = leases.LeaderLease()
+        self.leader_lease = leases.LeaderLease(is_withheld)
         self.key_leases = leases.KeyLeases()
 
     def start_epoch(self, epoch: int) -> None:
@@ -141,9 +148,12 @@
             if server_id not in needed_ids:
                 del self._locks_by_server[server_id]
         fences = {owner.fence for owner in mapped}
-        for fence in list(self._first_sent_by_fence):
-            if fence not in fences:
-                del self._first_sent_by_fence[fence]
+        for at_by_fence in (
+            self._first_sent_by_fence,
+            self._accepted_at_by_fence,
+        ):
+            for fence in at_by_fence.keys() - fences:
+                del at_by_fence[fence]
         mapped_instances = {leases.instance_of(owner) for owner in mapped}
         for instance in list(self._failures_by_instance):
             if instance not in mapped_instances | registered:
@@ -187,6 +197,13 @@
         """Return whether the token of a range has never been sent."""
         return key_range.owner.fence not in self._first_sent_by_fence
 
+    def accepted_at(self, fence: int) -> float:
+        """Return when the last grant with a token that was taken was sent.
+
+        Its server had not seen a higher token for the keys by then.
+        """
+        return self._accepted_at_by_fence.get(fence, -math.inf)
+
     def is_surely_leading(self) -> bool:
         """Return whether new tokens and releases may be sent."""
         return self.leader_lease.is_sure(self._now())
@@ -222,6 +239,8 @@
             return result
         unanswered = (ports.Reply.SILENT, ports.Reply.UNSENT)
         self._record_time(started, result.reply not in unanswered)
+        if result.reply is ports.Reply.DONE:
+            self._accepted_at_by_fence[key_range.owner.fence] = started
         if result.reply is ports.Reply.SILENT:
             self._unanswered_at_by_server[recipient.server_id] = self._now()
         self._extend_delayed_leases()
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -104,11 +104,8 @@
         self._delayed_until_by_server.clear()
         self._unlisted_until = -math.inf
         if predecessor.remaining_leases is None:
-            self._unlisted_until = (
-                now
-                + predecessor.renewal_seconds
-                + ARRIVAL_SLACK_SECONDS
-                + _longest_key_lease()
+            self._unlisted_until = renewed_until(
+                now, predecessor.renewal_seconds
             )
             return
         for server_id, _, left in predecessor.remaining_leases:
@@ -173,6 +170,10 @@
         self._delayed_until_by_server[server_id] = until
         self._extend(server_id, until)
 
+    def assume_held(self, server_id: str, until: float) -> None:
+        """Assume that a server may hold keys until a time, seconds."""
+        self._extend(server_id, until)
+
     def until(self, server_id: str) -> float:
         """Return the time from which a server certainly holds no keys."""
         return max(self.granted_until(server_id), self._unlisted_until)
@@ -208,10 +209,19 @@
 
     Times come from a clock that keeps running while the machine is
     suspended.
+
+    Parameters
+    ----------
+    is_withheld : callable, optional
+        Returns whether the store lacks what this host has stored, so that
+        new tokens and releases may not be sent.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_withheld: typing.Callable[[], bool] = lambda: False
+    ) -> None:
         self._confirmed_at = -math.inf
+        self.is_withheld = is_withheld
 
     def confirm(self, sent: float) -> None:
         """Extend the lease by a confirmation that was requested at `sent`."""
@@ -227,6 +237,8 @@
 
     def is_sure(self, now: float) -> bool:
         """Return whether no other host can lead yet."""
+        if self.is_withheld():
+            return False
         return self.confirmation_age(now) < SURE_LEADERSHIP_SECONDS
 
     def confirmation_age(self, now: float) -> float:
@@ -254,11 +266,40 @@
         self._next += 1
         return fence
 
+    def renew_all(self, key_map: ranges.RangeMap) -> ranges.RangeMap:
+        """Return a map with new fencing tokens for all owners.
+
+        Which incarnations have taken the tokens of an earlier leader is not
+        known to this one. The new tokens need not be stored, as a successor
+        replaces them too.
+        """
+        return ranges.RangeMap(
+            [
+                one._replace(owner=one.owner._replace(fence=self.next()))
+                if one.owner != ranges.UNOWNED
+                else one
+                for one in key_map.ranges
+            ]
+        )
+
 
 def instance_of(owner: ranges.Owner) -> Instance:
     """Return the server instance of an owner."""
     return owner.server_id, owner.incarnation
 
 
+def renewed_until(now: float, renewal_seconds: float) -> float:
+    """Return until when grants of another leader may last, seconds.
+
+    Parameters
+    ----------
+    now : float
+        Clock, seconds.
+    renewal_seconds : float
+        For how much longer that leader may renew them, seconds.
+    """
+    return now + renewal_seconds + ARRIVAL_SLACK_SECONDS + _longest_key_lease()
+
+
 def _longest_key_lease() -> float:
     return KEY_LEASE_SECONDS * (1.0 + MAX_CLOCK_ERROR)
--- a/src/agatestile/assignment/moves.py
+++ b/src/agatestile/assignment/moves.py
@@ -36,8 +36,9 @@
     Attributes
     ----------
     proof : str
-        "released", "released by a later incarnation" or "lease expired";
-        empty if nothing had to be revoked.
+        "released", "released by a later incarnation", "lease expired" or
+        "leases of unknown holders expired"; empty if nothing had to be
+        revoked.
     handover : str or None
         State that the source handed over.
     """
@@ -218,6 +219,8 @@
         if instance[0] == change.owner.server_id:
             # The new token replaces the grants of all incarnations.
             return Revocation("")
+        if change.source == ranges.UNKNOWN:
+            return await self._outlast_unknown_holders(epoch)
         order = change._replace(
             owner=change.source._replace(fence=change.owner.fence)
         )
@@ -264,6 +267,17 @@
             await anyio.sleep(min(RETRY_DELAY_SECONDS, remaining))
         return Revocation("")
 
+    async def _outlast_unknown_holders(self, epoch: int) -> Revocation:
+        """Return once no server holds keys of which the store lost track."""
+        key_leases = self._grant_sender.key_leases
+        while epoch == self._leader.epoch:
+            held_until = key_leases.until(ranges.UNKNOWN.server_id)
+            remaining = held_until - self._now()
+            if remaining <= 0.0:
+                break
+            await anyio.sleep(min(RETRY_DELAY_SECONDS, remaining))
+        return Revocation("leases of unknown holders expired")
+
 
 def _revocation_by(
     recipient: ports.Recipient,
--- a/src/agatestile/assignment/ranges.py
+++ b/src/agatestile/assignment/ranges.py
@@ -30,6 +30,10 @@
 
 UNOWNED = Owner("", 0, 0)
 
+UNKNOWN = Owner("\0unknown", 0, 1)
+"""Source of keys that any server may hold, as the store has lost who got them.
+Its identifier is none that service discovery accepts."""
+
 
 class KeyRange(typing.NamedTuple):
     """Adjacent keys with the same owner.
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -37,6 +37,9 @@
     remaining_leases : list of (str, int, float)
         Identifier and incarnation of servers, and for how much longer each
         may hold keys, seconds; empty unless `is_resigned`.
+    era : int
+        Era of the store in which the maps and servers were last written
+        completely. In a later era they may be outdated.
     """
 
     epoch: int
@@ -44,6 +47,7 @@
     is_resigned: bool = False
     is_settled: bool = False
     remaining_leases: list[tuple[str, int, float]] = []
+    era: int = 0
 
 
 class ServiceRanges(msgspec.Struct, array_like=True):
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -12,6 +12,7 @@
 from agatestile.assignment import grant_sender
 from agatestile.assignment import leases
 from agatestile.assignment import moves
+from agatestile.assignment import predecessors
 from agatestile.assignment import ranges
 from agatestile.assignment import records
 from tests.assignment import support
@@ -447,7 +448,7 @@
     ("led_for", "shortest_wait"),
     [
         (1.0, leases.LEADER_LEASE_SECONDS),
-        (coordinator_module.SETTLING_SECONDS + 1.0, 0.0),
+        (predecessors.SETTLING_SECONDS + 1.0, 0.0),
     ],
 )
 def test_leader_before_the_predecessor_is_waited_for_until_it_ends(
--- a/tests/assignment/test_rounds.py
+++ b/tests/assignment/test_rounds.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from agatestile.assignment import announcements
 from agatestile.assignment import coordinator as coordinator_module
 from tests.assignment import support
 
@@ -63,11 +64,11 @@
             harness.coordinator, host_count
         )
         seconds = CHANGES * CHANGE_INTERVAL_SECONDS
-        rounds = seconds / coordinator_module.ROUND_SECONDS
+        rounds = seconds / announcements.ROUND_SECONDS
         assert hosts.answers <= host_count * (rounds + 2)
         for version, at in published_at.items():
             learnt_at = hosts.learnt_at_by_version[version]
-            assert learnt_at <= at + 1.01 * coordinator_module.ROUND_SECONDS
+            assert learnt_at <= at + 1.01 * announcements.ROUND_SECONDS
 
     support.run(scenario)
 
