Keep what is in force in a restored store

Watchers list their topics again in a new era, as offsets are assigned again. Configurations never go back; evacuations without a record remain for 30 s, servers without an entry for 5 s. A departed server returns only with a report later than its departure, also in a directory that a restarted coordinator relays. Messages between hosts name the era, so that offsets of two eras are not compared. A membership that spans two eras is asked for again, and hosts let an earlier leader join first for 2 s, as all keys lapse if another host takes over.

--- a/src/agatestile/catalog/directory.py
+++ b/src/agatestile/catalog/directory.py
@@ -9,6 +9,14 @@
 """Time for which an entry may be missing after an outage of service discovery
 before its server is considered removed; the platform documents about 2 s."""
 
+ERA_GRACE_SECONDS = 5.0
+"""The same after the store was restored from an older copy: six heartbeats.
+A server that departed meanwhile gets requests for as long."""
+
+REMEMBERED_DEPARTURES = 20_000
+"""Number of deleted servers whose entries are recognised if they return with
+an older copy of the store."""
+
 
 Instance = tuple[str, int]
 """Identifier and incarnation of a server."""
@@ -106,13 +114,17 @@
     confirmed_at : float
         Latest time at which the directory was certainly complete, seconds;
         minus infinity before the first read.
+    era : int
+        Era of the store in which the servers were read; 0 without one.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, Server] = {}
         self._ids_by_service: dict[str, dict[str, None]] = {}
         self._missing_since_by_id: dict[str, float] = {}
-        self._outage_ended_at = float("-inf")
+        self._expires_from = float("-inf")
+        self._departed_order_by_id: dict[str, tuple[int, int]] = {}
+        self.era = 0
         self._version_by_id: dict[str, int] = {}
         self.version = 0
         self.read_version = 0
@@ -127,7 +139,46 @@
 
     def on_outage_end(self, now: float) -> None:
         """Record that reports can be read again after an outage."""
-        self._outage_ended_at = now
+        self._extend_grace(now + REAPPEARANCE_SECONDS)
+
+    def start_era(self, era: int, now: float) -> bool:
+        """Note the era of the store; return whether it was restored.
+
+        Entries of servers that have departed may return with the older copy,
+        so a missing server counts as present only with a later report.
+
+        Parameters
+        ----------
+        era : int
+            Era of the store in which servers are read from now on.
+        now : float
+            Clock, seconds.
+        """
+        is_restored = era > self.era and bool(self.era or self.by_id)
+        self.era = max(self.era, era)
+        if is_restored:
+            self._extend_grace(now + ERA_GRACE_SECONDS)
+            for server_id in self._missing_since_by_id:
+                self._note_departed(server_id)
+        return is_restored
+
+    def has_departed(self, entry: ServerEntry) -> bool:
+        """Return whether a report precedes the departure of its server."""
+        departed = self._departed_order_by_id.get(entry.id, (-1, -1))
+        return (entry.incarnation, entry.sequence) <= departed
+
+    def _extend_grace(self, until: float) -> None:
+        self._expires_from = max(self._expires_from, until)
+
+    def _note_departed(self, server_id: str) -> None:
+        entry = self.by_id[server_id].entry
+        order = self._departed_order_by_id.pop(server_id, (-1, -1))
+        order = max(order, (entry.incarnation, entry.sequence))
+        self._departed_order_by_id[server_id] = order
+        if len(self._departed_order_by_id) > REMEMBERED_DEPARTURES:
+            del self._departed_order_by_id[
+                next(iter(self._departed_order_by_id))
+            ]
 
     def confirm(self, time: float) -> None:
         """Record a time at which the directory was certainly complete."""
@@ -155,6 +206,9 @@
             Time after which it was certainly written unless it is known
             already, seconds.
         """
+        if self.has_departed(entry):
+            return False
+        self._departed_order_by_id.pop(entry.id, None)
         known = self.by_id.get(entry.id)
         has_reappeared = entry.id in self._missing_since_by_id
         leaving = None
@@ -315,11 +369,12 @@
     def expire(self, now: float) -> list[str]:
         """Mark servers with missing entries as leaving; return the new ones.
 
-        Nothing expires within `REAPPEARANCE_SECONDS` after an outage.
+        Nothing expires within `REAPPEARANCE_SECONDS` after an outage, or
+        within `ERA_GRACE_SECONDS` after the store was restored.
         """
         if not self._missing_since_by_id:
             return []
-        if now < self._outage_ended_at + REAPPEARANCE_SECONDS:
+        if now < self._expires_from:
             return []
         expired = []
         for server_id, since in self._missing_since_by_id.items():
@@ -332,6 +387,8 @@
 
     def delete(self, server_id: str) -> None:
         """Delete a server from the directory."""
+        if self.era and server_id in self.by_id:
+            self._note_departed(server_id)
         server = self.by_id.pop(server_id, None)
         self._missing_since_by_id.pop(server_id, None)
         if server is not None:
--- a/src/agatestile/node/leadership.py
+++ b/src/agatestile/node/leadership.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -46,6 +47,11 @@
 notice the loss of a leader up to `LEADER_CHECK_INTERVAL_SECONDS` after one
 another, and one of the faster ones has to be first."""
 
+RESTORATION_HEAD_START_SECONDS = 2.0
+"""Delay of campaigns once the store was restored: a leader, whose last join
+may have to time out first, can restore the assignment, while keys lapse if
+another host takes over."""
+
 YIELD_DELAY_SECONDS = 1.0
 """Time for which a leader's own link has to be slow before it resigns."""
 
@@ -109,6 +115,9 @@
         self._member = member
         self._now = now
         self._generation = 0
+        self._joined_era: int | None = None
+        self._seen_era = 0
+        self._waits_until = -math.inf
         self._last_joined = 0.0
         self._is_candidate = False
         self._is_leaving = False
@@ -119,6 +128,13 @@
         """Return whether the store renewed the membership recently."""
         return self._now() < self._last_joined + CONFIRMATION_MAX_AGE_SECONDS
 
+    def note_era(self) -> None:
+        """Let an earlier leader join first if the store was restored."""
+        era = self._store.era
+        if self._seen_era and era > self._seen_era:
+            self._waits_until = self._now() + RESTORATION_HEAD_START_SECONDS
+        self._seen_era = era
+
     def campaign(self) -> None:
         """Request an attempt to take the leadership, which no host holds."""
         if not self._is_leaving:
@@ -147,8 +163,15 @@
     async def _is_still_vacant(self) -> bool:
         """Let other hosts campaign first; return whether none has won."""
         await anyio.sleep(self._campaign_delay())
-        leader = await self._store.member_of(GROUP, LEADER_PARTITION)
-        return leader is None and not self._is_leaving
+        while True:
+            leader = await self._store.member_of(GROUP, LEADER_PARTITION)
+            self.note_era()
+            left = self._waits_until - self._now()
+            if leader is not None or self._is_leaving:
+                return False
+            if left <= 0.0:
+                return True
+            await anyio.sleep(left)
 
     async def join_once(self) -> None:
         """Renew the leadership, or join the group to take it."""
@@ -173,6 +196,14 @@
         )
         if isinstance(joined, outcomes.Refusal):
             return None
+        is_first = self._joined_era is None
+        if joined.era != self._joined_era:
+            self._joined_era = joined.era
+            if not is_first:
+                # The generation that was sent is of an earlier era, so that
+                # the response proves nothing.
+                self._generation = 0
+                return await self._join()
         self._generation = joined.generation
         self._last_joined = started
         return joined
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -34,6 +34,8 @@
     patch : bytes
         Configuration compressed against that version, empty unless the
         recipient has an older one.
+    era : int
+        Era of the store to which `end` belongs.
     """
 
     end: int
@@ -42,6 +44,7 @@
     evacuated: list[str]
     base_version: int = -1
     patch: bytes = b""
+    era: int = 0
 
 
 class Report(msgspec.Struct, array_like=True):
@@ -201,6 +204,8 @@
     admitted_shares : dict of str to dict of int to float
         Share of the requests for hot keys that hosts may send to their
         owners, by service and key.
+    directory_era : int
+        Era of the store in which the coordinator has read its directory.
     """
 
     epoch: int
@@ -218,6 +223,7 @@
     assignment: content_history.ContentPatch | None = None
     has_all_servers: bool = False
     admitted_shares: dict[str, dict[int, float]] = {}
+    directory_era: int = 0
 
 
 class SupersedeRequest(msgspec.Struct, array_like=True):
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -208,6 +208,7 @@
         self.metrics_listener = server.Listener(
             self._on_metrics, self._caller_limits
         )
+        self._store = platform.store
         self._is_stopping = False
         self._add_gauges()
 
@@ -391,6 +392,7 @@
             "services_with_rate_limits",
             lambda: len(fleet.directory.services_with_rate_limits()),
         )
+        gauge("store_era", lambda: self._store.era)
         gauge("servers_known", lambda: len(fleet.directory.by_id))
         gauge("hosts_known", lambda: fleet.host_count)
         gauge("assignment_epoch", lambda: self.view.epoch)
@@ -413,6 +415,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
             self.server_pool.close_expired()
+            self.elector.note_era()
             self.operator_watcher.check_wait(self.reporter.operator_end())
             self.fleet.remove_missing(
                 REMOVED_SERVER_RETENTION_SECONDS, self._now()
--- a/src/agatestile/node/operator_watcher.py
+++ b/src/agatestile/node/operator_watcher.py
@@ -63,6 +63,11 @@
 RETAINED_CONFIGURATIONS = 4
 """Number of configurations that are kept as bases of patches."""
 
+EVACUATION_GRACE_SECONDS = 30.0
+"""Time after the store was restored for which evacuations remain whose records
+are missing. The operator writes them again within seconds; a domain that is
+evacuated for too long costs capacity only."""
+
 USED_BOUND_SHARE = 0.8
 """Share of the bound on changes of the configuration within which two reads
 and the pause between them have to end."""
@@ -97,6 +102,8 @@
     confirmed_at : float
         Latest time at which the records were certainly complete, seconds;
         minus infinity before the first read.
+    era : int
+        Era of the store to which `end` belongs; 0 without one.
     """
 
     def __init__(
@@ -118,6 +125,9 @@
         self._apply_bound = apply_bound
         self._history = content_history.ContentHistory(RETAINED_CONFIGURATIONS)
         self._evacuated: set[str] = set()
+        # Evacuations of an earlier era without a record in this one.
+        self._retained: set[str] = set()
+        self._retained_until = -math.inf
         self._scope: anyio.CancelScope | None = None
         self._started = 0.0
         self._is_behind = False
@@ -131,6 +141,7 @@
         self._large_page_seconds = 0.0
         self._read_state = watchers.ReadState("operator's records")
         self.end: int | None = None
+        self.era = 0
         self.confirmed_at = -math.inf
 
     async def run(self) -> None:
@@ -160,6 +171,7 @@
         coordinator_end : int or None
             Offset of the coordinator's next read, None if unknown.
         """
+        self._release_evacuations()
         self._coordinator_end = coordinator_end
         elapsed = self._now() - self._started
         if coordinator_end is None:
@@ -222,6 +234,15 @@
                 return await self.poll()
             self._read_state.on_failure(page)
             return False
+        if page.era < self.era:
+            # Another host has relayed records of a later era meanwhile.
+            self._must_list = True
+            return False
+        if page.era > self.era:
+            self._start_era(page.era)
+            if not is_listing:
+                # The offset belongs to the earlier era.
+                return await self.poll()
         self._log_read("listed" if is_listing else "read", page)
         self._read_state.on_success(self._now())
         # After a partial page the next read lists the newest record of each
@@ -260,6 +281,7 @@
             self._now() - self.confirmed_at,
             self._history.version,
             sorted(self._evacuated),
+            era=self.era,
         )
         if known_version is not None:
             patch = self._history.patch_from(known_version)
@@ -279,8 +301,8 @@
         sent_at : float
             Latest time at which `state.age` was certainly valid, seconds.
         """
-        if state.version == content_history.NO_VERSION or (
-            self.end is not None and state.end < self.end
+        if state.version == content_history.NO_VERSION or self._is_older(
+            state
         ):
             return
         if state.version > self._history.version:
@@ -300,6 +322,8 @@
             self._apply_configuration(content, is_relayed=True)
             if self._history.version < state.version:
                 return
+        if state.era > self.era:
+            self._start_era(state.era)
         self._apply_evacuations(set(state.evacuated), self.confirmed_at)
         has_progressed = self.end is None or state.end > self.end
         is_transferring = self._is_receiving or not self._wait
@@ -310,6 +334,43 @@
             # What this read would return has arrived from the other host.
             self._scope.cancel()
 
+    def _is_older(self, state: peer_messages.OperatorState) -> bool:
+        """Return whether a host knows less of the records than this one."""
+        if state.era != self.era:
+            return state.era < self.era
+        return self.end is not None and state.end < self.end
+
+    def _start_era(self, era: int) -> None:
+        """Continue in a store that was restored from an older copy.
+
+        Offsets are assigned again. Evacuations remain until the records say
+        otherwise or the grace period is over.
+        """
+        is_restored = self.end is not None
+        earlier, self.era = self.era, era
+        self.end = None
+        self._coordinator_end = None
+        self._is_behind = False
+        if not is_restored:
+            return
+        self._retained |= self._evacuated
+        self._retained_until = self._now() + EVACUATION_GRACE_SECONDS
+        events.emit(
+            "operator_records_restored",
+            era=era,
+            earlier=earlier,
+            version=self._history.version,
+            retained=sorted(self._retained),
+        )
+
+    def _release_evacuations(self) -> None:
+        """End evacuations whose records are missing after the grace period."""
+        if not self._retained or self._now() < self._retained_until:
+            return
+        ended, self._retained = self._retained, set()
+        events.emit("evacuations_expired", domains=sorted(ended))
+        self._apply_evacuations(self._evacuated - ended, self.confirmed_at)
+
     def _relies_on_relay(self) -> bool:
         age = self._now() - self.confirmed_at
         if self._is_relayed():
@@ -376,7 +437,7 @@
     # Records
 
     def _apply_page(self, page: port.Page, is_listing: bool) -> None:
-        evacuated = set() if is_listing else set(self._evacuated)
+        evacuated = set() if is_listing else self._evacuated - self._retained
         unseen_since = self.confirmed_at
         self.end = page.end
         for record in page.records:
@@ -385,6 +446,7 @@
                 evacuated.add(domain)
             elif domain is not None:
                 evacuated.discard(domain)
+                self._retained.discard(domain)
             elif self._format.is_configuration(record.key) and record.value:
                 self._apply_configuration(record.value, is_relayed=False)
         self._apply_evacuations(evacuated, unseen_since)
@@ -422,6 +484,8 @@
     def _apply_evacuations(
         self, evacuated: set[str], unseen_since: float
     ) -> None:
+        self._retained -= evacuated
+        evacuated = evacuated | self._retained
         if evacuated == self._evacuated:
             return
         self._evacuated = evacuated
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -269,6 +269,7 @@
             assignment,
             is_newer and known_version == 0,
             coordinator.admitted_shares(),
+            directory.era,
         )
 
     def _service_ranges(self) -> dict[str, records.ServiceRanges]:
--- a/src/agatestile/node/relayed_directory.py
+++ b/src/agatestile/node/relayed_directory.py
@@ -83,6 +83,16 @@
             # This host has read service discovery since its report, so the
             # coordinator compared its directory with an outdated one.
             return
+        if response.directory_era < directory.era:
+            # It may lack what was written since the store was restored, and
+            # its coordinator takes older entries for current ones.
+            return
+        if response.directory_era > directory.era:
+            directory.start_era(response.directory_era, self._now())
+        has_returned = any(
+            directory.has_departed(relayed.entry())
+            for relayed in response.servers
+        )
         for relayed in response.servers:
             self._apply_server(relayed, sent_at, response.directory_age)
         if response.has_all_servers:
@@ -93,7 +103,8 @@
         self.confirmed_at = sent_at - response.directory_age
         directory.confirm(self.confirmed_at)
         self._merged_version = directory.version
-        self._version = response.directory_version
+        # A later report of such a server is not a change for the coordinator.
+        self._version = 0 if has_returned else response.directory_version
         self._epoch = response.epoch
 
     def _apply_server(
--- a/src/agatestile/node/watchers.py
+++ b/src/agatestile/node/watchers.py
@@ -185,6 +185,17 @@
             else:
                 self._on_failure(page, now)
             return
+        if page.era < self._servers.era:
+            # The coordinator has relayed servers of a later era.
+            read_state.end = None
+            return
+        if page.era > self._servers.era:
+            self._start_era(page.era, started)
+            if not is_listing:
+                # The offset belongs to the earlier era.
+                read_state.end = None
+                await self.poll()
+                return
         self._on_success(started, now)
         if self._servers.confirmed_at > started:
             # The coordinator relayed a more recent directory meanwhile.
@@ -205,6 +216,17 @@
             self._servers.read_version = self._servers.version
             self._on_change()
 
+    def _start_era(self, era: int, now: float) -> None:
+        earlier = self._servers.era
+        if self._servers.start_era(era, now):
+            events.emit(
+                "discovery_restored",
+                era=era,
+                earlier=earlier,
+                servers=len(self._servers.by_id),
+                missing=len(self._servers.missing_since_by_id()),
+            )
+
     def _on_failure(self, refusal: outcomes.Refusal, now: float) -> None:
         self.read_state.on_failure(refusal)
         confirmed_at = max(
--- a/tests/assignment/support.py
+++ b/tests/assignment/support.py
@@ -34,18 +34,29 @@
         self.generation = 0
         self.era = 0
 
+    def restore(self, end: int) -> None:
+        """Return to a copy that ends at an offset."""
+        del self.records[end:]
+        self.era += 1
+
     async def read_newest(self, topic: str) -> port.Page | outcomes.Refusal:
         if self.is_down:
             return STORE_UNAVAILABLE
         by_key = {record.key: record for record in self.records}
-        return port.Page(list(by_key.values()), len(self.records))
+        return port.Page(
+            list(by_key.values()), len(self.records), era=self.era
+        )
 
     async def read(
         self, topic: str, start: int, wait: float, limit: int = 0
     ) -> port.Page | outcomes.Refusal:
         if self.is_down:
             return STORE_UNAVAILABLE
-        return port.Page(self.records[start:], len(self.records))
+        if start > len(self.records):
+            return outcomes.Refusal(
+                codes.ResultCode.LOG_HISTORY_GONE, "no such offset"
+            )
+        return port.Page(self.records[start:], len(self.records), era=self.era)
 
     async def append(
         self, topic: str, records: list[port.Record], expected_end: int
@@ -71,7 +82,7 @@
             self.members.append(member)
             self.generation += 1
         partitions = frozenset((0,) if self.members[0] == member else ())
-        return port.Membership(self.generation, partitions)
+        return port.Membership(self.generation, partitions, self.era)
 
     async def leave(self, group: str, member: str) -> None:
         if member in self.members:
--- a/tests/node/test_leadership.py
+++ b/tests/node/test_leadership.py
@@ -10,6 +10,8 @@
 
 from agatestile.assignment import leases
 from agatestile.node import leadership
+from agatestile.results import outcomes
+from agatestile.store import port
 from tests.assignment import support
 
 
@@ -234,3 +236,81 @@
             tasks.cancel_scope.cancel()
 
     support.run(scenario)
+
+
+class _RestoredStore(support.MemoryStore):
+    """Restored while it carries out the next join."""
+
+    is_restored = False
+    generations: tuple[int, ...] = ()
+
+    async def join(
+        self, group: str, member: str, ttl: float, generation: int
+    ) -> port.Membership | outcomes.Refusal:
+        self.generations += (generation,)
+        if self.is_restored:
+            self.is_restored = False
+            self.era += 1
+        return await super().join(group, member, ttl, generation)
+
+
+def test_membership_that_spans_two_eras_is_asked_for_again() -> None:
+    """Guards against a generation of an earlier era in a restored group."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        store = _RestoredStore()
+        store.era = 1
+        harness.store = store
+        elector, coordinator = _elector(harness, "host-1")
+        await elector.join_once()
+        await elector.join_once()
+        store.is_restored = True
+        await elector.join_once()
+        assert store.generations == (0, 1, 1, 0)
+        assert coordinator.epoch and elector.is_confirmed()
+
+    support.run(scenario)
+
+
+def test_earlier_leader_may_join_first_in_a_new_era() -> None:
+    """Guards against a takeover that lets all keys lapse for seconds.
+
+    The memberships are lost with the store, and any host may campaign.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        harness.store.era = 3
+        leader, coordinator = _elector(harness, "host-1")
+        other, follower = _elector(harness, "host-2")
+        await leader.join_once()
+        other.note_era()
+        async with anyio.create_task_group() as tasks:
+            harness.store.members.clear()
+            harness.store.restore(0)
+            tasks.start_soon(other.run)
+            other.campaign()
+            await anyio.sleep(1.5)
+            tasks.start_soon(leader.run)
+            await anyio.sleep(5.0)
+            assert coordinator.is_active and not follower.epoch
+            tasks.cancel_scope.cancel()
+
+    support.run(scenario)
+
+
+def test_other_host_leads_if_the_earlier_leader_stays_away() -> None:
+    """Guards against a new era without a leader."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        harness.store.era = 3
+        elector, coordinator = _elector(harness, "host-2")
+        elector.note_era()
+        async with anyio.create_task_group() as tasks:
+            harness.store.restore(0)
+            tasks.start_soon(elector.run)
+            elector.campaign()
+            await anyio.sleep(leadership.RESTORATION_HEAD_START_SECONDS + 1.5)
+            assert coordinator.is_active
+            tasks.cancel_scope.cancel()
+
+    support.run(scenario)
--- a/tests/node/test_operator_watcher.py
+++ b/tests/node/test_operator_watcher.py
@@ -470,3 +470,128 @@
         assert watcher.confirmed_at == trio.current_time()
 
     trio.run(main, clock=testing.MockClock(autojump_threshold=0))
+
+
+EVACUATION = port.Record("evacuate/anna", b"{}")
+
+
+def _scripted(
+    *pages: port.Page,
+) -> tuple[
+    operator_watcher.OperatorWatcher, list[float], list[int], list[set[str]]
+]:
+    """Return a watcher, its clock, and what it has put in force."""
+    now = [0.0]
+    versions: list[int] = []
+    evacuations: list[set[str]] = []
+    watcher = _operator(
+        support.ScriptedStore(*pages),
+        lambda: now[0],
+        on_configuration=lambda new: versions.append(new.version),
+        on_evacuations=lambda domains, since: evacuations.append(domains),
+    )
+    return watcher, now, versions, evacuations
+
+
+@pytest.mark.anyio
+async def test_older_copy_takes_nothing_out_of_force() -> None:
+    """Guards against an older configuration and an evacuation that ends."""
+    watcher, now, versions, evacuations = _scripted(
+        port.Page([_configuration(9), EVACUATION], 40, era=1),
+        port.Page([], 40, era=2),
+        port.Page([_configuration(7)], 30, era=2),
+        port.Page([_configuration(8)], 31, era=2),
+        port.Page([_configuration(10)], 32, era=2),
+    )
+    for _ in range(4):
+        assert await watcher.poll()
+    assert (versions, evacuations) == ([9, 10], [{"anna"}])
+    assert (watcher.end, watcher.era) == (32, 2)
+    now[0] = operator_watcher.EVACUATION_GRACE_SECONDS - 0.1
+    watcher.check_wait(None)
+    assert evacuations == [{"anna"}]
+    now[0] = operator_watcher.EVACUATION_GRACE_SECONDS + 0.1
+    watcher.check_wait(None)
+    assert evacuations == [{"anna"}, set()]
+
+
+@pytest.mark.anyio
+async def test_evacuation_ends_by_a_record_of_the_new_era() -> None:
+    """Guards against a domain that stays evacuated after its return."""
+    watcher, _, _, evacuations = _scripted(
+        port.Page([_configuration(9), EVACUATION], 40, era=1),
+        port.Page([], 40, era=2),
+        port.Page([_configuration(7)], 30, era=2),
+        port.Page([port.Record("evacuate/anna", b"")], 31, era=2),
+    )
+    for _ in range(3):
+        assert await watcher.poll()
+    assert evacuations == [{"anna"}, set()]
+
+
+@pytest.mark.anyio
+async def test_evacuation_that_is_written_again_outlasts_the_grace() -> None:
+    """Guards against the end of an evacuation that the operator repeated."""
+    watcher, now, _, evacuations = _scripted(
+        port.Page([_configuration(9), EVACUATION], 40, era=1),
+        port.Page([], 40, era=2),
+        port.Page([_configuration(7)], 30, era=2),
+        port.Page([EVACUATION], 31, era=2),
+    )
+    for _ in range(3):
+        assert await watcher.poll()
+    now[0] = operator_watcher.EVACUATION_GRACE_SECONDS + 0.1
+    watcher.check_wait(None)
+    assert evacuations == [{"anna"}]
+
+
+@pytest.mark.anyio
+async def test_evacuation_survives_two_restorations() -> None:
+    """Guards against a grace period that counts from the first one."""
+    watcher, now, _, evacuations = _scripted(
+        port.Page([_configuration(9), EVACUATION], 40, era=1),
+        port.Page([_configuration(7)], 30, era=2),
+        port.Page([_configuration(7)], 30, era=2),
+        port.Page([_configuration(7)], 20, era=3),
+        port.Page([_configuration(7)], 20, era=3),
+    )
+    assert await watcher.poll()
+    assert await watcher.poll()
+    now[0] = operator_watcher.EVACUATION_GRACE_SECONDS - 1.0
+    assert await watcher.poll()
+    now[0] += 2.0
+    watcher.check_wait(None)
+    assert evacuations == [{"anna"}]
+
+
+@pytest.mark.anyio
+async def test_relayed_state_of_a_new_era_takes_nothing_out_of_force() -> None:
+    """Guards against a restarted coordinator that read an older copy."""
+    watcher, now, versions, evacuations = _scripted(
+        port.Page([_configuration(9), EVACUATION], 40, era=1)
+    )
+    other, *_ = _scripted(port.Page([_configuration(7)], 30, era=2))
+    await watcher.poll()
+    await other.poll()
+    watcher.apply_relayed(other.relay_to(-1), 0.0)
+    assert (versions, evacuations) == ([9], [{"anna"}])
+    assert (watcher.end, watcher.era) == (30, 2)
+    now[0] = operator_watcher.EVACUATION_GRACE_SECONDS + 0.1
+    watcher.check_wait(None)
+    assert evacuations == [{"anna"}, set()]
+
+
+@pytest.mark.anyio
+async def test_relayed_state_of_an_earlier_era_is_ignored() -> None:
+    """Guards against offsets that look newer as they are of an earlier era."""
+    watcher, _, _, evacuations = _scripted(
+        port.Page([_configuration(7)], 30, era=2)
+    )
+    other, *_ = _scripted(
+        port.Page([_configuration(7), EVACUATION], 40, era=1)
+    )
+    await watcher.poll()
+    await other.poll()
+    watcher.apply_relayed(other.relay_to(-1), 0.0)
+    assert (watcher.end, watcher.era) == (30, 2)
+    assert evacuations == []
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -157,7 +157,7 @@
         await _exchange(reporter, service)
         harness.coordinator.lose_leadership("test")
         await harness.coordinator.take_leadership()
-        harness.coordinator.version = 2
+        harness.coordinator._announcements.version = 2
         _add_assignment(harness, 50)
         await _exchange(reporter, service)
         assert (reporter._view.epoch, reporter._view.version) == (2, 3)
--- a/tests/node/test_relayed_directory.py
+++ b/tests/node/test_relayed_directory.py
@@ -8,6 +8,7 @@
 from agatestile.catalog import directory
 from agatestile.node import messages as peer_messages
 from agatestile.node import peers
+from agatestile.node import relayed_directory
 from agatestile.node import reporter as reporter_module
 from tests.assignment import support
 from tests.catalog import test_directory
@@ -267,3 +268,69 @@
         assert [server.id for server in response.servers] == ["a"]
 
     support.run(scenario)
+
+
+def _response(
+    era: int, *servers: directory.ServerEntry
+) -> peer_messages.ReportResponse:
+    return peer_messages.ReportResponse(
+        1,
+        1,
+        1,
+        0,
+        True,
+        0,
+        7,
+        [
+            peer_messages.RelayedServer(*one, None, False)  # type: ignore
+            for one in servers
+        ],
+        None,
+        directory_age=0.0,
+        has_all_servers=True,
+        directory_era=era,
+    )
+
+
+def test_departed_server_does_not_return_with_an_older_directory() -> None:
+    """Guards against a restarted coordinator that read an older copy.
+
+    A later report of the server is no change there, so the host asks for all
+    servers until it has one.
+    """
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        servers = directory.Directory()
+        host = relayed_directory.RelayedDirectory(servers, trio.current_time)
+        await anyio.sleep(1.0)
+        entry = test_directory.entry("a", sequence=5)
+        for response in (_response(1, entry), _response(1)):
+            host.reported_age()
+            host.apply(response, trio.current_time())
+            await anyio.sleep(0.1)
+        assert servers.by_id["a"].leaving_since is not None
+        host.reported_age()
+        host.apply(_response(2, entry), trio.current_time())
+        assert servers.by_id["a"].leaving_since is not None
+        assert host.known_version(1) == 0
+        later = test_directory.entry("a", sequence=6)
+        host.reported_age()
+        host.apply(_response(2, later), trio.current_time())
+        assert servers.by_id["a"].leaving_since is None
+        assert host.known_version(1) == 7
+
+    support.run(scenario)
+
+
+def test_directory_of_an_earlier_era_is_not_relayed() -> None:
+    """Guards against a coordinator that hasn't seen the new era."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        servers = directory.Directory()
+        host = relayed_directory.RelayedDirectory(servers, trio.current_time)
+        servers.start_era(2, 0.0)
+        host.reported_age()
+        host.apply(_response(1, test_directory.entry("a")), 0.0)
+        assert not servers.by_id
+
+    support.run(scenario)
--- a/tests/node/test_watchers.py
+++ b/tests/node/test_watchers.py
@@ -248,3 +248,83 @@
     for now[0] in (1.0, 2.0, 3.0):
         await watcher.poll()
     assert servers.by_id["a"].alive_at == 1.0
+
+
+@pytest.mark.anyio
+async def test_topic_is_listed_again_in_a_new_era() -> None:
+    """Guards against offsets of an era that is over."""
+    watcher, servers, _ = _discovery(
+        port.Page([_heartbeat("a", 5)], 40, era=1),
+        port.Page([_heartbeat("x", 9)], 40, era=2),
+        port.Page([_heartbeat("a", 4), _heartbeat("b", 1)], 30, era=2),
+        port.Page([_heartbeat("a", 6)], 31, era=2),
+    )
+    store = watcher._store
+    for _ in range(3):
+        await watcher.poll()
+    assert isinstance(store, support.ScriptedStore)
+    assert store.calls == ["newest", "read 40", "newest", "read 30"]
+    assert set(servers.by_id) == {"a", "b"}
+    assert servers.by_id["a"].entry.sequence == 6
+
+
+@pytest.mark.anyio
+async def test_servers_without_an_entry_remain_for_the_grace_period() -> None:
+    """Guards against live servers that the older copy lacks."""
+    watcher, servers, now = _discovery(
+        port.Page([_heartbeat("a"), _heartbeat("b")], 40, era=1),
+        port.Page([], 40, era=2),
+        port.Page([], 10, era=2),
+        port.Page([_heartbeat("a", 2)], 11, era=2),
+        port.Page([], 11, era=2),
+    )
+    await watcher.poll()
+    now[0] = 1.0
+    await watcher.poll()
+    now[0] = 1.0 + directory.ERA_GRACE_SECONDS - 0.1
+    await watcher.poll()
+    assert servers.by_id["b"].leaving_since is None
+    now[0] = 1.0 + directory.ERA_GRACE_SECONDS + 0.1
+    await watcher.poll()
+    assert servers.by_id["a"].leaving_since is None
+    assert servers.by_id["b"].leaving_since is not None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_deleted", [False, True])
+async def test_departed_server_returns_only_with_a_later_report(
+    is_deleted: bool,
+) -> None:
+    """Guards against a departed server whose entry the older copy has."""
+    watcher, servers, _ = _discovery(
+        port.Page([_heartbeat("a", 5)], 40, era=1),
+        port.Page([port.Record("a", b"")], 41, era=1),
+        port.Page([], 41, era=2),
+        port.Page([_heartbeat("a", 5)], 38, era=2),
+        port.Page([_heartbeat("a", 6)], 39, era=2),
+    )
+    await watcher.poll()
+    await watcher.poll()
+    assert servers.by_id["a"].leaving_since is not None
+    if is_deleted:
+        servers.delete("a")
+    await watcher.poll()
+    assert is_deleted == ("a" not in servers.by_id)
+    if not is_deleted:
+        assert servers.by_id["a"].leaving_since is not None
+    await watcher.poll()
+    assert servers.by_id["a"].leaving_since is None
+
+
+@pytest.mark.anyio
+async def test_read_of_an_earlier_era_than_a_relayed_one_is_ignored() -> None:
+    """Guards against a directory that goes back to the earlier era."""
+    watcher, servers, _ = _discovery(
+        port.Page([_heartbeat("a")], 40, era=1),
+        port.Page([port.Record("a", b"")], 41, era=1),
+    )
+    await watcher.poll()
+    servers.start_era(2, 0.0)
+    await watcher.poll()
+    assert not servers.is_missing("a")
+    assert watcher.read_state.end is None
