Let services that appear later wait as well

A service whose first map was lost with the store has no range that names unknown holders, so that their lease was dropped before the service appeared and its keys were granted at once. The lease is noted again with the map of such a service. The test fails without it.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -286,7 +286,9 @@
         self._assume_unknown_holders(restored.noticed_at)
         self._fencing_tokens = restored.fencing_tokens
         for name, state in self.services.items():
-            state.key_map = restored.maps.get(name, state.key_map)
+            state.key_map = restored.maps.get(
+                name, eras.with_unknown_holders(state.key_map)
+            )
         self._start_epoch(restored.leadership, self.services, [])
         self.leader_lease.confirm(restored.sent_at)
         self.publish()
@@ -507,6 +509,9 @@
                 key_map = ranges.RangeMap()
                 if now < self._uncertain_until:
                     key_map = eras.with_unknown_holders(key_map)
+                    self._grant_sender.key_leases.assume_held(
+                        ranges.UNKNOWN.server_id, self._uncertain_until
+                    )
                 state = state_module.ServiceState(key_map, now)
                 self.services[service] = state
             await self._plan(service, state, tasks)
--- a/tests/assignment/test_eras.py
+++ b/tests/assignment/test_eras.py
@@ -252,6 +252,30 @@
     support.run(scenario)
 
 
+def test_service_that_appears_after_a_restoration_waits_as_well() -> None:
+    """Guards against keys of a service whose first map was lost."""
+
+    async def scenario(harness: support.CoordinatorHarness) -> None:
+        harness.store.era = 1
+        await _lead(harness, "a", "b")
+        harness.store.restore(1)
+        restored_at = trio.current_time()
+        await _confirm(harness, 4.0)
+        assert harness.coordinator.is_active
+        services = ["later"]
+        harness.fleet.services = lambda: services  # type: ignore
+        await _confirm(harness, 1.0)
+        later = harness.coordinator.services["later"]
+        await _confirm(harness, 5.0)
+        assert {one.source for one in later.key_map.ranges} == {ranges.UNKNOWN}
+        assert trio.current_time() < restored_at + LONGEST_LEASES_SECONDS
+        await _confirm(harness, 6.0)
+        assert later.has_owners
+        assert {one.source for one in later.key_map.ranges} == {ranges.UNOWNED}
+
+    support.run(scenario)
+
+
 def test_next_successor_in_the_same_era_waits_as_well() -> None:
     """Guards against a takeover that ended before it had waited."""
 
