--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -9,6 +9,9 @@
 import msgspec
 
 from agatestile.assignment import admission
+from agatestile.assignment import announcements
+from agatestile.assignment import assignment_writer
+from agatestile.assignment import eras
 from agatestile.assignment import grant_sender
 from agatestile.assignment import journal
 from agatestile.assignment import late_releases
@@ -20,6 +23,7 @@
 from agatestile.assignment import ranges
 from agatestile.assignment import records
 from agatestile.assignment import renewals
+from agatestile.assignment import restoration
 from agatestile.assignment import state as state_module
 from agatestile.observability import events
 from agatestile.results import codes
@@ -33,13 +37,6 @@
 PLAN_INTERVAL_SECONDS = 0.3
 """Interval between plans; a hot range of keys lasts only a few seconds."""
 
-STORE_RETRY_DELAY_SECONDS = 1.0
-"""Delay before the next append after the store refused one."""
-
-ROUND_SECONDS = 0.05
-"""Interval in which changes that may wait are told to hosts together: each
-answer costs as much as a change, and there is one for each host."""
-
 INITIAL_REGISTRATION_SECONDS = 1.5
 """Time that the first assignment of a service waits for further servers
 after the first one has registered."""
@@ -74,7 +71,9 @@
         now: typing.Callable[[], float],
     ) -> None:
         self._journal = journal.Journal(store)
-        self._grant_sender = grant_sender.GrantSender(orders, now)
+        self._grant_sender = grant_sender.GrantSender(
+            orders, now, self._is_withheld
+        )
         self._hosts = hosts
         self._fleet = fleet
         self._address = address
@@ -83,8 +82,8 @@
         self._leadership_lock = anyio.Lock()
         self._leadership = self.previous = records.Leadership(0, address)
         self._settles_at = 0.0
+        self._uncertain_until = -math.inf
         self._superseded_by_epoch = 0
-        self._store_retry_at = 0.0
         self._fencing_tokens = leases.FencingTokens(0)
         self._grant_renewer = renewals.GrantRenewer(
             self, fleet, self._grant_sender, now
@@ -95,14 +94,22 @@
         self._moves = moves_module.MoveExecutor(
             self, fleet, self._grant_sender, self._late_releases, now
         )
-        self._changed = anyio.Event()
-        self._round_ended = anyio.Event()
-        self._round_ends_at = -math.inf
+        self._writer = assignment_writer.AssignmentWriter(
+            self, self._journal, self.leader_lease, self._late_releases, now
+        )
+        self._restoration = restoration.Restoration(
+            self, self._journal, self._writer, self._grant_sender, now
+        )
+        self._announcements = announcements.Announcements(now)
         self._plan_requested = anyio.Event()
         self.epoch = 0
-        self.version = 0
         self.services: dict[str, state_module.ServiceState] = {}
 
+    @property
+    def version(self) -> int:
+        """Number of changes of the assignment that hosts were told of."""
+        return self._announcements.version
+
     @property
     def leader_lease(self) -> leases.LeaderLease:
         """Lease of this host on the leadership."""
@@ -133,7 +140,11 @@
         stored = await self._journal.read()
         if isinstance(stored, outcomes.Refusal):
             return stored
-        leadership = stored.leadership.successor(self._address)
+        era = self._journal.era
+        is_outdated = eras.is_outdated(stored.leadership, era)
+        leadership = eras.successor(
+            stored.leadership, stored.maps, era, self._address
+        )
         sent = self._now()
         refusal = await self._journal.append(
             records.encode_leadership(leadership)
@@ -143,15 +154,27 @@
         now = appended_at = self._now()
         self._settles_at = now + predecessors.SETTLING_SECONDS
         self._fencing_tokens = leases.FencingTokens(leadership.epoch)
+        services = self._to_services(stored, is_outdated)
+        recipients = [
+            recipient
+            for servers in stored.servers.values()
+            for recipient in servers.to_recipients()
+        ]
+        self._uncertain_until = -math.inf
         if (
-            stored.leadership.epoch != self._last_own_epoch
+            is_outdated
+            or stored.leadership.epoch != self._last_own_epoch
             or not self._last_own_epoch
         ):
-            predecessor = await predecessors.query(
-                self._hosts, self._address, stored.leadership, leadership.epoch
-            )
+            predecessor = predecessors.UNKNOWN
+            if not is_outdated:
+                predecessor = await predecessors.query(
+                    self._hosts, stored.leadership, leadership
+                )
             now = self._now()
             self._grant_sender.key_leases.take_over(now, predecessor)
+            if era > eras.FIRST_ERA and not predecessor.is_settled:
+                self._assume_unknown_holders(now)
             if predecessor.is_settled:
                 leadership = leadership.settled()
                 sent = self._now()
@@ -161,7 +184,17 @@
             else:
                 await self._outlast_earlier_leaders(appended_at)
                 sent = self._now()
-                refusal = await self._check_current()
+                if is_outdated:
+                    leadership = msgspec.structs.replace(leadership, era=era)
+                    self._late_releases.start_epoch(recipients)
+                    maps = {
+                        name: state.key_map for name, state in services.items()
+                    }
+                    refusal = await self._writer.write_all(
+                        leadership, services, maps
+                    )
+                else:
+                    refusal = await self._check_current()
             if refusal is not None:
                 return refusal
         if self._superseded_by_epoch > leadership.epoch:
@@ -169,24 +202,8 @@
                 codes.ResultCode.RECORD_STALE,
                 f"superseded by epoch {self._superseded_by_epoch}",
             )
-        self._last_own_epoch = leadership.epoch
-        self.previous, self._leadership = stored.leadership, leadership
-        self._grant_sender.start_epoch(leadership.epoch)
-        self._moves.start_epoch()
-        self._late_releases.start_epoch(
-            recipient
-            for servers in stored.servers.values()
-            for recipient in servers.to_recipients()
-        )
-        self.services = {
-            name: state_module.ServiceState(
-                self._with_new_fences(key_map),
-                now,
-                stored.servers.get(name, records.NO_SERVERS),
-            )
-            for name, key_map in stored.maps.items()
-        }
-        self.epoch = leadership.epoch
+        self.previous = stored.leadership
+        self._start_epoch(leadership, services, recipients)
         self.leader_lease.confirm(sent)
         self.publish()
         events.emit(
@@ -194,6 +211,8 @@
             epoch=leadership.epoch,
             predecessor=stored.leadership.host,
             resigned=stored.leadership.is_resigned,
+            era=era,
+            stored_era=stored.leadership.era,
             wait=round(
                 self._grant_sender.key_leases.unlisted_remaining(self._now()),
                 2,
@@ -201,6 +220,93 @@
         )
         return None
 
+    def _to_services(
+        self, stored: records.StoredAssignments, is_outdated: bool
+    ) -> dict[str, state_module.ServiceState]:
+        """Return what is stored, with new fencing tokens."""
+        maps = stored.maps
+        if is_outdated:
+            known = dict.fromkeys(self._fleet.services(), ranges.RangeMap())
+            maps = {
+                name: eras.with_unknown_holders(key_map)
+                for name, key_map in (known | maps).items()
+            }
+        return {
+            name: state_module.ServiceState(
+                self._fencing_tokens.renew_all(key_map),
+                self._now(),
+                stored.servers.get(name, records.NO_SERVERS),
+            )
+            for name, key_map in maps.items()
+        }
+
+    def _start_epoch(
+        self,
+        leadership: records.Leadership,
+        services: dict[str, state_module.ServiceState],
+        recipients: list[ports.Recipient],
+    ) -> None:
+        """Act as the leader of an epoch.
+
+        Parameters
+        ----------
+        leadership : records.Leadership
+            The stored leadership of this host.
+        services : dict of str to state.ServiceState
+            Assignments by service, with tokens of the epoch.
+        recipients : list of ports.Recipient
+            Servers that the stored assignments name.
+        """
+        self._last_own_epoch = leadership.epoch
+        self._leadership = leadership
+        self._grant_sender.start_epoch(leadership.epoch)
+        self._moves.start_epoch()
+        self._late_releases.start_epoch(recipients)
+        self.services = services
+        self.epoch = leadership.epoch
+
+    def _is_withheld(self) -> bool:
+        """Return whether the store lacks what this host has stored."""
+        return self._leadership.era != self._journal.newest_era
+
+    def _assume_unknown_holders(self, since: float) -> None:
+        """Assume that any server may hold keys of which nothing is known.
+
+        Parameters
+        ----------
+        since : float
+            Time after which the store confirmed no earlier leader, seconds.
+        """
+        until = leases.renewed_until(since, predecessors.SETTLING_SECONDS)
+        self._uncertain_until = until
+        self._grant_sender.key_leases.assume_held(
+            ranges.UNKNOWN.server_id, until
+        )
+
+    def _apply_restored(self, restored: restoration.Restored) -> None:
+        """Continue in the epoch under which the state was stored again."""
+        now = self._now()
+        self._settles_at = now + predecessors.SETTLING_SECONDS
+        # A leader that was lost with the store may still respond to hosts.
+        self.previous = records.Leadership(0, "")
+        self._assume_unknown_holders(restored.noticed_at)
+        self._fencing_tokens = restored.fencing_tokens
+        for name, state in self.services.items():
+            state.key_map = restored.maps.get(
+                name, eras.with_unknown_holders(state.key_map)
+            )
+        self._start_epoch(restored.leadership, self.services, [])
+        self.leader_lease.confirm(restored.sent_at)
+        self.publish()
+        events.emit(
+            "restoration_finished",
+            era=restored.leadership.era,
+            epoch=self.epoch,
+            uncertain_ranges=restored.uncertain_ranges,
+            wait=round(self._uncertain_until - now, 2),
+            seconds=round(now - restored.noticed_at, 3),
+        )
+
     async def _outlast_earlier_leaders(self, appended_at: float) -> None:
         """Wait until no earlier leader may send new tokens.
 
@@ -232,32 +338,23 @@
         """
         epoch = self.epoch
         sent = self._now()
-        is_current = await self._journal.is_current()
-        if is_current is None or not epoch or epoch != self.epoch:
+        is_current = None
+        if not self._is_withheld():
+            is_current = await self._journal.is_current()
+        if not epoch or epoch != self.epoch:
             return
-        if is_current:
+        if self._is_withheld():
+            async with self._leadership_lock:
+                restored = await self._restoration.attempt(self._leadership)
+                if restored is not None:
+                    self._apply_restored(restored)
+        elif is_current:
             self.leader_lease.confirm(sent)
-        else:
+        elif is_current is not None:
             self.lose_leadership(
                 "stored assignments were changed by another append"
             )
 
-    def _with_new_fences(self, key_map: ranges.RangeMap) -> ranges.RangeMap:
-        """Return a map with new fencing tokens for all owners.
-
-        Which incarnations have taken the tokens of an earlier leader is not
-        known to this one. The new tokens need not be stored, as a successor
-        replaces them too.
-        """
-        return ranges.RangeMap(
-            [
-                self._with_new_fence(one)
-                if one.owner != ranges.UNOWNED
-                else one
-                for one in key_map.ranges
-            ]
-        )
-
     def _with_new_fence(self, key_range: ranges.KeyRange) -> ranges.KeyRange:
         fence = self._fencing_tokens.next()
         return key_range._replace(owner=key_range.owner._replace(fence=fence))
@@ -300,7 +397,7 @@
             await self._store_leadership(self._leadership.settled())
 
     async def _store_leadership(self, changed: records.Leadership) -> bool:
-        if not await self._append(records.encode_leadership(changed)):
+        if not await self._writer.append(records.encode_leadership(changed)):
             return False
         self._leadership = changed
         return True
@@ -374,13 +471,7 @@
 
     async def wait_changed(self, version: int, timeout: float) -> None:
         """Wait until the assignment is newer than a version, or a timeout."""
-        with anyio.move_on_after(timeout):
-            while self.version == version:
-                await self._changed.wait()
-        left = self._round_ends_at - self._now()
-        if left > 0 and self.version != version:
-            with anyio.move_on_after(left):
-                await self._round_ended.wait()
+        await self._announcements.wait_changed(version, timeout)
 
     async def run(self) -> None:
         """Renew grants and plan moves until cancelled."""
@@ -401,18 +492,7 @@
         may_wait : bool
             Whether hosts may learn it with the changes of the same round.
         """
-        now = self._now()
-        if not may_wait:
-            self._round_ends_at = now
-            self._round_ended.set()
-            self._round_ended = anyio.Event()
-        elif now >= self._round_ends_at:
-            # The first change after a quiet round does not wait.
-            is_first = now >= self._round_ends_at + ROUND_SECONDS
-            self._round_ends_at = now if is_first else now + ROUND_SECONDS
-        self.version += 1
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._announcements.publish(may_wait)
 
     # Planning
 
@@ -448,7 +528,13 @@
         for service in self._fleet.services():
             state = self.services.get(service)
             if state is None:
-                state = state_module.ServiceState(ranges.RangeMap(), now)
+                key_map = ranges.RangeMap()
+                if now < self._uncertain_until:
+                    key_map = eras.with_unknown_holders(key_map)
+                    self._grant_sender.key_leases.assume_held(
+                        ranges.UNKNOWN.server_id, self._uncertain_until
+                    )
+                state = state_module.ServiceState(key_map, now)
                 self.services[service] = state
             await self._plan(service, state, tasks)
         self._grant_sender.discard_unused(
@@ -546,7 +632,7 @@
         )
         state.changes_being_stored = changes
         try:
-            is_stored = await self._store(
+            is_stored = await self._writer.write_assignment(
                 service, state, state.key_map.replace(changes)
             )
         finally:
@@ -558,67 +644,3 @@
         self.publish()
         for change in changes:
             self._moves.start(service, change, tasks)
-
-    async def _store(
-        self,
-        service: str,
-        state: state_module.ServiceState,
-        key_map: ranges.RangeMap,
-    ) -> bool:
-        """Store an assignment; return whether this host may act on it."""
-        servers = self._servers_of(service, state, key_map)
-        added = [records.encode_map(service, key_map)]
-        if servers != state.stored_servers:
-            added.append(records.encode_servers(service, servers))
-        if not await self._append(*added):
-            return False
-        state.stored_servers = servers
-        return True
-
-    def _servers_of(
-        self,
-        service: str,
-        state: state_module.ServiceState,
-        key_map: ranges.RangeMap,
-    ) -> records.ServiceServers:
-        """Return the servers that a successor may have to reach."""
-        names = {owed.server_id for owed in state.owed_releases}
-        for key_range in key_map.ranges:
-            names.add(key_range.owner.server_id)
-            names.add(key_range.source.server_id)
-        recipients = (
-            self._late_releases.recipient_of(service, name) for name in names
-        )
-        return records.ServiceServers.from_state(
-            (one for one in recipients if one is not None),
-            state.owed_releases,
-        )
-
-    async def _append(self, *added: port.Record) -> bool:
-        """Store records; return whether this host may act on them."""
-        epoch = self.epoch
-        if not epoch or self._now() < self._store_retry_at:
-            return False
-        sent = self._now()
-        refusal = await self._journal.append(*added)
-        if epoch != self.epoch:
-            return False
-        if refusal is None:
-            self.leader_lease.confirm(sent)
-            return True
-        self._store_retry_at = self._now() + STORE_RETRY_DELAY_SECONDS
-        events.emit(
-            "assignment_not_stored", record=added[0].key, reason=str(refusal)
-        )
-        if refusal.code == codes.ResultCode.RECORD_STALE:
-            # The condition also fails if an unanswered append of this host
-            # was applied late; taking the leadership again reads it.
-            self.lose_leadership(
-                "stored assignments were changed by another append"
-            )
-        elif refusal.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
-            if await self._journal.is_current() is False:
-                self.lose_leadership(
-                    f"unanswered append of {added[0].key} was applied late"
-                )
-        return False
--- a/src/agatestile/assignment/predecessors.py
+++ b/src/agatestile/assignment/predecessors.py
@@ -1,4 +1,4 @@
-"""What a new leader finds out about the previous one."""
+"""What a new leader learns of the leader before it."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 SETTLING_SECONDS = leases.LEADER_LEASE_SECONDS + leases.GRANT_TIMEOUT_SECONDS
 """Time after which no earlier leader renews grants any longer."""
 
+UNKNOWN = leases.Predecessor(None, SETTLING_SECONDS, False)
+"""A leader that may still renew grants."""
+
 
 async def query(
-    hosts: ports.Hosts,
-    address: str,
-    previous: records.Leadership,
-    epoch: int,
+    hosts: ports.Hosts, previous: records.Leadership, own: records.Leadership
 ) -> leases.Predecessor:
     """Return what is known of the grants of the previous leader.
 
@@ -26,12 +26,10 @@
     ----------
     hosts : ports.Hosts
         Sends messages to earlier leaders.
-    address : str
-        Control address of the new leader.
     previous : records.Leadership
-        Stored leadership of the previous leader.
-    epoch : int
-        Epoch of the new leader.
+        The leadership that was stored before.
+    own : records.Leadership
+        The leadership of this host.
     """
     if not previous.epoch:
         return leases.NO_PREDECESSOR
@@ -40,16 +38,15 @@
             previous.remaining_leases, 0.0, previous.is_settled
         )
     ended = leases.Predecessor(None, leases.GRANT_TIMEOUT_SECONDS, True)
-    unknown = leases.Predecessor(None, SETTLING_SECONDS, False)
     if not previous.is_settled:
         # A leader before the previous one may still renew grants.
-        ended = unknown
-    if previous.host == address:
+        ended = UNKNOWN
+    if previous.host == own.host:
         # An earlier process of this host, which has ended.
         return ended
-    reply = await hosts.supersede(previous.host, epoch)
+    reply = await hosts.supersede(previous.host, own.epoch)
     if reply is None:
-        return unknown
+        return UNKNOWN
     if reply.was_holder:
         return leases.Predecessor(
             reply.remaining_leases, 0.0, previous.is_settled
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -37,6 +37,9 @@
     remaining_leases : list of (str, int, float)
         Identifier and incarnation of servers, and for how much longer each
         may hold keys, seconds; empty unless `is_resigned`.
+    era : int
+        Era of the store in which the maps and servers were last written
+        completely. In a later era they may be outdated.
     quota_hosts : list of str
         Hosts that may use shares in the quotas of tenants.
     """
@@ -46,14 +49,9 @@
     is_resigned: bool = False
     is_settled: bool = False
     remaining_leases: list[tuple[str, int, float]] = []
+    era: int = 0
     quota_hosts: list[str] = []
 
-    def successor(self, host: str) -> Leadership:
-        """Return the next leadership, of another host or the same one."""
-        return Leadership(
-            self.epoch + 1, host, quota_hosts=list(self.quota_hosts)
-        )
-
     def settled(self) -> Leadership:
         """Return it with no earlier leader that can renew grants."""
         return msgspec.structs.replace(self, is_settled=True)
@@ -273,7 +271,7 @@
     fields = msgspec.structs.astuple(leadership)
     if not leadership.quota_hosts:
         # The record stays as earlier releases write it.
-        fields = fields[:-1]
+        fields = fields[:-1] if leadership.era else fields[:-2]
     return port.Record(LEADER_KEY, msgspec.msgpack.encode(fields))
 
 
--- a/src/agatestile/entry/handler.py
+++ b/src/agatestile/entry/handler.py
@@ -25,7 +25,6 @@
     from agatestile.catalog import tenants
     from agatestile.entry import fleet as fleet_module
     from agatestile.entry import header_port
-    from agatestile.limits import quotas as quotas_module
     from agatestile.observability import counters
 
 SHUTDOWN_RETRY_AFTER = 0.2
@@ -61,7 +60,7 @@
         Clock that includes the time of a suspension, seconds; `now` by
         default. The window of the retry budget is in time that passes for
         all hosts.
-    quotas : quotas.HostQuotas, optional
+    quotas : quota_check.QuotaCheck, optional
         Quotas of tenants on this host.
 
     Attributes
@@ -83,7 +82,7 @@
             math.inf
         ),
         boot_time: typing.Callable[[], float] | None = None,
-        quotas: quotas_module.HostQuotas | None = None,
+        quotas: quota_check.QuotaCheck | None = None,
     ) -> None:
         self._quotas = quotas
         self.boot_time = boot_time or now
@@ -117,9 +116,13 @@
         )
         if isinstance(context, refusals.RequestRefusal):
             return self._refuse_early(context, caller_headers, started, tenant)
-        ticket = quota_check.admit(
-            self._quotas, context.tenant, self.boot_time, self.registry
-        )
+        ticket = None
+        if self._quotas is not None:
+            ticket = await self._quotas.admit(
+                context.tenant,
+                self.fleet.host_count,
+                route.latency_objective,
+            )
         if isinstance(ticket, refusals.RequestRefusal):
             return self.refuse(
                 ticket,
--- a/src/agatestile/entry/quota_check.py
+++ b/src/agatestile/entry/quota_check.py
@@ -5,6 +5,7 @@
 import typing
 
 from agatestile.entry import refusals
+from agatestile.limits import quota_fallback
 from agatestile.results import codes
 
 if typing.TYPE_CHECKING:
@@ -13,6 +14,21 @@
     from agatestile.observability import counters
 
 
+MAX_WAIT_SECONDS = 0.4
+"""Longest wait for a token: the longest interval between two reports, and the
+time until the second one is answered."""
+
+MAX_WAIT_SHARE = 0.4
+"""Largest share of its latency objective that a request waits for a token."""
+
+
+class GrantWaiter(typing.Protocol):
+    """Reports grants of the coordinator."""
+
+    async def wait_granted(self, timeout: float) -> bool:
+        """Wait for a grant; return whether one arrived."""
+
+
 class Ticket:
     """Token of one request.
 
@@ -38,6 +54,7 @@
         self._quotas = quotas
         self._tenant = tenant
         self._number = admission.number
+        self._is_from_fallback = not admission.number
         self._now = now
         self._admitted_at = now()
 
@@ -48,6 +65,8 @@
         the admission to the sending.
         """
         now = self._now()
+        if self._is_from_fallback:
+            return None
         if now <= self._admitted_at + self._quotas.limits.send_delay:
             return None
         self.give_back()
@@ -69,38 +88,92 @@
         self._number = 0
 
 
-def admit(
-    quotas: quotas_module.HostQuotas | None,
-    tenant: tenants_module.Tenant | None,
-    now: typing.Callable[[], float],
-    registry: counters.Registry,
-) -> Ticket | refusals.RequestRefusal | None:
-    """Take a token for a request.
+class QuotaCheck:
+    """Admits requests within the quotas of their tenants.
 
     Parameters
     ----------
-    quotas : quotas.HostQuotas or None
+    quotas : quotas.HostQuotas
         Quotas of this host.
-    tenant : tenants.Tenant or None
-        Tenant of the request, None without one.
+    waiter : GrantWaiter
+        Reports grants of the coordinator.
     now : callable
         Clock that includes suspensions, seconds.
     registry : counters.Registry
         Counts admissions and refusals.
-
-    Returns
-    -------
-    Ticket or RequestRefusal or None
-        None if no quota applies.
     """
-    if quotas is None or tenant is None or tenant.rate <= 0.0:
-        return None
-    admission = quotas.admit(tenant.name, now())
-    if admission.wait > 0.0:
-        registry.count("quota_requests_total", result="refused")
-        return _refusal(tenant.name, admission.wait)
-    registry.count("quota_requests_total", result="admitted")
-    return Ticket(quotas, tenant.name, admission, now)
+
+    def __init__(
+        self,
+        quotas: quotas_module.HostQuotas,
+        waiter: GrantWaiter,
+        now: typing.Callable[[], float],
+        registry: counters.Registry,
+    ) -> None:
+        self._quotas = quotas
+        self._waiter = waiter
+        self._now = now
+        self._registry = registry
+        self._fallback = quota_fallback.FallbackBuckets()
+
+    async def admit(
+        self,
+        tenant: tenants_module.Tenant | None,
+        host_count: int,
+        objective: float,
+    ) -> Ticket | refusals.RequestRefusal | None:
+        """Take a token for a request.
+
+        A host without a share of the tenant waits for a token, which takes
+        less than a repeat of the request by its caller.
+
+        Parameters
+        ----------
+        tenant : tenants.Tenant or None
+            Tenant of the request, None without one.
+        host_count : int
+            Number of hosts.
+        objective : float
+            Latency objective of the request, seconds.
+
+        Returns
+        -------
+        Ticket or RequestRefusal or None
+            None if no quota applies.
+        """
+        if tenant is None or tenant.rate <= 0.0:
+            return None
+        admission = self._quotas.admit(tenant.name, self._now())
+        result = "admitted"
+        if admission.wait > 0.0 and not self._quotas.has_share(tenant.name):
+            if self._quotas.is_allocated(self._now()):
+                admission = await self._wait(tenant.name, admission, objective)
+            elif self._fallback.admit(tenant, host_count, self._now()):
+                admission = admission._replace(wait=0.0)
+                result = "fallback"
+        if admission.wait > 0.0:
+            self._registry.count("quota_requests_total", result="refused")
+            return _refusal(tenant.name, admission.wait)
+        self._registry.count("quota_requests_total", result=result)
+        return Ticket(self._quotas, tenant.name, admission, self._now)
+
+    async def _wait(
+        self,
+        tenant: str,
+        admission: quotas_module.Admission,
+        objective: float,
+    ) -> quotas_module.Admission:
+        """Take a token as soon as the coordinator has granted one."""
+        longest = MAX_WAIT_SECONDS
+        if objective > 0.0:
+            longest = min(longest, MAX_WAIT_SHARE * objective)
+        deadline = self._now() + longest
+        while admission.wait > 0.0:
+            left = deadline - self._now()
+            if left <= 0.0 or not await self._waiter.wait_granted(left):
+                break
+            admission = self._quotas.admit(tenant, self._now(), is_repeat=True)
+        return admission
 
 
 def _refusal(tenant: str, wait: float) -> refusals.RequestRefusal:
--- a/src/agatestile/limits/quota_allocator.py
+++ b/src/agatestile/limits/quota_allocator.py
@@ -19,6 +19,10 @@
 """Time without a report after which a host certainly uses nothing any longer:
 its lease, by a clock that runs up to 2% slow, and a margin."""
 
+LATE_REPORT_SECONDS = 3.0
+"""Longest time after which a copy of a report arrives that its host has given
+up."""
+
 ALLOCATION_INTERVAL_SECONDS = 1.0
 """Interval between allocations of a tenant."""
 
@@ -472,7 +476,15 @@
             Clock, seconds.
         """
         session = self._session_by_host.get(host)
-        if session is None or report.process > session.process:
+        if (
+            session is None
+            or report.process > session.process
+            # The time of day, from which the number comes, was set back.
+            or (
+                report.process != session.process
+                and now >= session.received_at + LATE_REPORT_SECONDS
+            )
+        ):
             if session is not None:
                 # The earlier process has ended.
                 self._release(host, now)
--- a/src/agatestile/limits/quotas.py
+++ b/src/agatestile/limits/quotas.py
@@ -54,6 +54,10 @@
 URGENT_INTERVAL_SECONDS = 0.25
 """Shortest interval between reports to be answered at once."""
 
+MAX_GRANT_AGE_SECONDS = 1.5
+"""Age of the latest grant above which no coordinator allocates at present.
+Reports are answered within `COORDINATOR_WAIT_SECONDS`."""
+
 MAX_REPORT_ROWS = 100
 """Tenants in a report. At about 25 bytes each and four reports per second
 these are 10 KB/s."""
@@ -457,7 +461,9 @@
                 bucket.scale_single_tokens(factor)
                 self._changed_tenants[name] = None
 
-    def admit(self, tenant: str, now: float) -> Admission:
+    def admit(
+        self, tenant: str, now: float, *, is_repeat: bool = False
+    ) -> Admission:
         """Take a token of a tenant.
 
         Parameters
@@ -466,6 +472,8 @@
             Name of the tenant.
         now : float
             Clock, seconds.
+        is_repeat : bool, optional
+            Whether the request was counted before.
 
         Returns
         -------
@@ -476,7 +484,8 @@
         if known is None:
             return UNLIMITED
         self._expire(now)
-        self._demand_by_tenant[tenant] += 1
+        if not is_repeat:
+            self._demand_by_tenant[tenant] += 1
         bucket = self._bucket_by_tenant.get(tenant)
         if bucket is not None and bucket.take(self._next_token, now):
             self._next_token += 1
@@ -538,6 +547,10 @@
             return 0.0
         return now - (self.lease_until - LEASE_SECONDS)
 
+    def is_allocated(self, now: float) -> bool:
+        """Return whether a coordinator allocates the quotas at present."""
+        return self.grant_age(now) <= MAX_GRANT_AGE_SECONDS
+
     def report(self, now: float) -> Report | None:
         """Return the next report, None if no tenant has a quota."""
         if not self.is_enabled():
@@ -550,7 +563,7 @@
         is_full = self._is_sent_full = not self._is_established
         self._sent_rows = self._build_rows(is_full, now)
         is_urgent = now >= self._urgent_due_at and any(
-            (row.refused or not row.tokens) and not self._has_share(row.tenant)
+            (row.refused or not row.tokens) and not self.has_share(row.tenant)
             for row in self._sent_rows
         )
         if is_urgent:
@@ -565,7 +578,8 @@
             self._sent_rows,
         )
 
-    def _has_share(self, tenant: str) -> bool:
+    def has_share(self, tenant: str) -> bool:
+        """Return whether this host has a share of a tenant's quota."""
         bucket = self._bucket_by_tenant.get(tenant)
         return bucket is not None and bucket.share > 0.0
 
--- a/src/agatestile/node/messages.py
+++ b/src/agatestile/node/messages.py
@@ -35,6 +35,8 @@
     patch : bytes
         Configuration compressed against that version, empty unless the
         recipient has an older one.
+    era : int
+        Era of the store to which `end` belongs.
     """
 
     end: int
@@ -43,6 +45,7 @@
     evacuated: list[str]
     base_version: int = -1
     patch: bytes = b""
+    era: int = 0
 
 
 class Report(msgspec.Struct, array_like=True):
@@ -205,6 +208,8 @@
     admitted_shares : dict of str to dict of int to float
         Share of the requests for hot keys that hosts may send to their
         owners, by service and key.
+    directory_era : int
+        Era of the store in which the coordinator has read its directory.
     quotas : quotas.Grant or None
         Changes of what the recipient has of the quotas of tenants.
     """
@@ -224,18 +229,22 @@
     assignment: content_history.ContentPatch | None = None
     has_all_servers: bool = False
     admitted_shares: dict[str, dict[int, float]] = {}
+    directory_era: int = 0
     quotas: quotas_module.Grant | None = None
 
 
 def encode(message: Report | ReportResponse) -> bytes:
-    """Return an encoded message, without the last field if it is None.
+    """Return an encoded message, without its last fields if they are unused.
 
-    Messages of a deployment without quotas are as small as those of earlier
-    releases, which do not have the field.
+    Messages of a deployment without quotas and eras are as small as those of
+    earlier releases, which do not have the fields.
     """
-    if message.quotas is not None:
-        return msgspec.msgpack.encode(message)
-    return msgspec.msgpack.encode(msgspec.structs.astuple(message)[:-1])
+    fields = msgspec.structs.astuple(message)
+    if message.quotas is None:
+        fields = fields[:-1]
+        if isinstance(message, ReportResponse) and not message.directory_era:
+            fields = fields[:-1]
+    return msgspec.msgpack.encode(fields)
 
 
 class SupersedeRequest(msgspec.Struct, array_like=True):
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -16,6 +16,7 @@
 from agatestile.entry import fleet as fleet_module
 from agatestile.entry import handler as handler_module
 from agatestile.entry import picker as picker_module
+from agatestile.entry import quota_check
 from agatestile.entry import stopping
 from agatestile.entry import view as view_module
 from agatestile.node import clock
@@ -205,7 +206,12 @@
             self.registry,
             lambda: self.operator_watcher.confirmed_at,
             clock.boot_time,
-            self.quota_exchange.quotas,
+            quota_check.QuotaCheck(
+                self.quota_exchange.quotas,
+                self.quota_exchange,
+                clock.boot_time,
+                self.registry,
+            ),
         )
         header_format = platform.header_format
         self.caller_guard = caller_guard.CallerGuard(
@@ -227,6 +233,7 @@
         self.metrics_listener = server.Listener(
             self._on_metrics, self._caller_limits
         )
+        self._store = platform.store
         self._is_stopping = False
         self._add_gauges()
 
@@ -415,6 +422,7 @@
             "services_with_rate_limits",
             lambda: len(fleet.directory.services_with_rate_limits()),
         )
+        gauge("store_era", lambda: self._store.era)
         gauge("servers_known", lambda: len(fleet.directory.by_id))
         gauge("hosts_known", lambda: fleet.host_count)
         gauge("assignment_epoch", lambda: self.view.epoch)
@@ -441,6 +449,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
             self.server_pool.close_expired()
+            self.elector.note_era()
             self.operator_watcher.check_wait(self.reporter.operator_end())
             self.fleet.remove_missing(
                 REMOVED_SERVER_RETENTION_SECONDS, self._now()
--- a/src/agatestile/node/peers.py
+++ b/src/agatestile/node/peers.py
@@ -275,6 +275,7 @@
             assignment,
             is_newer and known_version == 0,
             coordinator.admitted_shares(),
+            directory.era,
             self._quotas.grant(report.host, report.quotas),
         )
 
--- a/src/agatestile/node/quota_exchange.py
+++ b/src/agatestile/node/quota_exchange.py
@@ -96,6 +96,21 @@
         self._allocator = quota_allocator.QuotaAllocator(0, (), self._limits)
         self._epoch = 0
         self._is_settled = False
+        self._granted = anyio.Event()
+
+    async def wait_granted(self, timeout: float) -> bool:
+        """Wait for a grant; return whether one arrived.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest wait, seconds.
+        """
+        granted = self._granted
+        with anyio.move_on_after(timeout):
+            await granted.wait()
+            return True
+        return False
 
     def on_configuration(
         self, new: configuration_module.Configuration
@@ -121,6 +136,8 @@
                 "quota_grant_ignored", epoch=grant.epoch, number=grant.number
             )
         elif grant.rows:
+            self._granted.set()
+            self._granted = anyio.Event()
             events.emit(
                 "quota_granted",
                 epoch=grant.epoch,
