--- a/src/agatestile/limits/quota_fallback.py
+++ b/src/agatestile/limits/quota_fallback.py
@@ -11,7 +11,7 @@
 if typing.TYPE_CHECKING:
     from agatestile.catalog import tenants as tenants_module
 
-USED_FRACTION = 0.7
+USED_FRACTION = 0.9
 """Fraction of a quota that all hosts together admit in this way. Hosts that
 still have shares of the quota use those at the same time."""
 
