--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -529,6 +529,9 @@
         sending = [
             asyncio.create_task(harness.send(key=7)) for _ in range(count)
         ]
+        async with asyncio.timeout(5.0):
+            while len(harness.received_requests) < count:
+                await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
         harness.assign("b")
         statuses = [(await one).status for one in sending]
