Continue with the last shares without a coordinator

Change: a host goes on with 80% of the share that it had, and with a quarter of an even part where others have the shares.

--- a/src/agatestile/entry/quota_check.py
+++ b/src/agatestile/entry/quota_check.py
@@ -148,7 +148,11 @@
         if admission.wait > 0.0 and not self._quotas.has_share(tenant.name):
             if self._quotas.is_allocated(self._now()):
                 admission = await self._wait(tenant.name, admission, objective)
-            elif self._fallback.admit(tenant, host_count, self._now()):
+            elif self._fallback.admit(
+                tenant,
+                self._quotas.fallback_share(tenant, host_count),
+                self._now(),
+            ):
                 admission = admission._replace(wait=0.0)
                 result = "fallback"
         if admission.wait > 0.0:
--- a/src/agatestile/limits/quota_fallback.py
+++ b/src/agatestile/limits/quota_fallback.py
@@ -11,7 +11,7 @@
 if typing.TYPE_CHECKING:
     from agatestile.catalog import tenants as tenants_module
 
-USED_FRACTION = 0.9
+USED_FRACTION = 0.8
 """Fraction of a quota that all hosts together admit in this way. Hosts that
 still have shares of the quota use those at the same time."""
 
@@ -25,13 +25,13 @@
 
 
 class FallbackBuckets:
-    """Even parts of the quotas of tenants on one host."""
+    """Parts of the quotas of tenants on one host."""
 
     def __init__(self) -> None:
         self._bucket_by_tenant: dict[str, _Bucket] = {}
 
     def admit(
-        self, tenant: tenants_module.Tenant, host_count: int, now: float
+        self, tenant: tenants_module.Tenant, share: float, now: float
     ) -> bool:
         """Take a token of this host's part; return whether there was one.
 
@@ -39,12 +39,12 @@
         ----------
         tenant : tenants.Tenant
             The tenant.
-        host_count : int
-            Number of hosts.
+        share : float
+            Share of the quota, 0 to 1.
         now : float
             Clock that includes suspensions, seconds.
         """
-        part = USED_FRACTION / max(1, host_count)
+        part = USED_FRACTION * share
         capacity = max(MIN_CAPACITY, part * tenant.burst)
         bucket = self._bucket_by_tenant.get(tenant.name)
         if bucket is None:
--- a/src/agatestile/limits/quotas.py
+++ b/src/agatestile/limits/quotas.py
@@ -58,6 +58,13 @@
 """Age of the latest grant above which no coordinator allocates at present.
 Reports are answered within `COORDINATOR_WAIT_SECONDS`."""
 
+MIN_EVEN_TOKENS = 1.0
+"""Tokens of a tenant per host from which it usually has shares on hosts."""
+
+UNSHARED_FRACTION = 0.25
+"""Part of an even share that a host without a share of such a tenant uses
+while no coordinator allocates."""
+
 MAX_REPORT_ROWS = 100
 """Tenants in a report. At about 25 bytes each and four reports per second
 these are 10 KB/s."""
@@ -419,6 +426,7 @@
         self._is_sent_full = False
         self._epoch = 0
         self._is_established = False
+        self._last_share_by_tenant: dict[str, float] | None = None
 
     def configure(
         self, tenants: typing.Iterable[tenants_module.Tenant], now: float
@@ -522,6 +530,10 @@
 
     def _expire(self, now: float) -> None:
         if now >= self.lease_until and self._bucket_by_tenant:
+            self._last_share_by_tenant = {
+                name: bucket.share
+                for name, bucket in self._bucket_by_tenant.items()
+            }
             self._bucket_by_tenant.clear()
             self._is_established = False
 
@@ -547,6 +559,33 @@
             return 0.0
         return now - (self.lease_until - LEASE_SECONDS)
 
+    def fallback_share(
+        self, tenant: tenants_module.Tenant, host_count: int
+    ) -> float:
+        """Return the share to use while no coordinator allocates.
+
+        It is the last share of this host, or an even one if the host had
+        none or does not know.
+
+        Parameters
+        ----------
+        tenant : Tenant
+            The tenant.
+        host_count : int
+            Number of hosts.
+        """
+        even = 1.0 / max(1, host_count)
+        known = self._last_share_by_tenant
+        if known is None and not self._is_established:
+            return even
+        last = 0.0 if known is None else known.get(tenant.name, 0.0)
+        if last > 0.0:
+            return last
+        if self.limits.burst(tenant) * even < MIN_EVEN_TOKENS:
+            return even
+        # The other hosts have shares of a tenant of this size.
+        return even * UNSHARED_FRACTION
+
     def is_allocated(self, now: float) -> bool:
         """Return whether a coordinator allocates the quotas at present."""
         return self.grant_age(now) <= MAX_GRANT_AGE_SECONDS
--- a/tests/entry/test_quota_check.py
+++ b/tests/entry/test_quota_check.py
@@ -219,5 +219,23 @@
         clock[0] += 0.01
         ticket = await check.admit(tenant, 4, 1.0)
         admitted += isinstance(ticket, quota_check.Ticket)
-    # In 5 s a quarter of 90% of the rate and of the burst.
-    assert 0.25 * 0.9 * 200.0 - 1 <= admitted <= 0.25 * 0.9 * 240.0 + 1
+    # In 5 s a quarter of 80% of the rate and of the burst.
+    assert 0.25 * 0.8 * 200.0 - 1 <= admitted <= 0.25 * 0.8 * 240.0 + 1
+
+
+async def test_host_keeps_its_part_when_the_coordinator_is_lost() -> None:
+    """Guards against an even part for hosts whose callers are many or few.
+
+    A host without a share of a large tenant must not add an even part to the
+    shares of the others.
+    """
+    tenant = tenants.Tenant("shop", None, 400.0, 400.0)
+    for share, expected in ((0.2, 0.2), (0.0, 0.25 * 0.1)):
+        host = _quotas(100.0, 0)
+        host.configure([tenant], 100.0)
+        report = host.report(100.0)
+        assert report is not None
+        rows = [quotas.GrantRow("shop", share)]
+        host.apply(quotas.Grant(report.number, 1, False, True, rows), 100.0)
+        host.totals(100.0 + quotas.LEASE_SECONDS)
+        assert host.fallback_share(tenant, 10) == pytest.approx(expected)
