--- a/tests/entry/test_quota_check.py
+++ b/tests/entry/test_quota_check.py
@@ -223,7 +223,7 @@
     assert 0.25 * 0.8 * 200.0 - 1 <= admitted <= 0.25 * 0.8 * 240.0 + 1
 
 
-async def test_host_keeps_its_part_when_the_coordinator_is_lost() -> None:
+def test_host_keeps_its_part_when_the_coordinator_is_lost() -> None:
     """Guards against an even part for hosts whose callers are many or few.
 
     A host without a share of a large tenant must not add an even part to the
