Wait for the next token of a share

Change: such a request waits for the next token if that is expected within 0.4 s and 40% of its latency objective.

--- a/src/agatestile/entry/quota_check.py
+++ b/src/agatestile/entry/quota_check.py
@@ -124,8 +124,8 @@
     ) -> Ticket | refusals.RequestRefusal | None:
         """Take a token for a request.
 
-        A host without a share of the tenant waits for a token, which takes
-        less than a repeat of the request by its caller.
+        A request waits shortly for a token, which takes less than a repeat by
+        its caller.
 
         Parameters
         ----------
@@ -145,16 +145,18 @@
             return None
         admission = self._quotas.admit(tenant.name, self._now())
         result = "admitted"
-        if admission.wait > 0.0 and not self._quotas.has_share(tenant.name):
-            if self._quotas.is_allocated(self._now()):
-                admission = await self._wait(tenant.name, admission, objective)
-            elif self._fallback.admit(
-                tenant,
-                self._quotas.fallback_share(tenant, host_count),
-                self._now(),
-            ):
-                admission = admission._replace(wait=0.0)
-                result = "fallback"
+        has_share = self._quotas.has_share(tenant.name)
+        if admission.wait <= 0.0:
+            pass
+        elif has_share or self._quotas.is_allocated(self._now()):
+            admission = await self._wait(tenant.name, admission, objective)
+        elif self._fallback.admit(
+            tenant,
+            self._quotas.fallback_share(tenant, host_count),
+            self._now(),
+        ):
+            admission = admission._replace(wait=0.0)
+            result = "fallback"
         if admission.wait > 0.0:
             self._registry.count("quota_requests_total", result="refused")
             return _refusal(tenant.name, admission.wait)
@@ -167,14 +169,21 @@
         admission: quotas_module.Admission,
         objective: float,
     ) -> quotas_module.Admission:
-        """Take a token as soon as the coordinator has granted one."""
+        """Take a token as soon as there is one.
+
+        It accrues if the host has a share, or the coordinator grants it.
+        """
         longest = MAX_WAIT_SECONDS
         if objective > 0.0:
             longest = min(longest, MAX_WAIT_SHARE * objective)
         deadline = self._now() + longest
         while admission.wait > 0.0:
             left = deadline - self._now()
-            if left <= 0.0 or not await self._waiter.wait_granted(left):
+            if self._quotas.has_share(tenant):
+                if admission.wait > left:
+                    break
+                await self._waiter.wait_granted(admission.wait)
+            elif left <= 0.0 or not await self._waiter.wait_granted(left):
                 break
             admission = self._quotas.admit(tenant, self._now(), is_repeat=True)
         return admission
--- a/src/agatestile/limits/quotas.py
+++ b/src/agatestile/limits/quotas.py
@@ -367,11 +367,18 @@
             del self._returnable_single[number]
             self.single_tokens += 1
 
-    def wait(self, now: float) -> float:
+    def wait(self, now: float, is_repeat: bool = False) -> float:
         """Return the time until there is a token, seconds.
 
         Refused callers are told successive times, as one token serves one
         of them.
+
+        Parameters
+        ----------
+        now : float
+            Clock, seconds.
+        is_repeat : bool, optional
+            Whether the request was told a time before.
         """
         from_coordinator = max(
             COORDINATOR_WAIT_SECONDS, self.expected_at - now
@@ -380,6 +387,8 @@
         if self.share * self._burst < 1.0 or rate <= 0.0:
             return from_coordinator
         earliest = now + (1.0 - self.tokens) / rate
+        if is_repeat:
+            return max(MIN_WAIT_SECONDS, earliest - now)
         promised = max(earliest, self._promised_until + 1.0 / rate)
         self._promised_until = min(promised, now + MAX_WAIT_SECONDS)
         return max(MIN_WAIT_SECONDS, self._promised_until - now)
@@ -503,7 +512,7 @@
         self._refused_by_tenant[tenant] += 1
         if bucket is None:
             return Admission(COORDINATOR_WAIT_SECONDS)
-        return Admission(bucket.wait(now))
+        return Admission(bucket.wait(now, is_repeat))
 
     def finish(self, tenant: str, number: int) -> None:
         """Keep the token of a request that ran or may have run."""
--- a/tests/entry/test_quota_check.py
+++ b/tests/entry/test_quota_check.py
@@ -239,3 +239,30 @@
         host.apply(quotas.Grant(report.number, 1, False, True, rows), 100.0)
         host.totals(100.0 + quotas.LEASE_SECONDS)
         assert host.fallback_share(tenant, 10) == pytest.approx(expected)
+
+
+@pytest.mark.anyio
+async def test_request_waits_for_the_next_token_of_a_share() -> None:
+    """Guards against refusals when requests arrive close to each other."""
+    clock = [100.0]
+    tenant = tenants.Tenant("shop", None, 20.0, 10.0)
+    host = _quotas(clock[0], 0)
+    host.configure([tenant], clock[0])
+    report = host.report(clock[0])
+    assert report is not None
+    rows = [quotas.GrantRow("shop", 0.5)]
+    host.apply(quotas.Grant(report.number, 1, False, True, rows), clock[0])
+
+    class Time:
+        async def wait_granted(self, timeout: float) -> bool:
+            clock[0] += timeout
+            return False
+
+    check = quota_check.QuotaCheck(
+        host, Time(), lambda: clock[0], counters.Registry()
+    )
+    for _ in range(3):
+        ticket = await check.admit(tenant, 4, 1.0)
+        assert isinstance(ticket, quota_check.Ticket)
+    # Three tokens at 10/s.
+    assert clock[0] == pytest.approx(100.3, abs=0.05)
