--- a/src/agatestile/limits/quotas.py
+++ b/src/agatestile/limits/quotas.py
@@ -435,7 +435,8 @@
         self._is_sent_full = False
         self._epoch = 0
         self._is_established = False
-        self._last_share_by_tenant: dict[str, float] | None = None
+        self._was_allocated = False
+        self._last_share_by_tenant: dict[str, float] = {}
 
     def configure(
         self, tenants: typing.Iterable[tenants_module.Tenant], now: float
@@ -584,10 +585,9 @@
             Number of hosts.
         """
         even = 1.0 / max(1, host_count)
-        known = self._last_share_by_tenant
-        if known is None and not self._is_established:
+        if not self._was_allocated:
             return even
-        last = 0.0 if known is None else known.get(tenant.name, 0.0)
+        last = self._last_share_by_tenant.get(tenant.name, 0.0)
         if last > 0.0:
             return last
         if self.limits.burst(tenant) * even < MIN_EVEN_TOKENS:
@@ -695,6 +695,7 @@
         self._is_established = True
         self._clear_reported()
         if grant.is_renewed:
+            self._was_allocated = True
             self.lease_until = max(
                 self.lease_until, self._sent_at + LEASE_SECONDS
             )
