Fall back until a coordinator allocates quotas

Cause: a new coordinator renews leases once its predecessor has stopped, and allocates only when it knows what every host has, up to 12.7 s later.

Change: a grant says whether its coordinator allocates.

--- a/src/agatestile/limits/quota_allocator.py
+++ b/src/agatestile/limits/quota_allocator.py
@@ -609,6 +609,7 @@
             False,
             self._settled_at is not None,
             session.sent_rows,
+            self.is_allocating,
         )
 
     def _grant_rows(
--- a/src/agatestile/limits/quotas.py
+++ b/src/agatestile/limits/quotas.py
@@ -211,6 +211,9 @@
         Whether the host may continue to use what it has.
     rows : list of GrantRow
         Tenants with changes.
+    is_allocating : bool
+        Whether the coordinator knows what every host has, so that it grants
+        what is free.
     """
 
     number: int
@@ -218,6 +221,7 @@
     needs_full: bool
     is_renewed: bool
     rows: list[GrantRow] = []
+    is_allocating: bool = True
 
 
 class Admission(typing.NamedTuple):
@@ -436,6 +440,7 @@
         self._epoch = 0
         self._is_established = False
         self._was_allocated = False
+        self._allocated_at = -math.inf
         self._last_share_by_tenant: dict[str, float] = {}
 
     def configure(
@@ -597,7 +602,7 @@
 
     def is_allocated(self, now: float) -> bool:
         """Return whether a coordinator allocates the quotas at present."""
-        return self.grant_age(now) <= MAX_GRANT_AGE_SECONDS
+        return now - self._allocated_at <= MAX_GRANT_AGE_SECONDS
 
     def report(self, now: float) -> Report | None:
         """Return the next report, None if no tenant has a quota."""
@@ -694,8 +699,10 @@
             return False
         self._is_established = True
         self._clear_reported()
-        if grant.is_renewed:
+        if grant.is_renewed and grant.is_allocating:
             self._was_allocated = True
+            self._allocated_at = self._sent_at
+        if grant.is_renewed:
             self.lease_until = max(
                 self.lease_until, self._sent_at + LEASE_SECONDS
             )
--- a/tests/entry/test_quota_check.py
+++ b/tests/entry/test_quota_check.py
@@ -235,8 +235,15 @@
     report = started.report(100.0)
     assert report is not None
     # A coordinator that does not allocate yet says nothing of shares.
-    started.apply(quotas.Grant(report.number, 1, False, False), 100.0)
-    assert started.fallback_share(tenant, 10) == pytest.approx(0.1)
+    for is_renewed in (False, True):
+        report = started.report(100.0)
+        assert report is not None
+        started.apply(
+            quotas.Grant(report.number, 1, False, is_renewed, [], False),
+            100.0,
+        )
+        assert not started.is_allocated(100.0)
+        assert started.fallback_share(tenant, 10) == pytest.approx(0.1)
     for share, expected in ((0.2, 0.2), (0.0, 0.25 * 0.1)):
         host = _quotas(100.0, 0)
         host.configure([tenant], 100.0)
