Use one piece of code for three twins

Found in a reading of the whole change; behaviour is the same.

- The retry-after time of refused callers was bounded twice, for the transport by a copy of the rule in entry/refusals.
Both call limits/retry_after now.
- A fencing token was renewed in two places; FencingTokens.renew does it.
- A starting host decoded an unusable configuration a second time only to see that it is unusable; what is in force after the page tells.
- FallbackBuckets.clear had no caller.

--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -355,10 +355,6 @@
                 "stored assignments were changed by another append"
             )
 
-    def _with_new_fence(self, key_range: ranges.KeyRange) -> ranges.KeyRange:
-        fence = self._fencing_tokens.next()
-        return key_range._replace(owner=key_range.owner._replace(fence=fence))
-
     def next_fence(self) -> int:
         """Return a fencing token that is higher than all earlier ones."""
         return self._fencing_tokens.next()
@@ -377,7 +373,7 @@
         state = self.services[service]
         if not state.is_owned(key_range) or state.is_being_changed(key_range):
             return None
-        renewed = self._with_new_fence(key_range)
+        renewed = self._fencing_tokens.renew(key_range)
         state.key_map = state.key_map.replace([renewed])
         events.emit(
             "fence_renewed",
--- a/src/agatestile/assignment/leases.py
+++ b/src/agatestile/assignment/leases.py
@@ -275,13 +275,16 @@
         """
         return ranges.RangeMap(
             [
-                one._replace(owner=one.owner._replace(fence=self.next()))
-                if one.owner != ranges.UNOWNED
-                else one
+                self.renew(one) if one.owner != ranges.UNOWNED else one
                 for one in key_map.ranges
             ]
         )
 
+    def renew(self, key_range: ranges.KeyRange) -> ranges.KeyRange:
+        """Return a range with a new fencing token for its owner."""
+        owner = key_range.owner._replace(fence=self.next())
+        return key_range._replace(owner=owner)
+
 
 def instance_of(owner: ranges.Owner) -> Instance:
     """Return the server instance of an owner."""
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -4,18 +4,13 @@
 
 import typing
 
+from agatestile.limits import retry_after as retry_after_module
 from agatestile.results import codes
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
     from agatestile.entry import header_port
 
-MIN_RETRY_AFTER = 0.05
-"""Shortest retry-after time, seconds."""
-
-MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
-"""Largest share of its time left that a caller waits before a retry."""
-
 INVALID_ENTRY_RETRY_AFTER = 1.0
 """Retry-after time for requests to an entry of the configuration that cannot
 be used, seconds: another host may run another release."""
@@ -98,15 +93,9 @@
     status = STATUS_BY_CODE[refusal.code]
     retry_after = None
     if status in (429, 503):
-        retry_after = bounded_retry_after(refusal.retry_after, time_left)
+        retry_after = retry_after_module.bounded(
+            refusal.retry_after, time_left
+        )
     return messages.Response(
         status, header_format.refusal_headers(retry_after), b""
     )
-
-
-def bounded_retry_after(wanted: float | None, time_left: float) -> float:
-    """Return a retry-after time that leaves the caller time for a retry."""
-    longest = max(MIN_RETRY_AFTER, time_left * MAX_RETRY_AFTER_SHARE * 0.9)
-    if wanted is None:
-        return MIN_RETRY_AFTER
-    return min(max(MIN_RETRY_AFTER, wanted), longest)
--- a/src/agatestile/limits/quota_fallback.py
+++ b/src/agatestile/limits/quota_fallback.py
@@ -56,7 +56,3 @@
             tokens - 1.0 if is_admitted else tokens, now
         )
         return is_admitted
-
-    def clear(self) -> None:
-        """Forget all buckets, as the coordinator allocates again."""
-        self._bucket_by_tenant.clear()
--- a/src/agatestile/node/operator_watcher.py
+++ b/src/agatestile/node/operator_watcher.py
@@ -265,11 +265,11 @@
         self._skip_wait = False
         self._unanswered_reads = 0
         self._measure(page)
-        if is_listing and self._lacks_configuration(page):
-            await self._search_configuration(page.end)
         # Another host may have relayed later records meanwhile.
         if self.end is None or page.end >= self.end:
             self._apply_page(page, is_listing)
+        if is_listing and self._lacks_configuration(page):
+            await self._search_configuration(page.end)
         if page.is_last and not page.records:
             # The store has waited from when it got the request.
             self._confirm(min(self._started + self._wait, self._now()))
@@ -468,15 +468,9 @@
         self._apply_evacuations(evacuated, unseen_since)
 
     def _lacks_configuration(self, page: port.Page) -> bool:
-        """Return whether the only configuration known can't be used."""
-        if self._history.version != content_history.NO_VERSION:
-            return False
-        return any(
-            self._format.is_configuration(record.key)
-            and record.value
-            and isinstance(
-                self._format.decode_configuration(record.value), str
-            )
+        """Return whether the only configuration of a page can't be used."""
+        return self._history.version == content_history.NO_VERSION and any(
+            self._format.is_configuration(record.key) and record.value
             for record in page.records
         )
 
--- a/src/agatestile/transport/caller_guard.py
+++ b/src/agatestile/transport/caller_guard.py
@@ -5,6 +5,7 @@
 import resource
 import typing
 
+from agatestile.limits import retry_after as retry_after_module
 from agatestile.observability import events
 from agatestile.transport import caller_memory
 from agatestile.transport import messages
@@ -20,13 +21,6 @@
 """Retry-after time of a request that is refused for memory or connections,
 seconds: twice the time after which progress counts half."""
 
-MIN_RETRY_AFTER = 0.05
-"""Shortest retry-after time, seconds."""
-
-RETRY_AFTER_SHARE = 0.3
-"""Largest share of its time left that a caller is told to wait; callers honour
-a third."""
-
 
 class Connection(typing.Protocol):
     """A connection of a caller."""
@@ -116,10 +110,11 @@
         """
         if status != 503:
             return self._refusal_headers(None)
-        retry_after = RETRY_AFTER
-        if time_left is not None:
-            retry_after = min(retry_after, time_left * RETRY_AFTER_SHARE)
-        return self._refusal_headers(max(MIN_RETRY_AFTER, retry_after))
+        if time_left is None:
+            return self._refusal_headers(RETRY_AFTER)
+        return self._refusal_headers(
+            retry_after_module.bounded(RETRY_AFTER, time_left)
+        )
 
     def on_ended(self, action: str, cause: str, **fields: object) -> None:
         """Count and log a caller that was refused or closed."""
