Show crowds that hang or end a host

Callers outside the operator's control saw a host that answered nobody, or ended its process.

The host of the existing cases moves to a module that both files use; their crowds, bounds and checks are unchanged.

--- a/tests/system/test_hostile_callers.py
+++ b/tests/system/test_hostile_callers.py
@@ -11,36 +11,21 @@
 
 import asyncio
 import contextlib
-import os
 import pathlib
-import sys
 import typing
 
-import msgspec
 import pytest
 
-from agatestile.transport import client
-from agatestile.transport import messages
-from bench import platform_soak
-from standins import platform_log
-from standins import platform_server
+from tests.system import hostile_host
+
 
 pytestmark = [pytest.mark.anyio, pytest.mark.slow]
 
-MEMORY_MB = 100
-"""Memory that the settings allow the process of a crowd's case, 10^6 bytes."""
 
 HEAD_MEMORY_MB = 60
 """The same for callers that never get to a body, 10^6 bytes."""
 
-LEAST_DEPLOYED_MEMORY_MB = 160
-"""Lowest memory that deployments have, 10^6 bytes."""
-
-MAX_DESCRIPTORS = 400
-"""Descriptors that the settings allow the process."""
 
-HEADER_BYTES = 4 * 1024
-BODY_BYTES = 8 * 1024 * 1024
 LARGEST_BODY_BYTES = 64 * 1024 * 1024
 """Largest body within the limits of the deployments."""
 
@@ -53,10 +38,7 @@
 HEAD_BYTES_PER_CALLER = 64 * 1024 * 1024
 SILENT_CALLERS = 600
 READING_CALLERS = 30
-LARGE_RESPONSE_BYTES = 8 * 1024 * 1024
 
-SERVICE_SECONDS = 0.2
-"""Time that the server works on a request."""
 
 CROWD_SECONDS = 5.0
 """Time after which callers stop to send, whatever they have left."""
@@ -71,163 +53,6 @@
 Pieces = typing.Iterator[bytes]
 
 
-class _Server(platform_server.PlatformServer):
-    """Keeps requests for a while and answers some with large bodies."""
-
-    bodies: list[int] = []
-
-    async def _execute(
-        self, request: messages.Request, key: int
-    ) -> messages.Response:
-        response = await super()._execute(request, key)
-        self.bodies.append(len(request.body))
-        if request.target.endswith(b"large"):
-            return response._replace(body=bytes(LARGE_RESPONSE_BYTES))
-        return response
-
-
-class _Host:
-    """A process of the program with stand-ins, used as a context manager."""
-
-    def __init__(
-        self,
-        folder: pathlib.Path,
-        body_bytes: int = BODY_BYTES,
-        memory: int = MEMORY_MB,
-    ) -> None:
-        self._folder = folder
-        self._memory = memory
-        self._body_bytes = body_bytes
-        self._log = platform_log.PlatformLog()
-        checker = platform_server.InvariantChecker(1)
-        self.server = _Server("s1", "plain", False, checker, SERVICE_SECONDS)
-        self.server.bodies = []
-        self.ports = [platform_soak.free_port() for _ in range(3)]
-        self.process: asyncio.subprocess.Process | None = None
-        self.most_descriptors = 0
-        self._tasks: list[asyncio.Task[None]] = []
-
-    async def __aenter__(self) -> _Host:
-        store_port = platform_soak.free_port()
-        await self._log.start(store_port)
-        self._log.put("keyed.op", "config", self._configuration())
-        self._tasks.append(
-            asyncio.create_task(
-                self.server.run(self._log, platform_soak.free_port())
-            )
-        )
-        callers, ready, peers = self.ports
-        member = f"127.0.0.1:{peers}"
-        self._log.address_by_member[member] = member
-        path = self._folder / "h0.toml"
-        path.write_text(
-            'nodeName = "h0"\nip = "127.0.0.1"\nzone = "anna"\n'
-            f'seeds = ["{member}"]\n'
-            'bounds = ["graceS=6"]\n'
-            f'[listen]\nedgeAddr = "127.0.0.1:{callers}"\n'
-            f'ready = "127.0.0.1:{ready}"\ncontrol = "{member}"\n'
-            f'[platform]\naddress = "127.0.0.1:{store_port}"\n'
-            f"[limits]\nmemoryMb = {self._memory}\n"
-            f"maxFds = {MAX_DESCRIPTORS}\n"
-        )
-        environment = {**os.environ, "AGATESTILE_BOOT": str(path)}
-        with (self._folder / "h0.log").open("ab") as output:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "agatestile.platform",
-                stdout=output,
-                stderr=output,
-                env=environment,
-            )
-        self._tasks.append(asyncio.create_task(self._watch_descriptors()))
-        assert await self.is_served(100), "the host did not start"
-        return self
-
-    async def __aexit__(self, *unused: object) -> None:
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-        for task in self._tasks:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
-        self._log.stop()
-
-    def _configuration(self) -> bytes:
-        rule = {
-            "name": "plain",
-            "routeType": "unsafe",
-            "targetLatencyMs": 5000,
-            "match": {"pathPrefix": "/plain/"},
-            "action": {"service": "plain", "timeoutMs": 5000},
-        }
-        return msgspec.json.encode(
-            {
-                "version": "r1",
-                "listeners": [{"host": "127.0.0.1", "rules": [rule]}],
-                "clusters": [{"name": "plain", "healthPath": "/healthz"}],
-                "limits": {
-                    "maxHeaderBytes": HEADER_BYTES,
-                    "maxBodyBytes": self._body_bytes,
-                    "headerTimeoutMs": 3000,
-                    "idleTimeoutMs": 15000,
-                },
-            }
-        )
-
-    async def request(self, body: bytes) -> messages.Response | None:
-        """Send an ordinary request over a new connection, if one opens."""
-        pool = client.Pool(asyncio.get_running_loop().time)
-        response = await pool.call(
-            ("127.0.0.1", self.ports[0]),
-            messages.Request(
-                b"POST",
-                b"/plain/1",
-                [(b"x-request-id", b"h0.1"), (b"x-deadline-ms", b"5000")],
-                body,
-            ),
-            8.0,
-            needs_new_connection=True,
-        )
-        return response if isinstance(response, messages.Response) else None
-
-    async def is_served(self, attempts: int) -> bool:
-        """Return whether an ordinary request is answered."""
-        for _ in range(attempts):
-            response = await self.request(b"body")
-            if response is not None and response.status == 200:
-                return True
-            await asyncio.sleep(0.1)
-        return False
-
-    async def _watch_descriptors(self) -> None:
-        while True:
-            if self.process is not None and self.process.returncode is None:
-                with contextlib.suppress(OSError):
-                    count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
-                    self.most_descriptors = max(self.most_descriptors, count)
-            await asyncio.sleep(0.05)
-
-    def peak_memory(self) -> int:
-        """Return the highest resident memory of the process, bytes."""
-        assert self.process is not None
-        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        for line in status.splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) * 1024
-        raise AssertionError("the process has ended")
-
-    def check(self) -> None:
-        """Check that the process lives within its settings."""
-        assert self.process is not None
-        assert self.process.returncode is None
-        peak = self.peak_memory() / 1e6
-        print(f"{peak:.1f} MB, {self.most_descriptors} descriptors")
-        assert peak < self._memory
-        assert self.most_descriptors < MAX_DESCRIPTORS
-
-
 class _Crowd:
     """Callers that send the same and keep their connections open."""
 
@@ -289,8 +114,8 @@
 
 
 def _body(number: int, piece: int, may_stop: bool) -> Pieces:
-    yield POST + b"content-length: %d\r\n\r\n" % BODY_BYTES
-    left = BODY_BYTES
+    yield POST + b"content-length: %d\r\n\r\n" % hostile_host.BODY_BYTES
+    left = hostile_host.BODY_BYTES
     if may_stop and _is_short(number):
         left -= MISSING_BYTES
     while left:
@@ -303,7 +128,7 @@
     yield CHUNKED
     chunk = b"%x\r\n%b\r\n" % (size, b"b" * size)
     per_write = max(1, 65536 // size)
-    count = BODY_BYTES // size
+    count = hostile_host.BODY_BYTES // size
     if may_stop and _is_short(number):
         count -= per_write
     yield from _repeat(chunk * per_write, count * len(chunk))
@@ -325,15 +150,19 @@
 class _Case(typing.NamedTuple):
     callers: int
     pieces: typing.Callable[[int], Pieces]
-    memory: int = MEMORY_MB
+    memory: int = hostile_host.MEMORY_MB
 
 
 CASES = {
     "many-headers": _Case(HEAD_CALLERS, _endless_headers, HEAD_MEMORY_MB),
     "header-value": _Case(HEAD_CALLERS, _endless_header_value, HEAD_MEMORY_MB),
     "empty-lines": _Case(HEAD_CALLERS, _empty_lines, HEAD_MEMORY_MB),
-    "whole": _Case(BODY_CALLERS, lambda n: _body(n, BODY_BYTES, False)),
-    "whole-short": _Case(BODY_CALLERS, lambda n: _body(n, BODY_BYTES, True)),
+    "whole": _Case(
+        BODY_CALLERS, lambda n: _body(n, hostile_host.BODY_BYTES, False)
+    ),
+    "whole-short": _Case(
+        BODY_CALLERS, lambda n: _body(n, hostile_host.BODY_BYTES, True)
+    ),
     "pieces": _Case(BODY_CALLERS, lambda n: _body(n, 65536, False)),
     "pieces-short": _Case(BODY_CALLERS, lambda n: _body(n, 65536, True)),
     "large-chunks": _Case(BODY_CALLERS, lambda n: _chunks(n, 1 << 20, False)),
@@ -357,7 +186,7 @@
 ) -> None:
     """Guards against a process that runs out of memory or descriptors."""
     case = CASES[name]
-    async with _Host(tmp_path, memory=case.memory) as host:
+    async with hostile_host.Host(tmp_path, memory=case.memory) as host:
         crowd = _Crowd(host.ports[0])
         try:
             await crowd.send(case.callers, case.pieces)
@@ -373,8 +202,8 @@
     is_chunked: bool, tmp_path: pathlib.Path
 ) -> None:
     """Guards against a body that is copied on its way to the server."""
-    async with _Host(
-        tmp_path, LARGEST_BODY_BYTES, LEAST_DEPLOYED_MEMORY_MB
+    async with hostile_host.Host(
+        tmp_path, LARGEST_BODY_BYTES, hostile_host.LEAST_DEPLOYED_MEMORY_MB
     ) as host:
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", host.ports[0]
