Answer 502 for statuses that promise too much

Callers of routes that may not be repeated got a server's own 408, 429 or 503 although the server had run their request: to them these statuses guarantee that nothing ran, so they sent the request once more.

Cause: the exchange noted that such a request may have run, but handed every status of a server on. Only refusals of the host itself became a 502.

Requests that may be repeated are handled as before.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -394,6 +394,17 @@
                 f"server {server_id} sent a response without a signature",
             )
             return None
+        if (
+            response.status in refusals.NOT_RUN_STATUSES
+            and not self._context.route.kind.is_idempotent
+        ):
+            # To the caller the status would guarantee what the server didn't.
+            self._last_refusal = refusals.RequestRefusal(
+                _CODES.OUTCOME_UNKNOWN,
+                f"server {server_id} responded with status {response.status}"
+                " and does not say that the request did not run",
+            )
+            return None
         if response.status >= 500 and self._may_retry():
             self._failed_response = response
             self._last_refusal = refusals.RequestRefusal(
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -38,6 +38,9 @@
 """HTTP status by result code; 429 and 503 guarantee that the request did not
 run."""
 
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that guarantee a caller that its request did not run."""
+
 
 class RequestRefusal(typing.NamedTuple):
     """Why a request ends with a response that this host generates.
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -131,6 +131,26 @@
     assert len(harness.non_probe_requests()) == 1
 
 
+@pytest.mark.parametrize("kind", [KIND.UNSAFE, KIND.UPLOAD, KIND.UNKNOWN])
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_status_that_guarantees_nothing_ran_is_not_passed_on(
+    kind: configuration.RouteKind, status: int
+) -> None:
+    """Guards against a caller that repeats a request which has run."""
+
+    async def fail(received: support.ReceivedRequest) -> bytes:
+        return support.signed_response(received, status, b"not written")
+
+    async with support.handler_harness() as harness:
+        harness.configure(kind)
+        await harness.add_server("a", fail)
+        await harness.add_server("b", fail)
+        response = await harness.send(b"POST", b"x")
+    assert response.status == 502
+    assert response.header(b"x-upstream-signature") is None
+    assert len(harness.non_probe_requests()) == 1
+
+
 async def test_unsafe_request_that_did_not_run_is_retried() -> None:
     async with support.handler_harness() as harness:
         harness.configure(KIND.UNSAFE)
