Keep no response on idle connections to servers

Callers of downloads saw a host of 160 MB end by its memory though some 20 requests were in flight and all answers had been read.

Cause: a connection kept the last response, body included, until it was used again. A connection that had closed kept it until the garbage collector came, as it and its parser refer to each other.

The response is now handed to the caller of exchange only, and a lost connection drops its parser, so that both are freed at once.

--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -155,7 +155,8 @@
             sender, self._sender = self._sender, None
             sender.stop()
             self._discard_body()
-        result = self._result
+        # The connection may stay idle for long, and the response be large.
+        result, self._result = self._result, None
         if result is None:
             return _outcome_unknown("the connection closed before a response")
         if isinstance(result, messages.Response):
@@ -206,6 +207,8 @@
             self._complete()
         if self._waiter is not None and self._result is None:
             self.fail(f"connection lost: {exc or 'closed by the server'}")
+        # They refer to each other, and would wait for the garbage collector.
+        del self._parser
 
     def eof_received(self) -> bool:
         """Return False so that the transport closes itself."""
