Parse what callers send in turns

Ordinary callers and the balancer got no answer for 20 to 30 s while ten callers sent bodies of legal size in chunks of one byte.

Cause: all that the event loop handed over was parsed at once, and uvloop reads one socket many times before it turns to the next. A chunk of one byte cost two callbacks and an update of the shared memory limit.

The work of a connection is now counted, in bytes and in calls of the parser. Beyond a turn's work it keeps what is left, is not read, and waits in a queue that gives four connections a turn in each iteration of the event loop. Turns are shorter while others wait, but an ordinary request fits in one and is parsed as it arrives. Memory is counted once for 8 KiB that are parsed. The connections of a listener read into one buffer of 64 KiB, so that a read is bounded and no received block is kept. Nothing is refused: a body in tiny chunks stays valid. Timeouts for a head and a body do not expire while a connection waits.

How callers read their responses moves to a module of its own.

--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -408,6 +408,7 @@
         guard = self.caller_guard
         gauge("caller_request_bytes", lambda: guard.requests.total)
         gauge("caller_unread_bytes", lambda: guard.responses.total)
+        gauge("callers_waiting_to_be_parsed", lambda: len(guard.turns))
         gauge("configuration_version", configuration_version)
         gauge("configuration_problems", configuration_problems)
         gauge(
--- a/src/agatestile/transport/caller_guard.py
+++ b/src/agatestile/transport/caller_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import resource
 import typing
 
@@ -9,6 +10,8 @@
 from agatestile.observability import events
 from agatestile.transport import caller_memory
 from agatestile.transport import messages
+from agatestile.transport import parsing_turns
+from agatestile.transport import unread_responses
 
 RESERVED_DESCRIPTORS = 200
 """Descriptors that are not used for callers and their requests: files, and
@@ -29,11 +32,8 @@
         """Return the hash of its identity."""
 
     @property
-    def response_memory(self) -> int:
-        """What a response takes until it is read, bytes."""
-
-    def take_read_progress(self) -> int:
-        """Return how much the caller has read since the last call, bytes."""
+    def unread(self) -> unread_responses.UnreadResponses:
+        """What its caller has not read."""
 
     def refuse(self, status: int, cause: str) -> None:
         """Refuse the request that is received, or close the connection."""
@@ -91,6 +91,9 @@
         self.responses: caller_memory.CallerMemory[Connection] = (
             caller_memory.CallerMemory.for_responses(memory)
         )
+        self.turns = parsing_turns.TurnQueue(
+            lambda run: asyncio.get_running_loop().call_soon(run)
+        )
         self.max_connections = max_connections(descriptors)
         self.time_left = time_left
         self._refusal_headers = refusal_headers
@@ -162,14 +165,14 @@
         now : float
             Clock, seconds.
         """
-        size = connection.response_memory
+        size = connection.unread.memory
         # The size counts as progress: the caller could not read it yet.
         self.responses.update(connection, size, size, now)
         if self.responses.excess(connection, now) is None:
             return
         for other in self.responses.callers():
             self.responses.update(
-                other, other.response_memory, other.take_read_progress(), now
+                other, other.unread.memory, other.unread.take_progress(), now
             )
         while True:
             chosen = self.responses.excess(connection, now)
--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -12,6 +12,8 @@
 from agatestile.transport import caller_guard
 from agatestile.transport import framing_counter
 from agatestile.transport import messages
+from agatestile.transport import parsing_turns
+from agatestile.transport import unread_responses
 from agatestile.transport import upgrade_offers
 
 if typing.TYPE_CHECKING:
@@ -24,13 +26,11 @@
 """Number of requests of a connection that wait behind the current one. No more
 are read from the connection meanwhile."""
 
-STALLED_CHECKS = 2
-"""Checks within the idle timeout of what a caller has not read. A suspended
-host makes the first one before it has written more."""
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Largest amount that is read from a connection at once, bytes."""
 
-PARSED_SLICE_BYTES = 16 * 1024
-"""Received data that is parsed before the pending requests are counted,
-bytes."""
+PARSED_SLICE_BYTES = 8 * 1024
+"""Received data that is parsed before the limits are checked, bytes."""
 
 JOINED_BODY_BYTES = 64 * 1024
 """Largest body that is written together with its head, bytes."""
@@ -45,6 +45,9 @@
 BUSY_CHECK_SECONDS = 0.5
 """Interval of the checks whether the requests before a body have ended."""
 
+TURN_CHECK_SECONDS = 0.25
+"""Interval of the checks whether a connection has had its turn to parse."""
+
 TIMER_SLACK_SECONDS = 0.005
 """Time by which a timer may be early."""
 
@@ -84,6 +87,7 @@
         self.limits = limits
         self.guard = guard or caller_guard.CallerGuard()
         self.connections: dict[ServerConnection, None] = {}
+        self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.is_draining = False
         self._server: asyncio.Server | None = None
 
@@ -137,8 +141,12 @@
         return sum(1 for connection in self.connections if connection.is_busy)
 
 
-class ServerConnection(asyncio.Protocol):
-    """A connection from a caller."""
+class ServerConnection(asyncio.BufferedProtocol):
+    """A connection from a caller.
+
+    All connections of a listener share a buffer: what is read is parsed
+    immediately, and only what has to wait is copied.
+    """
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
@@ -151,13 +159,14 @@
         self._waiting_size = 0
         self._framing = framing_counter.FramingCounter()
         self._progress = 0
-        self._unparsed = memoryview(b"")
+        self._has_body_progress = False
+        self._max_body_bytes = 0
+        self._unparsed = b""
+        self._work = 0
         self._is_reading = True
         self._can_write = asyncio.Event()
         self._can_write.set()
-        self._write_timer: asyncio.TimerHandle | None = None
-        self._response_size = 0
-        self._last_unread = 0
+        self.unread = unread_responses.UnreadResponses()
         self._is_rejected = False
         self._is_in_message = False
         self._is_replaying_head = False
@@ -187,32 +196,12 @@
         """Whether a request is being handled."""
         return self._task is not None
 
-    @property
-    def unread_bytes(self) -> int:
-        """Bytes of responses that the caller has not read."""
-        if self._transport is None:
-            return 0
-        return self._transport.get_write_buffer_size()
-
-    @property
-    def response_memory(self) -> int:
-        """What a response takes until it is read, bytes.
-
-        The transport keeps the whole body until it has sent the last byte.
-        """
-        return max(self.unread_bytes, self._response_size)
-
-    def take_read_progress(self) -> int:
-        """Return how much the caller has read since the last call, bytes."""
-        unread = self.unread_bytes
-        read, self._last_unread = self._last_unread - unread, unread
-        return max(0, read)
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for a request."""
         # uvloop's transports are not derived from asyncio's.
         self._transport = typing.cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self.unread.on_connected(self._transport)
         self._listener.on_used(self)
         self._start_idle_timer()
         self._listener.limit_connections()
@@ -224,7 +213,7 @@
         self._release()
         self._guard.discard(self)
         self._stop_timer()
-        self._stop_write_timer()
+        self.unread.stop()
         if self._task is not None:
             self._task.cancel()
 
@@ -232,13 +221,28 @@
         """Treat the end of the input as a disconnect of the caller."""
         return False
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into."""
+        return self._listener.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received data."""
         self._listener.on_used(self)
+        if nbytes < RECEIVE_BUFFER_BYTES:
+            # The event loop turns to other connections by itself.
+            self._work = 0
+        data = self._listener.receive_buffer[:nbytes]
         if self._unparsed:
-            data = bytes(self._unparsed) + data
-        self._unparsed = memoryview(data)
-        self._parse_received()
+            data = memoryview(self._unparsed + bytes(data))
+        self._parse(data)
+
+    def take_turn(self) -> None:
+        """Parse what waits, or read on."""
+        self._work = 0
+        if self._is_rejected or self._unparsed:
+            self._parse(memoryview(self._unparsed))
+        else:
+            self._set_reading(True)
 
     def pause_writing(self) -> None:
         """Handle no further request until the caller reads.
@@ -247,45 +251,63 @@
         """
         self._can_write.clear()
         if self._transport is not None:
-            size = self.unread_bytes
-            self._start_write_timer(size, STALLED_CHECKS)
-            self._last_unread = size
+            self.unread.on_paused(
+                lambda: self._listener.limits().idle_timeout, self._on_stalled
+            )
             self._guard.on_unread(self, self._loop.time())
 
     def resume_writing(self) -> None:
         """Continue with the pending requests."""
         self._can_write.set()
-        self._response_size = 0
         self._guard.responses.discard(self)
-        self._stop_write_timer()
+        self.unread.on_resumed()
 
-    def _parse_received(self) -> None:
-        """Parse while few requests are pending, and else stop reading."""
+    def _parse(self, data: memoryview) -> None:
+        """Parse while the turn lasts and few requests are pending."""
+        turns = self._guard.turns
+        allowed_work = turns.allowed_work
         while (
-            self._unparsed
+            data
             and not self._is_rejected
             and len(self._pending) <= MAX_PENDING_REQUESTS
+            and self._work < allowed_work
         ):
-            view = self._unparsed
-            data = view[:PARSED_SLICE_BYTES]
-            self._unparsed = view[PARSED_SLICE_BYTES:]
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserCallbackError:
-                self._unparsed = memoryview(b"")
-            except httptools.HttpParserUpgrade as upgrade:
-                self._unparsed = view[upgrade.args[0] :]
-                self._continue_without_upgrade()
-            except httptools.HttpParserError:
-                self._reject(400, "malformed")
-            self._check_framing(len(data))
-        if self._is_rejected:
-            self._unparsed = memoryview(b"")
-        self._set_reading(not self._unparsed)
-        self._count_memory()
+            size = self._parse_slice(data[:PARSED_SLICE_BYTES])
+            self._work += size // parsing_turns.BYTES_PER_UNIT
+            data = data[size:]
+            self._unparsed = b""
+            self._count_memory()
+        self._unparsed = b"" if self._is_rejected else bytes(data)
+        is_turn_over = self._work >= allowed_work and not self._is_rejected
+        if is_turn_over:
+            turns.add(self)
+        self._set_reading(not self._unparsed and not is_turn_over)
+        if self._unparsed:
+            self._count_memory()
         if self._has_head and self._timer is None:
             self._check_body_progress()
 
+    def _parse_slice(self, data: memoryview) -> int:
+        """Parse some data; return how much of it was consumed, bytes."""
+        size = len(data)
+        self._has_body_progress = False
+        self._max_body_bytes = self._listener.limits().body_bytes
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            # The callback has refused the request.
+            pass
+        except httptools.HttpParserUpgrade as upgrade:
+            size = upgrade.args[0]
+            self._continue_without_upgrade()
+        except httptools.HttpParserError:
+            self._reject(400, "malformed")
+        if self._has_body_progress:
+            self._framing.on_progress()
+            self._progress_at = self._loop.time()
+        self._check_framing(size)
+        return size
+
     def _continue_without_upgrade(self) -> None:
         """Receive the body of a request that offers another protocol."""
         method = self._parser.get_method()
@@ -366,6 +388,7 @@
         """Store a header."""
         if self._is_replaying_head:
             return
+        self._work += 1
         self._headers.append((name.lower(), value.strip()))
         # 4 bytes for the colon, the space and the line end.
         self._count_head_bytes(len(name) + len(value) + 4)
@@ -382,16 +405,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._framing.on_progress()
-        self._progress_at = self._loop.time()
+        self._work += 1
+        self._has_body_progress = True
         self._progress += len(body)
         self._body += body
-        if len(self._body) > self._listener.limits().body_bytes:
+        if len(self._body) > self._max_body_bytes:
             self._reject(413, "body_size")
             raise ValueError("request body exceeds the limit")
-        self._count_memory()
-        if self._is_rejected:
-            raise ValueError("request body exceeds the memory for callers")
 
     def on_message_complete(self) -> None:
         """Queue the request behind those that arrived before it."""
@@ -434,7 +454,7 @@
         transport = self._transport
         if transport is None:
             return
-        if self.is_handling or self._is_rejected or self.unread_bytes:
+        if self.is_handling or self._is_rejected or self.unread.unread_bytes:
             self.abort_for("connections")
             return
         self._reject(503, "connections")
@@ -452,8 +472,9 @@
         self._is_in_message = False
         self._reset_request()
         self._pending.clear()
-        self._unparsed = memoryview(b"")
+        self._unparsed = b""
         self._guard.requests.discard(self)
+        self._guard.turns.discard(self)
 
     def abort(self) -> None:
         """Close the connection immediately."""
@@ -467,8 +488,7 @@
                 if not self._pending:
                     return
                 request, keep_alive, size = self._pending.pop(0)
-                if not self._is_reading:
-                    self._parse_received()
+                self._continue_parsing()
                 try:
                     response = await self._listener.handler(request)
                 except Exception as error:
@@ -487,6 +507,12 @@
         if not self._is_in_message:
             self._start_idle_timer()
 
+    def _continue_parsing(self) -> None:
+        """Parse what waits until fewer requests are pending."""
+        if self._unparsed and self not in self._guard.turns:
+            self._work = 0
+            self._parse(memoryview(self._unparsed))
+
     def _write(
         self,
         request: messages.Request,
@@ -507,7 +533,7 @@
             headers.append((b"connection", b"close"))
         head = _encode_head(response.status, headers)
         self._listener.on_used(self)
-        self._response_size = len(head) + len(response.body)
+        self.unread.on_write(len(head) + len(response.body))
         if len(response.body) <= JOINED_BODY_BYTES:
             transport.write(head + response.body)
         else:
@@ -524,6 +550,12 @@
 
     def _on_head_timeout(self) -> None:
         self._timer = None
+        if self in self._guard.turns:
+            # The head may have arrived.
+            self._timer = self._loop.call_later(
+                TURN_CHECK_SECONDS, self._on_head_timeout
+            )
+            return
         self._reject(408, "head_timeout")
 
     def _check_body_progress(self) -> None:
@@ -532,6 +564,8 @@
         It waits for the requests before it, since it closes the connection.
         """
         self._timer = None
+        if self in self._guard.turns:
+            self._progress_at = self._loop.time()
         if self.is_handling:
             self._timer = self._loop.call_later(
                 BUSY_CHECK_SECONDS, self._check_body_progress
@@ -580,6 +614,7 @@
             (b"connection", b"close"),
         ]
         transport.write(_encode_head(status, headers))
+        self._set_reading(True)
         # An immediate close would reset the connection while the caller is
         # still sending, and the reset would discard the response.
         self._timer = self._loop.call_later(LINGER_SECONDS, transport.close)
@@ -593,34 +628,10 @@
             self._listener.limits().idle_timeout, self.close_if_idle
         )
 
-    def _start_write_timer(self, unread: int, checks: int) -> None:
-        self._stop_write_timer()
-        self._write_timer = self._loop.call_later(
-            self._listener.limits().idle_timeout / STALLED_CHECKS,
-            self._check_unread,
-            unread,
-            checks,
-        )
-
-    def _check_unread(self, unread: int, checks: int) -> None:
-        self._write_timer = None
-        transport = self._transport
-        if transport is None:
-            return
-        size = transport.get_write_buffer_size()
-        if size != unread:
-            self._start_write_timer(size, STALLED_CHECKS)
-        elif checks > 1:
-            self._start_write_timer(size, checks - 1)
-        else:
-            events.emit("caller_stalled", unread_bytes=size)
-            self._guard.on_ended("closed", "response_stalled")
-            self.abort()
-
-    def _stop_write_timer(self) -> None:
-        if self._write_timer is not None:
-            self._write_timer.cancel()
-            self._write_timer = None
+    def _on_stalled(self, unread: int) -> None:
+        events.emit("caller_stalled", unread_bytes=unread)
+        self._guard.on_ended("closed", "response_stalled")
+        self.abort()
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
--- a/tests/transport/support.py
+++ b/tests/transport/support.py
@@ -8,6 +8,7 @@
 import typing
 
 from agatestile.transport import client
+from agatestile.transport import server
 
 Serve = typing.Callable[
     [asyncio.StreamReader, asyncio.StreamWriter],
@@ -44,3 +45,45 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         # Closed transports release their sockets in the next iteration.
         await asyncio.sleep(0)
+
+
+class RecordingTransport:
+    """Transport that stores the data written before it is closed."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.is_closed = False
+        self.is_reading = True
+
+    def pause_reading(self) -> None:
+        self.is_reading = False
+
+    def resume_reading(self) -> None:
+        self.is_reading = True
+
+    def write(self, data: bytes) -> None:
+        assert not self.is_closed
+        self.written += data
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    abort = close
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+
+def receive(connection: server.ServerConnection, data: bytes) -> None:
+    """Hand data to a connection as an event loop does."""
+    while data:
+        buffer = connection.get_buffer(-1)
+        part, data = data[: len(buffer)], data[len(buffer) :]
+        buffer[: len(part)] = part
+        connection.buffer_updated(len(part))
--- a/tests/transport/test_server_input.py
+++ b/tests/transport/test_server_input.py
@@ -11,6 +11,7 @@
 from agatestile.catalog import configuration
 from agatestile.transport import messages
 from agatestile.transport import server
+from tests.transport import support
 
 LIMITS = configuration.CallerLimits(400, 200, 5.0, 5.0)
 TOKENS = strategies.sampled_from(
@@ -35,35 +36,9 @@
 ).map(b"".join)
 
 
-class _Transport:
-    """Transport that stores the data written before it is closed."""
-
-    def __init__(self) -> None:
-        self.written = b""
-        self.is_closed = False
-
-    def write(self, data: bytes) -> None:
-        assert not self.is_closed
-        self.written += data
-
-    def close(self) -> None:
-        self.is_closed = True
-
-    abort = close
-
-    def set_write_buffer_limits(self, high: int) -> None:
-        pass
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def is_closing(self) -> bool:
-        return self.is_closed
-
-
 async def _feed(
     parts: list[bytes],
-) -> tuple[list[messages.Request], _Transport]:
+) -> tuple[list[messages.Request], support.RecordingTransport]:
     """Feed data to a connection; return its requests and its transport."""
     handled: list[messages.Request] = []
 
@@ -74,12 +49,12 @@
     connection = server.ServerConnection(
         server.Listener(handle, lambda: LIMITS)
     )
-    transport: typing.Any = _Transport()
+    transport: typing.Any = support.RecordingTransport()
     connection.connection_made(transport)
     for part in parts:
         if transport.is_closed:
             break
-        connection.data_received(part)
+        support.receive(connection, part)
         for _ in range(3):
             await asyncio.sleep(0)
     connection.connection_lost(None)
