Count and measure the memory of requests

A crowd of callers with a whole body of 65 kB each ended a process by its memory, and with it the requests of ordinary callers, although the limit on requests was not reached.

Cause: the limit counted bytes once. A request was held several times (the growth of its buffer, joined with its head for the server) and had objects beside it: a connection, a task, a parser and a connection to a server. A request that was complete in one read was counted only as complete, when it can no longer be refused.

A request now counts with what its buffer has allocated and with 16 KiB beside it, and is counted before it is complete, so that it is refused with a true 503. The joined head is left to the transport, and a lost connection drops its parser. Small requests keep their reserve.

--- a/src/agatestile/node/allocator.py
+++ b/src/agatestile/node/allocator.py
@@ -27,3 +27,18 @@
     except (AttributeError, OSError):
         return False
     return bool(mallopt(_M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES))
+
+
+def release_free_blocks() -> bool:
+    """Return free blocks of the heap to the system.
+
+    Returns
+    -------
+    bool
+        Whether any was returned; False where the C library can't do it.
+    """
+    try:
+        trim = ctypes.CDLL(None).malloc_trim
+    except (AttributeError, OSError):
+        return False
+    return bool(trim(0))
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -19,6 +19,7 @@
 from agatestile.entry import quota_check
 from agatestile.entry import stopping
 from agatestile.entry import view as view_module
+from agatestile.node import allocator
 from agatestile.node import clock
 from agatestile.node import leadership as leadership_module
 from agatestile.node import operator_watcher
@@ -32,6 +33,7 @@
 from agatestile.results import outcomes
 from agatestile.transport import caller_guard
 from agatestile.transport import client
+from agatestile.transport import memory_pressure
 from agatestile.transport import messages
 from agatestile.transport import server
 
@@ -220,6 +222,9 @@
             lambda headers: header_format.read_request(headers).time_left,
             header_format.refusal_headers,
             self._count_ended_caller,
+            memory_pressure.MemoryPressure(
+                settings.memory, release=allocator.release_free_blocks
+            ),
         )
         self.caller_listener = server.Listener(
             self.handler.handle, self._caller_limits, self.caller_guard
@@ -409,6 +414,7 @@
         gauge("caller_request_bytes", lambda: guard.requests.total)
         gauge("caller_unread_bytes", lambda: guard.responses.total)
         gauge("callers_waiting_to_be_parsed", lambda: len(guard.turns))
+        gauge("resident_bytes", memory_pressure.resident_bytes)
         gauge("configuration_version", configuration_version)
         gauge("configuration_problems", configuration_problems)
         gauge(
--- a/src/agatestile/transport/body_sender.py
+++ b/src/agatestile/transport/body_sender.py
@@ -47,7 +47,9 @@
 
     def send(self) -> None:
         """Send the head and as much of the body as the peer takes."""
-        self._transport.write(self._head)
+        # The transport keeps it as long as it has to.
+        head, self._head = self._head, b""
+        self._transport.write(head)
         self._send_body()
 
     def pause(self) -> None:
--- a/src/agatestile/transport/caller_guard.py
+++ b/src/agatestile/transport/caller_guard.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import resource
 import typing
 
 from agatestile.limits import retry_after as retry_after_module
 from agatestile.observability import events
 from agatestile.transport import caller_memory
+from agatestile.transport import memory_pressure
 from agatestile.transport import messages
 from agatestile.transport import parsing_turns
 from agatestile.transport import unread_responses
@@ -71,6 +73,8 @@
         Returns the headers of a refusal for a retry-after time.
     count : callable, optional
         Called with "refused" or "closed" and a cause for each caller.
+    pressure : memory_pressure.MemoryPressure, optional
+        Measures the memory of the process.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
             [float | None], messages.Headers
         ] = standard_headers,
         count: typing.Callable[[str, str], None] = lambda action, cause: None,
+        pressure: memory_pressure.MemoryPressure | None = None,
     ) -> None:
         self.requests: caller_memory.CallerMemory[Connection] = (
             caller_memory.CallerMemory.for_requests(memory)
@@ -91,6 +96,9 @@
         self.responses: caller_memory.CallerMemory[Connection] = (
             caller_memory.CallerMemory.for_responses(memory)
         )
+        self.pressure = pressure or memory_pressure.MemoryPressure(None)
+        self._request_cap = math.inf
+        self._response_cap = math.inf
         self.turns = parsing_turns.TurnQueue(
             lambda run: asyncio.get_running_loop().call_soon(run)
         )
@@ -148,6 +156,7 @@
             Whether a request is being received.
         """
         self.requests.update(connection, size, progress, now, is_unfinished)
+        self._allow_requests(progress, now)
         while True:
             chosen = self.requests.excess(connection, now)
             if chosen is None:
@@ -168,6 +177,7 @@
         size = connection.unread.memory
         # The size counts as progress: the caller could not read it yet.
         self.responses.update(connection, size, size, now)
+        self._allow_responses(size, now)
         if self.responses.excess(connection, now) is None:
             return
         for other in self.responses.callers():
@@ -181,6 +191,33 @@
             self.responses.discard(chosen)
             chosen.abort_for("unread_responses")
 
+    def _allow_requests(self, growth: int, now: float) -> None:
+        """Apply the limit of requests at the present memory."""
+        self._measure(growth, now)
+        self.requests.allow(min(self.requests.limit, self._request_cap))
+
+    def _allow_responses(self, growth: int, now: float) -> None:
+        """Apply the limit of unread responses at the present memory."""
+        self._measure(growth, now)
+        self.responses.allow(min(self.responses.limit, self._response_cap))
+
+    def _measure(self, growth: int, now: float) -> None:
+        """Cap what is held if the process takes too much memory.
+
+        Requests that are not complete end first.
+        """
+        if not self.pressure.measure(growth, now):
+            return
+        excess = self.pressure.excess
+        self._request_cap = self._response_cap = math.inf
+        if excess:
+            # What is left of the reserve stays for small requests.
+            requests = self.requests
+            self._request_cap = requests.total + requests.reserve - excess
+            self._response_cap = self.responses.total
+        if excess > self.requests.total:
+            self._response_cap -= excess - self.requests.total
+
     def discard(self, connection: Connection) -> None:
         """Forget a connection that has ended."""
         self.requests.discard(connection)
--- a/src/agatestile/transport/caller_memory.py
+++ b/src/agatestile/transport/caller_memory.py
@@ -70,12 +70,15 @@
     ----------
     total : int
         What all callers take, bytes.
+    reserve : int
+        Part of the limit that only small ones may use, bytes.
     """
 
     def __init__(self, limit: int, reserve: int = 0) -> None:
         self.limit = limit
         self.total = 0
-        self._large_limit = limit - reserve
+        self.reserve = reserve
+        self._allowed = limit
         self._large_total = 0
         self._use_by_caller: dict[Caller, _Use] = {}
 
@@ -100,6 +103,16 @@
             return cls(DEFAULT_LIMIT_BYTES)
         return cls(int(memory * RESPONSE_MEMORY_SHARE))
 
+    def allow(self, limit: float) -> None:
+        """Apply another limit for now, between the reserve and the usual one.
+
+        Parameters
+        ----------
+        limit : float
+            What all callers may take together, bytes.
+        """
+        self._allowed = int(max(min(limit, self.limit), self.reserve))
+
     def callers(self) -> list[Caller]:
         """Return the callers that take memory."""
         return list(self._use_by_caller)
@@ -166,9 +179,9 @@
         now : float
             Clock, seconds.
         """
-        if self._large_total > self._large_limit:
+        if self._large_total > self._allowed - self.reserve:
             only_large = True
-        elif self.total > self.limit:
+        elif self.total > self._allowed:
             only_large = False
         else:
             return None
--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -35,6 +35,10 @@
 JOINED_BODY_BYTES = 64 * 1024
 """Largest body that is written together with its head, bytes."""
 
+REQUEST_MEMORY_BYTES = 16 * 1024
+"""What a request takes beside its head and its body: its connection, its task
+and the connection to a server."""
+
 HEADER_MEMORY_BYTES = 130
 """What a short header takes beside its own bytes."""
 
@@ -214,6 +218,8 @@
         self._guard.discard(self)
         self._stop_timer()
         self.unread.stop()
+        # They refer to each other, and would wait for the garbage collector.
+        del self._parser
         if self._task is not None:
             self._task.cancel()
 
@@ -348,9 +354,13 @@
         """Return what the request that is received takes, bytes."""
         if not self._is_in_message:
             return 0
-        headers = len(self._headers) * HEADER_MEMORY_BYTES
-        framing = self._framing.size
-        return self._head_bytes + headers + framing + len(self._body)
+        return (
+            REQUEST_MEMORY_BYTES
+            + self._head_bytes
+            + len(self._headers) * HEADER_MEMORY_BYTES
+            + self._framing.size
+            + self._body.__alloc__()
+        )
 
     def _set_reading(self, is_reading: bool) -> None:
         transport = self._transport
@@ -418,6 +428,10 @@
         if self._parser.should_upgrade():
             # The parser stops here and leaves the body.
             return
+        # It can still be refused with a promise.
+        self._count_memory()
+        if self._is_rejected:
+            return
         size = self._request_size()
         self._framing.on_progress()
         self._is_in_message = False
