Let unread responses use what requests leave

Callers that read their answers slowly but steadily were cut off at 20 MB of unread answers, with 59 of 160 MB in use.

Cause: unread responses had a fixed eighth of the memory, and requests a fixed share beside it, whether it was used or not. Beyond it, readers were reset while further requests were taken.

Both now share 0.585 of the memory, which is the sum of the two shares of before. Responses have at least their eighth. For each unread byte one more is kept for answers to come, so that new requests are refused, with a promise, before a response is cut off. Small requests keep their reserve.

--- a/src/agatestile/transport/caller_guard.py
+++ b/src/agatestile/transport/caller_guard.py
@@ -97,6 +97,11 @@
             caller_memory.CallerMemory.for_responses(memory)
         )
         self.pressure = pressure or memory_pressure.MemoryPressure(None)
+        self._held_limit: float = (
+            self.requests.limit + self.responses.limit
+            if memory is None
+            else memory * caller_memory.HELD_MEMORY_SHARE
+        )
         self._request_cap = math.inf
         self._response_cap = math.inf
         self.turns = parsing_turns.TurnQueue(
@@ -192,14 +197,22 @@
             chosen.abort_for("unread_responses")
 
     def _allow_requests(self, growth: int, now: float) -> None:
-        """Apply the limit of requests at the present memory."""
+        """Apply the limit of requests beside the unread responses.
+
+        As much as those take is left for the answers to come, so that new
+        requests are refused before responses are cut off.
+        """
         self._measure(growth, now)
-        self.requests.allow(min(self.requests.limit, self._request_cap))
+        spare = self._held_limit - 2 * self.responses.total
+        self.requests.allow(min(self.requests.limit, spare, self._request_cap))
 
     def _allow_responses(self, growth: int, now: float) -> None:
-        """Apply the limit of unread responses at the present memory."""
+        """Apply the limit of unread responses beside the requests."""
         self._measure(growth, now)
-        self.responses.allow(min(self.responses.limit, self._response_cap))
+        spare = self._held_limit - self.requests.total
+        self.responses.allow(
+            min(max(self.responses.limit, spare), self._response_cap)
+        )
 
     def _measure(self, growth: int, now: float) -> None:
         """Cap what is held if the process takes too much memory.
--- a/src/agatestile/transport/caller_memory.py
+++ b/src/agatestile/transport/caller_memory.py
@@ -21,6 +21,10 @@
 RESERVED_SHARE = 1.0 / 16.0
 """Share of the limit that only small requests may use."""
 
+HELD_MEMORY_SHARE = 0.585
+"""Share of the memory of a machine for requests and unread responses
+together."""
+
 SMALL_BYTES = 64 * 1024
 """Size up to which a request is small, bytes."""
 
@@ -65,6 +69,8 @@
         Limit of all callers together, bytes.
     reserve : int, optional
         Part of the limit that only small ones may use, bytes.
+    ceiling : int, optional
+        What they may take while others leave room, bytes; `limit` by default.
 
     Attributes
     ----------
@@ -74,10 +80,13 @@
         Part of the limit that only small ones may use, bytes.
     """
 
-    def __init__(self, limit: int, reserve: int = 0) -> None:
+    def __init__(
+        self, limit: int, reserve: int = 0, ceiling: int | None = None
+    ) -> None:
         self.limit = limit
         self.total = 0
         self.reserve = reserve
+        self._ceiling = limit if ceiling is None else ceiling
         self._allowed = limit
         self._large_total = 0
         self._use_by_caller: dict[Caller, _Use] = {}
@@ -101,17 +110,20 @@
         """Create the limit of unread responses for a machine."""
         if memory is None:
             return cls(DEFAULT_LIMIT_BYTES)
-        return cls(int(memory * RESPONSE_MEMORY_SHARE))
+        return cls(
+            int(memory * RESPONSE_MEMORY_SHARE),
+            ceiling=int(memory * HELD_MEMORY_SHARE),
+        )
 
     def allow(self, limit: float) -> None:
-        """Apply another limit for now, between the reserve and the usual one.
+        """Apply another limit for now, between the reserve and the ceiling.
 
         Parameters
         ----------
         limit : float
             What all callers may take together, bytes.
         """
-        self._allowed = int(max(min(limit, self.limit), self.reserve))
+        self._allowed = int(max(min(limit, self._ceiling), self.reserve))
 
     def callers(self) -> list[Caller]:
         """Return the callers that take memory."""
--- a/tests/transport/test_memory_pressure.py
+++ b/tests/transport/test_memory_pressure.py
@@ -6,6 +6,7 @@
 import typing
 
 from agatestile.transport import caller_guard
+from agatestile.transport import caller_memory
 from agatestile.transport import memory_pressure
 
 MB = 1_000_000
@@ -111,3 +112,29 @@
     ordinary = _Caller()
     guard.on_request_memory(ordinary, 17_000, 17_000, 1.0, True)
     assert not ordinary.ended
+
+
+def test_unread_responses_use_what_requests_leave() -> None:
+    """Guards against answers that are cut off while memory is free."""
+    guard = caller_guard.CallerGuard(MACHINE)
+    readers = [_Caller(2 * MB) for _ in range(30)]
+    for reader in readers:
+        guard.on_unread(reader, 1.0)
+    assert not any(reader.ended for reader in readers)
+    # A new large request is refused instead, a small one is not.
+    large, small = _Caller(), _Caller()
+    guard.on_request_memory(large, 8 * MB, 8 * MB, 1.0, True)
+    guard.on_request_memory(small, 17_000, 17_000, 1.0, True)
+    assert large.ended == ["503 memory"]
+    assert not small.ended
+
+
+def test_unread_responses_stay_within_the_memory() -> None:
+    """Guards against callers that read nothing and take all memory."""
+    guard = caller_guard.CallerGuard(MACHINE)
+    readers = [_Caller(2 * MB) for _ in range(80)]
+    for reader in readers:
+        guard.on_unread(reader, 1.0)
+    held = MACHINE * caller_memory.HELD_MEMORY_SHARE
+    assert guard.responses.total <= held
+    assert sum(1 for one in readers if one.ended) > 30
