Limit every listener by the machine

Callers at the addresses for other hosts, readiness checks and metrics could end a process: these listeners had guards with the defaults of a machine of unknown size.

Each has now a guard that follows from the machine: for other hosts a quarter of the limits on memory and half of the connections of callers, which are taken from those; for readiness and metrics a sixteenth and 16 connections. A crowd at one address cannot use up what the others need.

--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -222,21 +222,34 @@
             lambda headers: header_format.read_request(headers).time_left,
             header_format.refusal_headers,
             self._count_ended_caller,
-            memory_pressure.MemoryPressure(
-                settings.memory, release=allocator.release_free_blocks
-            ),
+            _pressure(settings.memory),
+            lambda: len(self.peer_listener.connections),
         )
         self.caller_listener = server.Listener(
             self.handler.handle, self._caller_limits, self.caller_guard
         )
         self.readiness_listener = server.Listener(
-            self._on_readiness_check, self._caller_limits
+            self._on_readiness_check,
+            self._caller_limits,
+            caller_guard.CallerGuard.for_checks(
+                settings.memory, _pressure(settings.memory)
+            ),
         )
         self.peer_listener = server.Listener(
-            self.peer_service.handle, self._caller_limits
+            self.peer_service.handle,
+            self._caller_limits,
+            caller_guard.CallerGuard.for_peers(
+                settings.memory,
+                settings.descriptors,
+                _pressure(settings.memory),
+            ),
         )
         self.metrics_listener = server.Listener(
-            self._on_metrics, self._caller_limits
+            self._on_metrics,
+            self._caller_limits,
+            caller_guard.CallerGuard.for_checks(
+                settings.memory, _pressure(settings.memory)
+            ),
         )
         self._store = platform.store
         self._is_stopping = False
@@ -465,3 +478,9 @@
                 was_ready = not was_ready
                 events.emit("readiness", ready=was_ready)
             events.flush()
+
+
+def _pressure(memory: int | None) -> memory_pressure.MemoryPressure:
+    return memory_pressure.MemoryPressure(
+        memory, release=allocator.release_free_blocks
+    )
--- a/src/agatestile/transport/caller_guard.py
+++ b/src/agatestile/transport/caller_guard.py
@@ -22,6 +22,13 @@
 MIN_CONNECTIONS = 16
 """Connections that are accepted however few descriptors there are."""
 
+PEER_SHARE = 0.25
+"""Share of the memory to which the limits for other hosts are applied."""
+
+CHECK_SHARE = 1.0 / 16.0
+"""Share of the memory to which the limits for readiness checks and for metrics
+are applied."""
+
 RETRY_AFTER = 0.5
 """Retry-after time of a request that is refused for memory or connections,
 seconds: twice the time after which progress counts half."""
@@ -75,6 +82,13 @@
         Called with "refused" or "closed" and a cause for each caller.
     pressure : memory_pressure.MemoryPressure, optional
         Measures the memory of the process.
+    other_connections : callable, optional
+        Returns how many connections others than callers have opened.
+
+    Attributes
+    ----------
+    max_connections : int
+        Connections of callers while others have opened none.
     """
 
     def __init__(
@@ -89,6 +103,7 @@
         ] = standard_headers,
         count: typing.Callable[[str, str], None] = lambda action, cause: None,
         pressure: memory_pressure.MemoryPressure | None = None,
+        other_connections: typing.Callable[[], int] = lambda: 0,
     ) -> None:
         self.requests: caller_memory.CallerMemory[Connection] = (
             caller_memory.CallerMemory.for_requests(memory)
@@ -108,10 +123,56 @@
             lambda run: asyncio.get_running_loop().call_soon(run)
         )
         self.max_connections = max_connections(descriptors)
+        self._other_connections = other_connections
         self.time_left = time_left
         self._refusal_headers = refusal_headers
         self._count = count
 
+    @classmethod
+    def for_peers(
+        cls,
+        memory: int | None,
+        descriptors: int | None,
+        pressure: memory_pressure.MemoryPressure,
+    ) -> CallerGuard:
+        """Create the limits of the listener for other hosts.
+
+        Parameters
+        ----------
+        memory, descriptors, pressure
+            As for the class.
+        """
+        share = None if memory is None else int(memory * PEER_SHARE)
+        guard = cls(share, descriptors, pressure=pressure)
+        guard.max_connections = max(
+            MIN_CONNECTIONS, guard.max_connections // 2
+        )
+        return guard
+
+    @classmethod
+    def for_checks(
+        cls, memory: int | None, pressure: memory_pressure.MemoryPressure
+    ) -> CallerGuard:
+        """Create the limits of a listener for readiness checks or metrics.
+
+        Parameters
+        ----------
+        memory, pressure
+            As for the class.
+        """
+        share = None if memory is None else int(memory * CHECK_SHARE)
+        guard = cls(share, pressure=pressure)
+        guard.max_connections = MIN_CONNECTIONS
+        return guard
+
+    @property
+    def connection_limit(self) -> int:
+        """Connections that are accepted now."""
+        # A caller takes two descriptors, the others one.
+        others = self._other_connections() // 2
+        least = min(MIN_CONNECTIONS, self.max_connections)
+        return max(least, self.max_connections - others)
+
     def refusal_headers(
         self, status: int, time_left: float | None
     ) -> messages.Headers:
--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -130,7 +130,7 @@
 
         Connections whose request is handled go on, unless all are.
         """
-        if len(self.connections) <= self.guard.max_connections:
+        if len(self.connections) <= self.guard.connection_limit:
             return
         newest = next(reversed(self.connections))
         for connection in self.connections:
