Let large bodies of responses wait for room

Callers got a 502 for answers whose requests had run: 19 of 30 answers of 2 MB that servers sent at the same time to a host of 160 MB.

Cause: all bodies that arrive were read as fast as servers send them, and beyond an eighth of the memory the largest failed.

A body from 64 KiB now reserves its announced size, and its connection is not read while others have reserved three quarters of the limit, for 2 s at most. The server keeps the body meanwhile. Before the size is known, 16 KiB are read at most. Only forwarded requests wait, so that the store and other hosts are not delayed, and after 2 s, or for bodies of unknown size, the limit applies as before.

--- a/src/agatestile/transport/buffered_bytes.py
+++ b/src/agatestile/transport/buffered_bytes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 import typing
 
 MAX_BUFFERED_BYTES = 96 * 1024 * 1024
@@ -12,6 +13,13 @@
 BUFFERED_MEMORY_SHARE = 0.125
 """Share of the memory of a machine that incomplete bodies may take."""
 
+RESERVABLE_SHARE = 0.75
+"""Share of the limit that bodies may reserve. The rest is for bodies of
+unknown size, and for what arrives of a body before it waits."""
+
+RECEIVE_BUFFER_BYTES = 256 * 1024
+"""Largest amount that is read from a connection at once, bytes."""
+
 
 class Receiver(typing.Protocol):
     """A connection that receives a response.
@@ -27,6 +35,9 @@
     def fail(self, reason: str) -> None:
         """End the current response."""
 
+    def on_room(self) -> None:
+        """Receive a body that has waited."""
+
 
 class BufferedBytes:
     """Limits the incomplete bodies of the responses of several connections.
@@ -46,6 +57,14 @@
         self.limit = MAX_BUFFERED_BYTES if limit is None else limit
         self.total = 0
         self._size_by_connection: dict[Receiver, int] = {}
+        self._reserved = 0
+        self._reserved_by_connection: dict[Receiver, int] = {}
+        self._size_by_waiting: dict[Receiver, int] = {}
+
+    @functools.cached_property
+    def receive_buffer(self) -> memoryview:
+        """Buffer that all connections of an event loop read into."""
+        return memoryview(bytearray(RECEIVE_BUFFER_BYTES))
 
     @classmethod
     def from_memory(cls, memory: int | None) -> BufferedBytes:
@@ -75,9 +94,46 @@
                 f"responses exceed {self.limit} bytes in all"
             )
 
+    def reserve(self, connection: Receiver, size: int) -> bool:
+        """Reserve room for a body, or let it wait.
+
+        Parameters
+        ----------
+        connection : Receiver
+            The connection, which is told when there is room.
+        size : int
+            Size of the body, bytes.
+
+        Returns
+        -------
+        bool
+            Whether there is room now.
+        """
+        if self._size_by_waiting or not self._fits(size):
+            self._size_by_waiting[connection] = size
+            return False
+        self._take(connection, size)
+        return True
+
     def discard(self, connection: Receiver) -> None:
         """Count nothing for a connection any more."""
         self.total -= self._size_by_connection.pop(connection, 0)
+        self._reserved -= self._reserved_by_connection.pop(connection, 0)
+        self._size_by_waiting.pop(connection, None)
+        for waiting, size in list(self._size_by_waiting.items()):
+            if not self._fits(size):
+                break
+            if self._size_by_waiting.pop(waiting, None) is not None:
+                self._take(waiting, size)
+                waiting.on_room()
+
+    def _fits(self, size: int) -> bool:
+        reservable = self.limit * RESERVABLE_SHARE
+        return not self._reserved or self._reserved + size <= reservable
+
+    def _take(self, connection: Receiver, size: int) -> None:
+        self._reserved += size
+        self._reserved_by_connection[connection] = size
 
     def _find_largest(self) -> Receiver:
         sizes = self._size_by_connection
--- a/src/agatestile/transport/client.py
+++ b/src/agatestile/transport/client.py
@@ -47,13 +47,23 @@
 PARSED_SLICE_BYTES = 64 * 1024
 """Received data that is parsed before the limits are checked, bytes."""
 
+FIRST_READ_BYTES = 16 * 1024
+"""Largest amount that is read before the size of a body is known, bytes."""
+
+RESERVED_FROM_BYTES = 64 * 1024
+"""Size from which the body of a response to a forwarded request waits for
+room, bytes."""
+
+ROOM_SECONDS = 2.0
+"""Longest time that a body waits for room, seconds."""
+
 _LINGER_RESET = struct.pack("ii", 1, 0)
 """SO_LINGER value (on, 0 seconds) that makes a close reset the connection."""
 
 Address = tuple[str, int]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A client connection that carries one request at a time.
 
     Where the caller passes an echo value, responses are matched to requests
@@ -94,6 +104,7 @@
         self._first_data_at: float | None = None
         self._ends_at_close = False
         self._is_head_request = False
+        self._room_timer: asyncio.TimerHandle | None = None
         self.is_usable = True
         self.on_data: typing.Callable[[], None] | None = None
         self.opened_at = 0.0
@@ -214,7 +225,12 @@
         """Return False so that the transport closes itself."""
         return False
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into."""
+        buffer = self._buffered.receive_buffer
+        return buffer if self._has_head else buffer[:FIRST_READ_BYTES]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received data."""
         if self._waiter is None or self._result is not None:
             # Data after a complete response belongs to no request.
@@ -224,7 +240,7 @@
             self._first_data_at = _loop_time()
         if self.on_data is not None:
             self.on_data()
-        view = memoryview(data)
+        view = self._buffered.receive_buffer[:nbytes]
         for start in range(0, len(view), PARSED_SLICE_BYTES):
             if self._result is not None:
                 # The rest belongs to no request.
@@ -234,7 +250,9 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if len(view) >= PARSED_SLICE_BYTES:
+        if self._room_timer is not None:
+            transport.pause_reading()
+        elif len(view) >= PARSED_SLICE_BYTES:
             # The event loop otherwise reads on as long as there is data.
             transport.pause_reading()
             asyncio.get_running_loop().call_soon(self._resume_reading)
@@ -243,6 +261,29 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    def on_room(self) -> None:
+        """Receive a body that has waited for room."""
+        self._stop_room_timer()
+        self._resume_reading()
+
+    def _stop_room_timer(self) -> None:
+        if self._room_timer is not None:
+            self._room_timer.cancel()
+            self._room_timer = None
+
+    def _reserve(self, size: int) -> None:
+        """Let a large body wait while others fill the shared limit.
+
+        Without it, bodies that arrive at the same time would fail although
+        their requests have run.
+        """
+        if self._expected_echo is None or size < RESERVED_FROM_BYTES:
+            return
+        if not self._buffered.reserve(self, size):
+            self._room_timer = asyncio.get_running_loop().call_later(
+                ROOM_SECONDS, self.on_room
+            )
+
     def _parse(self, data: memoryview) -> None:
         self._received_size += len(data)
         try:
@@ -307,6 +348,8 @@
                     f"response body of {int(length)} bytes exceeds"
                     f" {self._max_body} bytes"
                 )
+            else:
+                self._reserve(int(length))
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -363,6 +406,7 @@
 
     def _discard_body(self) -> None:
         self._body = bytearray()
+        self._stop_room_timer()
         self._buffered.discard(self)
 
     def _notify_waiter(self) -> None:
