Give connections modules of their own

The connections move to server_connection.py and client_connection.py. The two kinds of failures without a response are made by class methods of messages.Failure, which both modules of the client use. Behaviour and tests are the same but for the names; the tests of transport, entry, platform and node pass.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -9,7 +9,7 @@
 from agatestile.entry import refusals
 from agatestile.entry import request_context
 from agatestile.results import codes
-from agatestile.transport import client
+from agatestile.transport import client_connection
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
@@ -84,7 +84,7 @@
         self._now = handler.now
         self._fleet = handler.fleet
         self._tried_ids: set[str] = set()
-        self._used_connections: list[client.Connection] = []
+        self._used_connections: list[client_connection.Connection] = []
         self._attempt_count = 0
         self._may_have_run = False
         self._has_reserved_retry = False
@@ -308,7 +308,7 @@
         peer = (entry.id, entry.incarnation)
         is_safe = context.route.kind.is_idempotent
         max_idle = (
-            client.DEFAULT_IDLE_TIMEOUT * 10
+            client_connection.DEFAULT_IDLE_TIMEOUT * 10
             if is_safe
             else UNSAFE_IDLE_SECONDS
         )
--- a/src/agatestile/platform/orders.py
+++ b/src/agatestile/platform/orders.py
@@ -9,6 +9,7 @@
 
 from agatestile.assignment import ports
 from agatestile.transport import client
+from agatestile.transport import client_connection
 from agatestile.transport import messages
 
 if typing.TYPE_CHECKING:
@@ -57,7 +58,7 @@
         """Return whether a connection is open since a time, seconds."""
         return self._pool.has_idle(
             _pool_key(recipient),
-            max_idle=client.DEFAULT_IDLE_TIMEOUT,
+            max_idle=client_connection.DEFAULT_IDLE_TIMEOUT,
             opened_before=opened_before,
         )
 
--- a/src/agatestile/transport/messages.py
+++ b/src/agatestile/transport/messages.py
@@ -114,6 +114,16 @@
     kind: FailureKind
     reason: str
 
+    @classmethod
+    def not_sent(cls, reason: str) -> Failure:
+        """Return the failure of a request that no server has read."""
+        return cls(FailureKind.NOT_SENT, reason)
+
+    @classmethod
+    def unknown(cls, reason: str) -> Failure:
+        """Return the failure of a request that a server may have read."""
+        return cls(FailureKind.UNKNOWN, reason)
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, None if it is absent."""
--- a/tests/entry/test_late_copies.py
+++ b/tests/entry/test_late_copies.py
@@ -9,7 +9,7 @@
 import pytest
 
 from agatestile.catalog import configuration
-from agatestile.transport import client
+from agatestile.transport import client_connection
 from tests.entry import support
 from tests.transport import support as transport_support
 
@@ -85,7 +85,7 @@
         entry = harness.fleet.directory.by_id["a"].entry
         opened = [await pool.open(entry.address) for _ in range(connections)]
         for connection in opened:
-            assert isinstance(connection, client.Connection)
+            assert isinstance(connection, client_connection.Connection)
             pool.release(("a", 1), connection)
         response = await harness.send(b"POST", b"x", key=5)
     if connections:
--- a/tests/transport/support.py
+++ b/tests/transport/support.py
@@ -8,7 +8,7 @@
 import typing
 
 from agatestile.transport import client
-from agatestile.transport import server
+from agatestile.transport import server_connection
 
 Serve = typing.Callable[
     [asyncio.StreamReader, asyncio.StreamWriter],
@@ -80,7 +80,9 @@
         return self.is_closed
 
 
-def receive(connection: server.ServerConnection, data: bytes) -> None:
+def receive(
+    connection: server_connection.ServerConnection, data: bytes
+) -> None:
     """Hand data to a connection as an event loop does."""
     while data:
         buffer = connection.get_buffer(-1)
--- a/tests/transport/test_body_sender.py
+++ b/tests/transport/test_body_sender.py
@@ -8,6 +8,7 @@
 
 from agatestile.transport import body_sender
 from agatestile.transport import client
+from agatestile.transport import client_connection
 from agatestile.transport import messages
 from tests.transport import support
 
@@ -19,11 +20,11 @@
 
 async def _exchange(
     server: support.Serve,
-) -> tuple[messages.Response | messages.Failure, client.Connection]:
+) -> tuple[messages.Response | messages.Failure, client_connection.Connection]:
     async with support.serving(server) as address:
         pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
         connection = await pool.open(address)
-        assert isinstance(connection, client.Connection)
+        assert isinstance(connection, client_connection.Connection)
         async with asyncio.timeout(5.0):
             result = await connection.exchange(b"head\n", b"1", body=BODY)
         connection.abort()
@@ -82,7 +83,7 @@
     async with support.serving(serve) as address:
         pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
         connection = await pool.open(address)
-        assert isinstance(connection, client.Connection)
+        assert isinstance(connection, client_connection.Connection)
         task = asyncio.create_task(
             connection.exchange(b"head\n", b"1", body=BODY)
         )
--- a/tests/transport/test_buffered_bytes.py
+++ b/tests/transport/test_buffered_bytes.py
@@ -9,6 +9,7 @@
 
 from agatestile.transport import buffered_bytes
 from agatestile.transport import client
+from agatestile.transport import client_connection
 from agatestile.transport import messages
 from tests.transport import support
 
@@ -75,7 +76,7 @@
 
     async def fetch() -> messages.Response | messages.Failure:
         connection = await pool.open(address)
-        assert isinstance(connection, client.Connection)
+        assert isinstance(connection, client_connection.Connection)
         return await connection.exchange(b"GET / HTTP/1.1\r\n\r\n", b"1")
 
     async with support.serving(serve) as address:
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -11,6 +11,7 @@
 
 from agatestile.transport import buffered_bytes
 from agatestile.transport import client
+from agatestile.transport import client_connection
 from agatestile.transport import messages
 from tests.transport import support
 
@@ -42,7 +43,7 @@
     async with support.serving(server) as address:
         pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
         connection = await pool.open(address)
-        assert isinstance(connection, client.Connection)
+        assert isinstance(connection, client_connection.Connection)
         results = []
         for _ in range(count):
             async with asyncio.timeout(2.0):
@@ -227,7 +228,7 @@
     async with support.serving(_sends(kept, kept)) as address:
         pool = client.Pool(lambda: times[0], b"x-id")
         connection = await pool.open(address)
-        assert isinstance(connection, client.Connection)
+        assert isinstance(connection, client_connection.Connection)
         await connection.exchange(b"GET / HTTP/1.1\r\n\r\n", b"1")
         pool.release("server", connection)
         times[0] = 3.0
@@ -309,7 +310,7 @@
 ) -> None:
     """Guards against memory that grows until the request's deadline."""
     limit = 1024 * 1024
-    monkeypatch.setattr(client, "MAX_BODY_BYTES", limit)
+    monkeypatch.setattr(client_connection, "MAX_BODY_BYTES", limit)
     sent = 0
 
     async def server(
--- a/tests/transport/test_early_responses.py
+++ b/tests/transport/test_early_responses.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from agatestile.transport import client
+from agatestile.transport import client_connection
 from agatestile.transport import messages
 
 UPLOAD = b"POST / HTTP/1.1\r\ncontent-length: 4194304\r\n\r\n" + bytes(4 << 20)
@@ -78,7 +79,7 @@
         serving = asyncio.create_task(serve())
         pool = client.Pool(loop.time, b"x-id")
         connection = await pool.open(listening.getsockname())
-        assert isinstance(connection, client.Connection)
+        assert isinstance(connection, client_connection.Connection)
         async with asyncio.timeout(5.0):
             result = await connection.exchange(content, b"1")
         connection.abort()
--- a/tests/transport/test_endless_requests.py
+++ b/tests/transport/test_endless_requests.py
@@ -12,6 +12,7 @@
 from agatestile.catalog import configuration
 from agatestile.transport import messages
 from agatestile.transport import server
+from agatestile.transport import server_connection
 
 pytestmark = pytest.mark.anyio
 
@@ -104,7 +105,7 @@
 
 async def test_pipelined_requests_are_all_answered_in_order() -> None:
     """Guards against requests lost where reading stops and continues."""
-    count = 4 * server.MAX_PENDING_REQUESTS
+    count = 4 * server_connection.MAX_PENDING_REQUESTS
     handled = 0
 
     async def respond(request: messages.Request) -> messages.Response:
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -25,6 +25,7 @@
 from agatestile.store import port
 from agatestile.transport import buffered_bytes
 from agatestile.transport import client
+from agatestile.transport import client_connection
 from agatestile.transport import messages
 from tests.node import support as node_support
 from tests.transport import support
@@ -107,11 +108,11 @@
     put together.
     """
     limit = 1024 * 1024
-    monkeypatch.setattr(client, "MAX_BODY_BYTES", limit)
+    monkeypatch.setattr(client_connection, "MAX_BODY_BYTES", limit)
     async with support.serving(serve) as address:
         pool = client.Pool(asyncio.get_running_loop().time, b"x-id")
         connection = await pool.open(address)
-        assert isinstance(connection, client.Connection)
+        assert isinstance(connection, client_connection.Connection)
         with _traced() as peak:
             async with asyncio.timeout(CALL_SECONDS):
                 result = await connection.exchange(
@@ -148,7 +149,7 @@
             kept = peak()
     assert all(isinstance(result, messages.Failure) for result in results)
     # Twice for the client, once for the server.
-    assert kept < 3 * count * client.MAX_HEAD_BYTES + HARNESS_BYTES
+    assert kept < 3 * count * client_connection.MAX_HEAD_BYTES + HARNESS_BYTES
 
 
 async def test_declared_length_beyond_the_limit_fails_with_the_head() -> None:
--- a/tests/transport/test_parsing_turns.py
+++ b/tests/transport/test_parsing_turns.py
@@ -12,6 +12,7 @@
 from agatestile.transport import messages
 from agatestile.transport import parsing_turns
 from agatestile.transport import server
+from agatestile.transport import server_connection
 from tests.transport import support
 
 LIMITS = configuration.CallerLimits(2000, 10_000_000, 5.0, 5.0)
@@ -77,9 +78,9 @@
 
 def _connect(
     guard: caller_guard.CallerGuard,
-) -> tuple[server.ServerConnection, support.RecordingTransport]:
+) -> tuple[server_connection.ServerConnection, support.RecordingTransport]:
     listener = server.Listener(_handle, lambda: LIMITS, guard)
-    connection = server.ServerConnection(listener)
+    connection = server_connection.ServerConnection(listener)
     transport = support.RecordingTransport()
     connection.connection_made(typing.cast(asyncio.Transport, transport))
     return connection, transport
--- a/tests/transport/test_server_input.py
+++ b/tests/transport/test_server_input.py
@@ -11,6 +11,7 @@
 from agatestile.catalog import configuration
 from agatestile.transport import messages
 from agatestile.transport import server
+from agatestile.transport import server_connection
 from tests.transport import support
 
 LIMITS = configuration.CallerLimits(400, 200, 5.0, 5.0)
@@ -46,7 +47,7 @@
         handled.append(request)
         return messages.Response(200, [], b"")
 
-    connection = server.ServerConnection(
+    connection = server_connection.ServerConnection(
         server.Listener(handle, lambda: LIMITS)
     )
     transport: typing.Any = support.RecordingTransport()
