Give other hosts half of the limits of callers

A leader that sends a whole configuration to all hosts at once could exceed a quarter of the limit on unread responses by reading of the code: 90 hosts with 256 KiB each are 23 MB, which is all that a quarter allows on a machine of 160 MB, and the slowest readers would be reset. Half leaves room for twice that. The measured memory limits the process as before.

--- a/src/agatestile/transport/caller_guard.py
+++ b/src/agatestile/transport/caller_guard.py
@@ -22,7 +22,7 @@
 MIN_CONNECTIONS = 16
 """Connections that are accepted however few descriptors there are."""
 
-PEER_SHARE = 0.25
+PEER_SHARE = 0.5
 """Share of the memory to which the limits for other hosts are applied."""
 
 CHECK_SHARE = 1.0 / 16.0
