Keep the bound of cold servers as ranks change

Where hosts outnumber the bound of a cold server, those of some ranks may send to it. Ranks come with the response to a report, and a new coordinator ranks the hosts that have reported so far. Each host followed its newest rank at once, so that within a second both the hosts of the old ranks and a sequence of hosts of new ones sent.

A host now sends only if all ranks and counts that it has had within 5 s allow it, the time until all hosts have reported to a new coordinator. It is then one of those that the old view allows, so the bound holds whichever view others have. Hosts that have just started have no former view.

--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -69,6 +69,38 @@
 billed, and a response within its objective is as good as a faster one."""
 
 
+class HostView(typing.NamedTuple):
+    """What a host knows of the others.
+
+    Attributes
+    ----------
+    rank : int or None
+        Position of this host among them, None if it is not known.
+    host_count : int
+        Number of hosts.
+    until : float
+        Clock until which it was used, seconds.
+    """
+
+    rank: int | None
+    host_count: int
+    until: float
+
+    def cold_quota(self, server_id: str, bound: int) -> int:
+        """Return this host's part of the bound of a cold server.
+
+        If the hosts outnumber the requests of the bound, only some of
+        the hosts may send to a given server. A host that does not know its
+        rank may send none: many hosts may have restarted together.
+        """
+        if self.rank is None:
+            return 0
+        if self.host_count <= bound:
+            return bound // self.host_count
+        shift = sum(server_id.encode())
+        return int((self.rank + shift) % self.host_count < bound)
+
+
 class Fleet:
     """Servers with their load, and the rules that exclude them.
 
@@ -113,9 +145,22 @@
             collections.deque()
         )
         self.host_rank: int | None = None
+        self._former_views: collections.deque[HostView] = collections.deque()
 
     # Updates
 
+    def update_hosts(self, count: int, rank: int, now: float) -> None:
+        """Record how many hosts there are, and the rank of this one."""
+        before = HostView(self.host_rank, self.host_count, now)
+        self.update_host_count(count, now)
+        self.host_rank = rank
+        views = self._former_views
+        while views and views[0].until < now - HOST_COUNT_RETENTION_SECONDS:
+            views.popleft()
+        after = HostView(rank, self.host_count, now)
+        if before.rank is not None and before != after:
+            views.append(before)
+
     def update_host_count(self, count: int, now: float) -> None:
         """Record a number of hosts; the largest recent one is used.
 
@@ -277,7 +322,7 @@
         sent = self._send_times.count_since(
             server.instance, now - COLD_WINDOW_SECONDS
         )
-        return sent < self._cold_quota(server.entry)
+        return sent < self._cold_quota(server.entry, now)
 
     def rate_limit_wait(
         self, server: directory_module.Server, now: float
@@ -563,20 +608,21 @@
         rate = 1.0 if service is None else service.warmup_rate
         return rate * self.bounds.cold_ratio + self.bounds.cold_slack
 
-    def _cold_quota(self, entry: directory_module.ServerEntry) -> int:
+    def _cold_quota(
+        self, entry: directory_module.ServerEntry, now: float
+    ) -> int:
         """Return how many requests this host may send in a window.
 
-        If the hosts outnumber the requests of the bound, only some of
-        the hosts may send to a given server. A host that does not know its
-        rank may send none: many hosts may have restarted together.
+        Hosts learn of a change at different times. Those that may send both
+        before and after it are no more than those that may before.
         """
-        if self.host_rank is None:
-            return 0
         bound = int(COLD_BOUND_SHARE * self._cold_bound(entry))
-        if self.host_count <= bound:
-            return bound // self.host_count
-        shift = sum(entry.id.encode())
-        return int((self.host_rank + shift) % self.host_count < bound)
+        current = HostView(self.host_rank, self.host_count, now)
+        quota = current.cold_quota(entry.id, bound)
+        for view in self._former_views:
+            if view.until >= now - HOST_COUNT_RETENTION_SECONDS:
+                quota = min(quota, view.cold_quota(entry.id, bound))
+        return quota
 
 
 def _answer_rate(known: load.ServerLoad) -> float:
--- a/src/agatestile/node/reporter.py
+++ b/src/agatestile/node/reporter.py
@@ -304,8 +304,9 @@
         age : float
             Time since the report, seconds.
         """
-        self._fleet.update_host_count(response.host_count, self._now())
-        self._fleet.host_rank = response.host_rank
+        self._fleet.update_hosts(
+            response.host_count, response.host_rank, self._now()
+        )
         self._fleet.set_shares(response.shares, age)
         if self._quotas is not None:
             self._quotas.apply(response.quotas)
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -72,6 +72,51 @@
     assert 0 < total <= 12.5
 
 
+def _hosts_of_a_new_coordinator(
+    now: float, report_at: list[float]
+) -> dict[int, tuple[int, int]]:
+    """Return count and rank by host, of those that have reported to it."""
+    known = [host for host, at in enumerate(report_at) if at <= now]
+    return {host: (len(known), rank) for rank, host in enumerate(known)}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_cold_server_keeps_its_bound_as_ranks_change(seed: int) -> None:
+    """Guards against hosts that follow old and new ranks (FAILBACK).
+
+    A new coordinator hears of the hosts one after the other, and ranks those
+    that it knows.
+    """
+    hosts = 91
+    entry = test_directory.entry(warmup_left=60.0)
+    fleets = [_fleet(hosts, None) for _ in range(hosts)]
+    for rank, fleet in enumerate(fleets):
+        fleet.directory.put(entry, 0.0)
+        fleet.update_hosts(hosts, rank, 0.0)
+    generator = random.Random(seed)
+    report_at = [20.0 + generator.random() for _ in range(hosts)]
+    sent_at: list[float] = []
+    for step in range(300):
+        now = 10.0 + 0.1 * step
+        ranks = _hosts_of_a_new_coordinator(now, report_at)
+        for host, fleet in enumerate(fleets):
+            if now < 20.0:
+                fleet.update_hosts(hosts, host, now)
+            elif host in ranks:
+                fleet.update_hosts(*ranks[host], now)
+            server = fleet.directory.by_id["a"]
+            if fleet.has_cold_quota(server, now):
+                fleet.on_sent(entry, now)
+                sent_at.append(now)
+    most = max(
+        sum(1 for at in sent_at if start <= at < start + 1.0)
+        for start in sent_at
+    )
+    assert 0 < most <= 12.5
+    # The server is used again once all hosts agree.
+    assert sent_at[-1] > 35.0
+
+
 def test_server_may_be_cold_after_a_failed_connection() -> None:
     """Guards against a full load on a server that restarted unnoticed.
 
