Count the bytes of a body, not its buffer

A body of 64 MiB, alone on a host of 160 MB, was refused with 503: since a body counted with what its bytearray had allocated, an eighth more than it holds, which is 75 MB where 69 are allowed. What has not been written to takes no resident memory, so the length is the better count.

--- a/src/agatestile/transport/server_connection.py
+++ b/src/agatestile/transport/server_connection.py
@@ -272,7 +272,7 @@
             + self._head_bytes
             + len(self._headers) * HEADER_MEMORY_BYTES
             + self._framing.size
-            + self._body.__alloc__()
+            + len(self._body)
         )
 
     def _set_reading(self, is_reading: bool) -> None:
