Remove an event that is never set

A crowd stays connected until its standard input ends, which ends the process. It waited for an event that nothing sets; it now waits for ever, and says what ends it.

--- a/tests/system/hostile_crowd.py
+++ b/tests/system/hostile_crowd.py
@@ -108,7 +108,6 @@
     async def run(self, count: int) -> None:
         """Play the callers until the standard input ends."""
         asyncio.get_running_loop().add_reader(sys.stdin.fileno(), self._stop)
-        self._is_stopped = asyncio.Event()
         play = self._send if self._kind in PIECES else self._download
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(MAX_SECONDS):
@@ -116,7 +115,8 @@
                     for _ in range(count):
                         tasks.create_task(self._play(play, count))
         self._report("done", **self._outcomes)
-        await self._is_stopped.wait()
+        # `_stop` ends the process.
+        await asyncio.get_running_loop().create_future()
 
     def _stop(self) -> None:
         for writer in self._writers:
