Refuse later input after the answers before it

Callers of `agatestile serve` that sent further input behind a request got a 400, 408 or 431 with "x-agatestile-run: not-run" as the answer to that request, although it was running or ran afterwards. Others lost the answer to a request that ran, as the connection was closed.

Cause: the connection wrote such a refusal at once. It only asked the request parsed last whether it may have run: one that had not started if both arrived together, and not the one in progress if two were sent ahead. A request that waited for a slot was ended by a check 0.02 s later at the earliest, and an upload not before it had been sent in part.

A refusal now waits for the responses to the requests before it. Where a body is invalid, its request is cancelled and decides itself whether it was sent. So "not run" is decided by the code that sends.

Ruled out: the same on the platform, whose connections close without an answer while a request is handled.

--- a/src/agatestile/gateway/application.py
+++ b/src/agatestile/gateway/application.py
@@ -181,6 +181,9 @@
                 self._drained.set()
 
     def _accept(self, scope: asgi.Scope) -> parsing.Request | outcomes.Refusal:
+        refusal: outcomes.Refusal | None = scope.get("agatestile.refusal")
+        if refusal is not None:
+            return refusal
         if self._is_closing:
             return outcomes.Refusal(
                 _CODES.SHUTTING_DOWN, "this host is shutting down"
@@ -219,7 +222,7 @@
             self._watcher.remove(call)
         if call.scope.cancelled_caught:
             is_disconnected = call.is_disconnected
-            refusal = call.timeout_refusal()
+            refusal = call.cancellation_refusal()
         if is_disconnected:
             refusal = _refuse_disconnected(call)
         if refusal is not None:
--- a/src/agatestile/gateway/calls.py
+++ b/src/agatestile/gateway/calls.py
@@ -69,6 +69,8 @@
         Whether handling the request ended.
     is_disconnected : bool
         Whether the caller closed its connection.
+    input_refusal : outcomes.Refusal or None
+        Why the request was ended for what its caller sent, if it was.
     answer : deduplication.Answer or None
         Complete answer of the server if it is small enough to be kept.
     """
@@ -79,6 +81,7 @@
         "connection",
         "deadline",
         "gate",
+        "input_refusal",
         "is_disconnected",
         "is_done",
         "is_watched",
@@ -127,6 +130,7 @@
         self.response_deadline = 0.0
         self.response_timed_out = False
         self.is_watched = self.is_disconnected = self.is_done = False
+        self.input_refusal: outcomes.Refusal | None = None
         self.answer: deduplication.Answer | None = None
 
     def limit_deadline(self, deadline: float) -> None:
@@ -135,13 +139,17 @@
             self.deadline = deadline
             self.scope.deadline = deadline
 
-    def may_have_run(self) -> bool:
-        """Return whether a part of the request may have been sent."""
-        if self.run_state != responses.NOT_RUN:
-            return True
-        return self.connection is not None and self.connection.was_written()
+    def refuse_input(self, refusal: outcomes.Refusal) -> None:
+        """End the request for what its caller sent, unless it is answered."""
+        if not self.responded:
+            self.input_refusal = refusal
+            self.scope.cancel()
 
-    def timeout_refusal(self) -> outcomes.Refusal:
+    def cancellation_refusal(self) -> outcomes.Refusal:
+        """Return the refusal for a request that was cancelled."""
+        return self.input_refusal or self._timeout_refusal()
+
+    def _timeout_refusal(self) -> outcomes.Refusal:
         """Return the refusal for a request whose deadline has passed."""
         if self.run_state == responses.NOT_RUN:
             return outcomes.Refusal(
--- a/src/agatestile/gateway/protocol.py
+++ b/src/agatestile/gateway/protocol.py
@@ -49,6 +49,7 @@
         self._is_in_head = False
         self._is_refused = False
         self._refusal: outcomes.Refusal | None = None
+        self._pending_refusal: outcomes.Refusal | None = None
         self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(  # type: ignore[override]
@@ -91,7 +92,6 @@
         """Check the exact size of the head before the request starts."""
         self._stop_head_timer()
         self._is_in_head = False
-        self._in_body = True
         if self._head_bytes > self.options.header_limit:
             size = len(self.url) + sum(
                 len(name) + len(value) + 4 for name, value in self.headers
@@ -101,6 +101,7 @@
                 raise httptools.HttpParserCallbackError(
                     "the head is too large"
                 )
+        self._in_body = True
         self._head_bytes = 0
         super().on_headers_complete()
 
@@ -112,26 +113,48 @@
     def send_400_response(self, msg: str) -> None:
         """Refuse invalid input and close the connection.
 
-        If a response is in progress, the connection is closed without a
-        refusal, which would become a part of that response.
+        Requests before the invalid one may run, so that a refusal sent at
+        once would be taken for the answer to one of them.
         """
         self._stop_head_timer()
+        self._is_refused = True
         refusal = self._refusal or outcomes.Refusal(
             _CODES.BAD_REQUEST, "the request is not valid HTTP"
         )
         cycle = self.cycle
-        if cycle is not None and not cycle.response_complete:
-            scope: asgi.Scope = dict(cycle.scope)
-            call = scope.get("agatestile.call")
-            must_abort = cycle.response_started or (
-                call is not None and call.may_have_run()
-            )
-            cycle.disconnected = True
-            cycle.message_event.set()
-            if must_abort:
-                self.transport.close()
-                return
-        self._respond(refusal)
+        if cycle is None or cycle.response_complete:
+            self._respond(refusal)
+        elif self._in_body:
+            self._refuse_body(cycle, refusal)
+        else:
+            self._pending_refusal = refusal
+
+    def on_response_complete(self) -> None:
+        """Send a refusal that had to wait for the responses before it."""
+        super().on_response_complete()
+        refusal = self._pending_refusal
+        if refusal is None or self.transport.is_closing():
+            return
+        if self.cycle is not None and self.cycle.response_complete:
+            self._pending_refusal = None
+            self._respond(refusal)
+
+    def _refuse_body(
+        self,
+        cycle: httptools_impl.RequestResponseCycle,
+        refusal: outcomes.Refusal,
+    ) -> None:
+        """Let the application end a request whose body is invalid.
+
+        Only the application knows whether it has sent a part of the request.
+        """
+        cycle.keep_alive = False
+        scope = typing.cast("asgi.Scope", cycle.scope)
+        call = scope.get("agatestile.call")
+        if call is None:
+            scope["agatestile.refusal"] = refusal
+        else:
+            call.refuse_input(refusal)
 
     def _refuse_head(self) -> None:
         self._refusal = _too_large(self.options.header_limit)
@@ -148,7 +171,6 @@
         )
         # Closing immediately would reset the connection while the caller is
         # still sending, and the reset would discard the response.
-        self._is_refused = True
         self.transport.write_eof()
         self._head_timer = self.loop.call_later(
             LINGER_SECONDS, self.transport.close
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -307,18 +307,48 @@
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> Response:
     """Read a response until the connection is closed."""
+    return _parse_response(await _read_to_end(reader, writer))[0]
+
+
+async def read_responses(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> list[Response]:
+    """Read responses with a length until the connection is closed."""
+    data = await _read_to_end(reader, writer)
+    responses = []
+    while data:
+        response, data = _parse_response(data, is_pipelined=True)
+        responses.append(response)
+    return responses
+
+
+async def _read_to_end(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> bytes:
     data = b""
     with contextlib.suppress(ConnectionError):
         while part := await reader.read(65536):
             data += part
     writer.close()
+    return data
+
+
+def _parse_response(
+    data: bytes, is_pipelined: bool = False
+) -> tuple[Response, bytes]:
+    """Return the first response, and what follows if more are expected."""
     head, _, body = data.partition(b"\r\n\r\n")
     if not head:
-        return Response(0, {}, b"", False)
+        return Response(0, {}, b"", False), b""
     line, *lines = head.decode().split("\r\n")
     headers = dict(text.split(": ", 1) for text in lines)
+    rest = b""
     if "content-length" in headers:
-        is_complete = len(body) == int(headers["content-length"])
+        length = int(headers["content-length"])
+        if is_pipelined:
+            body, rest = body[:length], body[length:]
+        is_complete = len(body) == length
     else:
         is_complete = body.endswith(b"0\r\n\r\n")
-    return Response(int(line.split()[1]), headers, body, is_complete)
+    status = int(line.split()[1])
+    return Response(status, headers, body, is_complete), rest
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -120,6 +120,81 @@
     assert len(gateway.server.requests) == 1
 
 
+POST = b"POST /prices/k HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n"
+SLOW_HEAD = b"GET /prices/k HTTP/1.1\r\nx: "
+NONSENSE = b"nonsense\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("writes", "codes_in_order"),
+    [
+        ([POST + NONSENSE], [0, 100]),
+        ([POST, NONSENSE], [0, 100]),
+        ([POST + POST + NONSENSE], [0, 0, 100]),
+        ([POST, SLOW_HEAD], [0, 106]),
+        ([POST + POST, SLOW_HEAD], [0, 0, 106]),
+        ([POST, SLOW_HEAD + b"a" * 9000], [0, 105]),
+    ],
+)
+@pytest.mark.parametrize("is_queued", [False, True])
+async def test_refusal_of_later_input_is_no_answer_to_a_request_that_runs(
+    is_queued: bool, writes: list[bytes], codes_in_order: list[int]
+) -> None:
+    """Guards against a "not run" for a request that is running or queued."""
+    released = asyncio.Event()
+
+    async def respond_later(request: harness.Request) -> None:
+        await released.wait()
+        await request.respond()
+
+    async with harness.running_gateway(
+        respond_later, SHORT_LIMITS, slots=1
+    ) as gateway:
+        first = asyncio.create_task(
+            gateway.send_request() if is_queued else asyncio.sleep(0)
+        )
+        await anyio.sleep(0.05)
+        reader, writer = await harness.connect(gateway.callers_address)
+        for data in writes:
+            writer.write(data)
+            await anyio.sleep(0.05)
+        await anyio.sleep(2 * SHORT_LIMITS.head_timeout)
+        released.set()
+        with anyio.fail_after(3):
+            responses = await harness.read_responses(reader, writer)
+        await first
+    assert [response.code for response in responses] == codes_in_order
+    run_states = [response.run_state for response in responses]
+    assert run_states.count("run") == len(codes_in_order) - 1
+    assert len(gateway.server.requests) == len(codes_in_order) - 1 + is_queued
+
+
+async def test_upload_that_is_refused_in_the_queue_reaches_no_server() -> None:
+    """Guards against an upload that is sent after its refusal as not run."""
+    released = asyncio.Event()
+
+    async def respond_later(request: harness.Request) -> None:
+        await released.wait()
+        await request.respond()
+
+    async with harness.running_gateway(respond_later, slots=1) as gateway:
+        first = asyncio.create_task(gateway.send_request())
+        await anyio.sleep(0.05)
+        reader, writer = await harness.connect(gateway.callers_address)
+        head = b"POST /prices/k HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        writer.write(head + b"11000\r\n" + b"b" * 0x11000 + b"\r\n")
+        await anyio.sleep(0.05)
+        writer.write(NONSENSE)
+        with anyio.fail_after(3):
+            answer = await reader.readuntil(b"}")
+        released.set()
+        await first
+        await anyio.sleep(0.1)
+        writer.close()
+    assert b"x-agatestile-run: not-run" in answer
+    assert len(gateway.server.requests) == 1
+
+
 async def test_connection_without_a_request_is_closed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
