Tell the request in progress of a disconnect

A caller of `agatestile serve` that had sent two requests ahead and left kept its server at work on the first one, and a slot taken, until the response or the deadline.

Cause: uvicorn marks the request that arrived last as disconnected, which waits behind the one in progress. The connection now keeps the request in progress and marks that one as well.

Ruled out: the platform's connections, which cancel the task of all their requests.

--- a/src/agatestile/gateway/protocol.py
+++ b/src/agatestile/gateway/protocol.py
@@ -51,6 +51,7 @@
         self._refusal: outcomes.Refusal | None = None
         self._pending_refusal: outcomes.Refusal | None = None
         self._head_timer: asyncio.TimerHandle | None = None
+        self._running: httptools_impl.RequestResponseCycle | None = None
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -68,8 +69,15 @@
         self._start_head_timer(self.timeout_keep_alive)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timer."""
+        """Cancel the timer and end the request in progress.
+
+        uvicorn ends the one that arrived last.
+        """
         self._stop_head_timer()
+        running = self._running
+        if running is not None and not running.response_complete:
+            running.disconnected = True
+            running.message_event.set()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -129,6 +137,12 @@
         else:
             self._pending_refusal = refusal
 
+    def _start_asgi_task(
+        self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
+    ) -> None:
+        self._running = cycle
+        super()._start_asgi_task(cycle, app)
+
     def on_response_complete(self) -> None:
         """Send a refusal that had to wait for the responses before it."""
         super().on_response_complete()
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -404,7 +404,10 @@
     assert not gateway.server.requests
 
 
-async def test_disconnect_of_the_caller_cancels_the_request() -> None:
+@pytest.mark.parametrize("count", [1, 2])
+async def test_disconnect_of_the_caller_cancels_the_request(
+    count: int,
+) -> None:
     """Guards against a server that works for a caller that disconnected."""
     closed = asyncio.Event()
 
@@ -417,7 +420,8 @@
         wait_for_close, timeout_ms=5000
     ) as gateway:
         reader, writer = await harness.connect(gateway.callers_address)
-        writer.write(b"POST /prices/k HTTP/1.1\r\ncontent-length: 1\r\n\r\nx")
+        request = b"POST /prices/k HTTP/1.1\r\ncontent-length: 1\r\n\r\nx"
+        writer.write(count * request)
         await anyio.sleep(0.1)
         writer.close()
         with anyio.fail_after(0.5):
