Give load probes a module of their own

The exchange of a request decides on attempts and responses; which servers are probed before is another job. The longest acceptable wait is a property of the request and moves to its context.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -5,9 +5,9 @@
 import asyncio
 import typing
 
+from agatestile.entry import load_probes
 from agatestile.entry import picker as picker_module
 from agatestile.entry import refusals
-from agatestile.entry import request_context
 from agatestile.results import codes
 from agatestile.transport import client_connection
 from agatestile.transport import messages
@@ -17,6 +17,7 @@
     from agatestile.catalog import directory
     from agatestile.entry import header_port
     from agatestile.entry import quota_check
+    from agatestile.entry import request_context
     from agatestile.limits import budget
 
 OWNER_WAIT_SHARE = 0.3
@@ -27,16 +28,6 @@
 """Longest idle time of a connection that is reused for a request which must
 not be repeated: the server may have closed one that was idle for longer."""
 
-PROBE_SECONDS = 0.03
-"""Timeout of a load probe; the response takes 6 ms."""
-
-MAX_PROBE_RESPONSE_BYTES = 64 * 1024
-"""Largest body of a response to a probe, bytes; only its head is used."""
-
-MAX_WAIT_RATIO = 1.2
-"""Multiple of the latency objective within which a response has to be
-expected for a request to be sent."""
-
 _CODES = codes.ResultCode
 _KIND = messages.FailureKind
 
@@ -103,8 +94,9 @@
                 self._ticket.finish()
 
     async def _run(self) -> messages.Response:
+        handler, context = self._handler, self._context
         while True:
-            await self._refresh_loads()
+            await load_probes.refresh(handler, context, self._tried_ids)
             pick = await self._next_server()
             if isinstance(pick, refusals.RequestRefusal):
                 return self._refuse(pick)
@@ -167,7 +159,7 @@
                 context.service,
                 context.key,
                 now,
-                self._acceptable_wait(now),
+                context.acceptable_wait(now),
                 self._tried_ids,
                 len(context.request.body),
             )
@@ -185,58 +177,6 @@
                     picker_module.OWNER_RETRY_AFTER,
                 )
 
-    async def _refresh_loads(self) -> None:
-        """Probe the load of the servers that are likely to be chosen."""
-        context = self._context
-        if context.key is not None:
-            return
-        now = self._now()
-        entries = self._fleet.servers_to_probe(
-            context.service,
-            now,
-            self._acceptable_wait(now),
-            self._tried_ids,
-            len(context.request.body),
-        )
-        service = self._handler.service(context.service)
-        if len(entries) < 2 or service is None or not service.health_path:
-            return
-        async with asyncio.TaskGroup() as tasks:
-            for entry in entries:
-                tasks.create_task(self._probe_load(entry, service.health_path))
-
-    async def _probe_load(
-        self, entry: directory.ServerEntry, path: str
-    ) -> None:
-        request = messages.Request(b"GET", path.encode(), [], b"")
-        self._handler.registry.count(
-            "probes_total", service=self._context.service
-        )
-        response = await self._handler.probe_pool.call(
-            entry.address,
-            request,
-            PROBE_SECONDS,
-            (entry.id, entry.incarnation),
-            max_body=MAX_PROBE_RESPONSE_BYTES,
-        )
-        if isinstance(response, messages.Response):
-            server_headers = self._handler.header_format.read_response(
-                response
-            )
-            self._fleet.on_probe_response(entry, server_headers, self._now())
-
-    def _acceptable_wait(self, now: float) -> float:
-        """Return the longest acceptable time until a response, seconds.
-
-        A response later than the objective is worth little, and a longer
-        queue delays all later requests without raising the throughput.
-        """
-        time_left = self._context.deadline - now
-        objective = self._context.route.latency_objective
-        if not objective:
-            return min(time_left, request_context.DEFAULT_TIME_LEFT)
-        return min(time_left, objective * MAX_WAIT_RATIO)
-
     # Sending
 
     async def _send(self, pick: picker_module.Pick) -> Attempt:
--- a/src/agatestile/entry/request_context.py
+++ b/src/agatestile/entry/request_context.py
@@ -20,6 +20,10 @@
 DEFAULT_TIME_LEFT = 30.0
 """Time allowed for a request without a deadline, seconds."""
 
+MAX_WAIT_RATIO = 1.2
+"""Multiple of the latency objective within which a response has to be
+expected for a request to be sent."""
+
 
 class AssignmentWaiter(typing.Protocol):
     """Reports new assignments and counts requests by key."""
@@ -73,6 +77,23 @@
     caller_deadline: float
     forwarded_headers: messages.Headers
 
+    def acceptable_wait(self, now: float) -> float:
+        """Return the longest acceptable time until a response, seconds.
+
+        A response later than the objective is worth little, and a longer
+        queue delays all later requests without raising the throughput.
+
+        Parameters
+        ----------
+        now : float
+            Clock of the event loop, seconds.
+        """
+        time_left = self.deadline - now
+        objective = self.route.latency_objective
+        if not objective:
+            return min(time_left, DEFAULT_TIME_LEFT)
+        return min(time_left, objective * MAX_WAIT_RATIO)
+
 
 class SharedState(typing.Protocol):
     """State that all requests of a host share; `handler.Handler` is one."""
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -9,8 +9,8 @@
 import pytest
 
 from agatestile.catalog import configuration
-from agatestile.entry import exchange
 from agatestile.entry import header_port
+from agatestile.entry import load_probes
 from agatestile.entry import stopping
 from tests.entry import support
 from tests.transport import support as transport_support
@@ -307,7 +307,7 @@
     has reported it.
     """
     # The servers share the processors with other processes of the machine.
-    monkeypatch.setattr(exchange, "PROBE_SECONDS", 5.0)
+    monkeypatch.setattr(load_probes, "PROBE_SECONDS", 5.0)
     async with support.handler_harness() as harness:
         harness.configure()
         busy, free = b"2,5,2,300", b"0,0,2,100"
@@ -330,7 +330,7 @@
     Only the head of such an answer is of use, and requests don't wait for the
     rest of it.
     """
-    monkeypatch.setattr(exchange, "PROBE_SECONDS", 5.0)
+    monkeypatch.setattr(load_probes, "PROBE_SECONDS", 5.0)
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
