Tell withheld answers from lost connections

What a response means is now decided in entry/verdicts.py, without a network.

No change of statuses.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -8,6 +8,7 @@
 from agatestile.entry import load_probes
 from agatestile.entry import picker as picker_module
 from agatestile.entry import refusals
+from agatestile.entry import verdicts
 from agatestile.results import codes
 from agatestile.transport import client_connection
 from agatestile.transport import messages
@@ -15,7 +16,6 @@
 if typing.TYPE_CHECKING:
     from agatestile.balancing import load as load_module
     from agatestile.catalog import directory
-    from agatestile.entry import header_port
     from agatestile.entry import quota_check
     from agatestile.entry import request_context
     from agatestile.limits import budget
@@ -30,24 +30,19 @@
 
 _CODES = codes.ResultCode
 _KIND = messages.FailureKind
+_VERDICT = verdicts.Verdict
 
+_CODE_BY_VERDICT = {
+    _VERDICT.FAILED: _CODES.OUTCOME_UNKNOWN,
+    _VERDICT.UNCONFIRMED: _CODES.REJECTION_UNCONFIRMED,
+    _VERDICT.BROKEN: _CODES.ANSWER_BROKEN,
+}
 
-class Attempt(typing.NamedTuple):
-    """Outcome of sending a request to a server once.
-
-    Attributes
-    ----------
-    response : messages.Response or None
-        Response of the server.
-    server_headers : header_port.ServerHeaders or None
-        Parsed headers of the response.
-    failure : messages.Failure or None
-        Why there is no response.
-    """
-
-    response: messages.Response | None
-    server_headers: header_port.ServerHeaders | None
-    failure: messages.Failure | None
+_REASON_BY_VERDICT = {
+    _VERDICT.FAILED: "",
+    _VERDICT.UNCONFIRMED: " and does not say that the request did not run",
+    _VERDICT.BROKEN: " without a signature",
+}
 
 
 class Exchange:
@@ -82,6 +77,8 @@
         self._last_rejected_by: directory.Instance | None = None
         self._failed_response: messages.Response | None = None
         self._last_refusal: refusals.RequestRefusal | None = None
+        self._last_server_id = ""
+        self._last_status: int | None = None
 
     async def run(self) -> messages.Response:
         """Send attempts until there is a final response."""
@@ -105,8 +102,8 @@
             quota_refusal = self._check_quota()
             if quota_refusal is not None:
                 return self._refuse(quota_refusal)
-            attempt = await self._send(pick)
-            response = self._evaluate(pick, attempt)
+            result = await self._send(pick)
+            response = self._evaluate(pick, result)
             if response is not None:
                 return response
             if not self._may_retry() or not self._reserve_retry():
@@ -179,7 +176,9 @@
 
     # Sending
 
-    async def _send(self, pick: picker_module.Pick) -> Attempt:
+    async def _send(
+        self, pick: picker_module.Pick
+    ) -> verdicts.JudgedResponse | messages.Failure:
         entry = pick.server.entry
         load = pick.load
         sent = self._now()
@@ -209,30 +208,33 @@
                 load.on_unreachable(now)
             else:
                 load.on_failure()
-            return Attempt(None, None, result)
-        self._count_bytes(entry, "received", len(result.body))
-        server_headers = self._handler.header_format.read_response(result)
-        if not server_headers.is_misdirected:
-            self._fleet.on_server_headers(entry, server_headers, now)
-        self._update_load(load, result, server_headers, now, now - sent, wait)
-        return Attempt(result, server_headers, None)
+            return result
+        return self._judge(pick, result, sent, wait)
 
-    def _update_load(
+    def _judge(
         self,
-        load: load_module.ServerLoad,
+        pick: picker_module.Pick,
         response: messages.Response,
-        server_headers: header_port.ServerHeaders,
-        now: float,
-        elapsed: float,
+        sent: float,
         wait: float,
-    ) -> None:
-        if server_headers.is_misdirected:
-            return
-        if server_headers.did_not_run or response.status >= 500:
-            load.on_report(now, server_headers.report)
-            load.on_failure()
-            return
-        load.on_response(now, elapsed, wait, server_headers.report)
+    ) -> verdicts.JudgedResponse:
+        """Judge a response, and record what it says of its server."""
+        entry, load, now = pick.server.entry, pick.load, self._now()
+        self._count_bytes(entry, "received", len(response.body))
+        server_headers = self._handler.header_format.read_response(response)
+        verdict = verdicts.judge(
+            response.status,
+            server_headers,
+            self._context.route.kind.is_idempotent,
+        )
+        if not server_headers.is_misdirected:
+            self._fleet.on_server_headers(entry, server_headers, now)
+            if verdict is _VERDICT.REJECTED or response.status >= 500:
+                load.on_report(now, server_headers.report)
+                load.on_failure()
+            else:
+                load.on_response(now, now - sent, wait, server_headers.report)
+        return verdicts.JudgedResponse(response, server_headers, verdict)
 
     async def _transfer(
         self, entry: directory.ServerEntry
@@ -307,15 +309,19 @@
     # Evaluation of responses
 
     def _evaluate(
-        self, pick: picker_module.Pick, attempt: Attempt
+        self,
+        pick: picker_module.Pick,
+        result: verdicts.JudgedResponse | messages.Failure,
     ) -> messages.Response | None:
         """Return the response for the caller, None if there is none yet."""
-        response, server_headers = attempt.response, attempt.server_headers
         server_id = pick.server.entry.id
-        if response is None or server_headers is None:
-            self._on_failure(server_id, attempt.failure)
+        self._last_server_id, self._last_status = server_id, None
+        if isinstance(result, messages.Failure):
+            self._on_failure(server_id, result)
             return None
-        if server_headers.did_not_run:
+        response, server_headers, verdict = result
+        self._last_status = response.status
+        if verdict is _VERDICT.REJECTED:
             self._last_rejected_by = pick.server.instance
             self._last_refusal = refusals.RequestRefusal(
                 _CODES.SERVER_SHED,
@@ -328,40 +334,25 @@
             )
             return None
         self._may_have_run = True
-        if 200 <= response.status < 300 and not server_headers.has_signature:
-            self._last_refusal = refusals.RequestRefusal(
-                _CODES.ANSWER_BROKEN,
-                f"server {server_id} sent a response without a signature",
-            )
-            return None
-        if (
-            response.status in refusals.NOT_RUN_STATUSES
-            and not self._context.route.kind.is_idempotent
+        if verdict is _VERDICT.ANSWERED or (
+            verdict is _VERDICT.FAILED and not self._may_retry()
         ):
-            # To the caller the status would guarantee what the server didn't.
-            self._last_refusal = refusals.RequestRefusal(
-                _CODES.OUTCOME_UNKNOWN,
-                f"server {server_id} responded with status {response.status}"
-                " and does not say that the request did not run",
-            )
-            return None
-        if response.status >= 500 and self._may_retry():
+            return self._forward(response, server_id, pick.load)
+        if verdict is _VERDICT.FAILED:
             self._failed_response = response
-            self._last_refusal = refusals.RequestRefusal(
-                _CODES.OUTCOME_UNKNOWN,
-                f"server {server_id} responded with status {response.status}",
-            )
-            return None
-        return self._forward(response, server_id, pick.load)
+        self._last_refusal = refusals.RequestRefusal(
+            _CODE_BY_VERDICT[verdict],
+            f"server {server_id} responded with status {response.status}"
+            f"{_REASON_BY_VERDICT[verdict]}",
+        )
+        return None
 
-    def _on_failure(
-        self, server_id: str, failure: messages.Failure | None
-    ) -> None:
-        reason = "" if failure is None else failure.reason
-        if failure is not None and failure.kind is _KIND.NOT_SENT:
+    def _on_failure(self, server_id: str, failure: messages.Failure) -> None:
+        reason = f"server {server_id}: {failure.reason}"
+        if failure.kind is _KIND.NOT_SENT:
             self._last_refusal = refusals.RequestRefusal(
                 _CODES.CONNECT_FAILED,
-                f"server {server_id}: {reason}",
+                reason,
                 picker_module.OWNER_RETRY_AFTER,
             )
             return
@@ -369,9 +360,7 @@
         code = _CODES.OUTCOME_UNKNOWN
         if self._now() >= self._context.deadline:
             code = _CODES.ANSWER_TIMEOUT
-        self._last_refusal = refusals.RequestRefusal(
-            code, f"server {server_id}: {reason}"
-        )
+        self._last_refusal = refusals.RequestRefusal(code, reason)
 
     def _may_retry(self) -> bool:
         context = self._context
@@ -454,4 +443,6 @@
             context.started,
             context.deadline - self._now(),
             attempts=self._attempt_count,
+            server=self._last_server_id,
+            server_status=self._last_status,
         )
--- a/src/agatestile/entry/refusals.py
+++ b/src/agatestile/entry/refusals.py
@@ -34,6 +34,7 @@
     codes.ResultCode.OUTCOME_UNKNOWN: 502,
     codes.ResultCode.ANSWER_BROKEN: 502,
     codes.ResultCode.ANSWER_TIMEOUT: 504,
+    codes.ResultCode.REJECTION_UNCONFIRMED: 502,
 }
 """HTTP status by result code; 429 and 503 guarantee that the request did not
 run."""
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import json
 import math
+import os
 import random
 import typing
 
@@ -18,6 +20,7 @@
 from agatestile.entry import view as view_module
 from agatestile.node import settings as node_settings
 from agatestile.observability import counters
+from agatestile.observability import events
 from agatestile.platform import headers
 from agatestile.transport import client
 from agatestile.transport import messages
@@ -85,6 +88,22 @@
         pass
 
 
+@contextlib.contextmanager
+def recorded_events() -> typing.Iterator[list[dict[str, typing.Any]]]:
+    """Return the events of a block; they are there when it has ended."""
+    lines: list[dict[str, typing.Any]] = []
+    reader, writer = os.pipe()
+    events.configure(events.EventLog(writer, "host-1"))
+    try:
+        yield lines
+        events.flush()
+    finally:
+        events.configure(None)
+        os.close(writer)
+    with open(reader, "rb") as written:
+        lines += [json.loads(line) for line in written]
+
+
 class HandlerHarness:
     """A handler of one host with scripted servers."""
 
--- a/tests/entry/test_authentication.py
+++ b/tests/entry/test_authentication.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import math
-import os
 import pathlib
 import socket
 import typing
@@ -23,7 +22,6 @@
 from agatestile.entry import refusals
 from agatestile.entry import request_context
 from agatestile.node import settings as node_settings
-from agatestile.observability import events
 from agatestile.platform import manifest
 from agatestile.results import codes
 from agatestile.transport import messages
@@ -560,9 +558,7 @@
     async def fail(received: support.ReceivedRequest) -> bytes | None:
         return None
 
-    reader, writer = os.pipe()
-    events.configure(events.EventLog(writer, "host-1"))
-    try:
+    with support.recorded_events() as lines:
         async with support.handler_harness() as harness:
             harness.configure(tenants=TENANTS, attempts=1)
             await harness.add_server("a", _respond)
@@ -602,14 +598,8 @@
                     }
                 ).encode()
             )
-        events.flush()
-    finally:
-        events.configure(None)
-        os.close(writer)
-    with open(reader, "rb") as file:
-        text = file.read().decode()
+    text = json.dumps(lines)
     assert statuses == [200, 401, 400, 503, 503, 404, 503, 400, 502]
-    lines = [json.loads(line) for line in text.splitlines()]
     requests = [one for one in lines if one["event"].startswith("request_")]
     assert [one["code"] for one in requests if "tenant" not in one] == [
         CODES.UNAUTHENTICATED,
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -136,7 +136,10 @@
 async def test_status_that_guarantees_nothing_ran_is_not_passed_on(
     kind: configuration.RouteKind, status: int
 ) -> None:
-    """Guards against a caller that repeats a request which has run."""
+    """Guards against a caller that repeats a request which has run.
+
+    The log names the server, so that one which does so often can be found.
+    """
 
     async def fail(received: support.ReceivedRequest) -> bytes:
         return support.signed_response(received, status, b"not written")
@@ -145,10 +148,15 @@
         harness.configure(kind)
         await harness.add_server("a", fail)
         await harness.add_server("b", fail)
-        response = await harness.send(b"POST", b"x")
+        with support.recorded_events() as lines:
+            response = await harness.send(b"POST", b"x")
     assert response.status == 502
     assert response.header(b"x-upstream-signature") is None
-    assert len(harness.non_probe_requests()) == 1
+    (received,) = harness.non_probe_requests()
+    (line,) = [one for one in lines if one["event"] == "request_failed"]
+    assert line["result"] == "REJECTION_UNCONFIRMED"
+    assert line["server"] == received.server_id
+    assert line["server_status"] == status
 
 
 async def test_unsafe_request_that_did_not_run_is_retried() -> None:
