Count withheld and unsigned answers as failures

With one server that answers 429 or 408 to all that it runs, or a 200 without its signature, and one sound server, no request was served: the failing one got all 40 of 40.

Cause: such a response counted like an answer, so its short time made the server the best choice for the next request. Only rejections, lost connections and statuses from 500 on counted as failures.

Whatever is not the server's answer by its verdict now counts as a failure and not as a sample of its speed, so that the sound server is preferred as it is beside one that answers 500.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -229,11 +229,11 @@
         )
         if not server_headers.is_misdirected:
             self._fleet.on_server_headers(entry, server_headers, now)
-            if verdict is _VERDICT.REJECTED or response.status >= 500:
+            if verdict is _VERDICT.ANSWERED:
+                load.on_response(now, now - sent, wait, server_headers.report)
+            else:
                 load.on_report(now, server_headers.report)
                 load.on_failure()
-            else:
-                load.on_response(now, now - sent, wait, server_headers.report)
         return verdicts.JudgedResponse(response, server_headers, verdict)
 
     async def _transfer(
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -159,6 +159,35 @@
     assert line["server_status"] == status
 
 
+@pytest.mark.parametrize("status", [200, 408, 429, 503])
+async def test_server_that_fails_quickly_attracts_no_requests(
+    status: int,
+) -> None:
+    """Guards against a server that is preferred for its quick failures.
+
+    It runs requests and answers them by itself without delay: with a status
+    of its own or without its signature (200).
+    """
+
+    async def fail(received: support.ReceivedRequest) -> bytes:
+        if status == 200:
+            return await _respond_unsigned(received)
+        return support.signed_response(received, status)
+
+    async def respond_later(received: support.ReceivedRequest) -> bytes:
+        await asyncio.sleep(0.02)
+        return support.signed_response(received)
+
+    async with support.handler_harness() as harness:
+        harness.configure(KIND.UNSAFE)
+        await harness.add_server("failing", fail)
+        await harness.add_server("sound", respond_later)
+        statuses = [
+            (await harness.send(b"POST", b"x")).status for _ in range(40)
+        ]
+    assert statuses.count(200) >= 30
+
+
 async def test_unsafe_request_that_did_not_run_is_retried() -> None:
     async with support.handler_harness() as harness:
         harness.configure(KIND.UNSAFE)
