Try another server after a server's own 429

Callers of safe routes got a server's own 429 or 408 after the first attempt, though another server would have answered; its 503 is tried elsewhere. Only statuses from 500 on counted as failures of a server.

A 408 or 429 of the server itself now counts as one too: the request is tried at another server within the attempts of its route and the retry budget, and the server's answer is passed on unchanged if that does not help. Weighed: it costs a share of the budget, as a 503 does, and only until the failing server is no longer preferred.

--- a/src/agatestile/entry/verdicts.py
+++ b/src/agatestile/entry/verdicts.py
@@ -78,8 +78,8 @@
         return Verdict.REJECTED
     if 200 <= status < 300 and not server_headers.has_signature:
         return Verdict.BROKEN
-    if status in refusals.NOT_RUN_STATUSES and not is_idempotent:
-        return Verdict.UNCONFIRMED
+    if status in refusals.NOT_RUN_STATUSES:
+        return Verdict.FAILED if is_idempotent else Verdict.UNCONFIRMED
     if status >= 500:
         return Verdict.FAILED
     return Verdict.ANSWERED
--- a/tests/entry/test_handler.py
+++ b/tests/entry/test_handler.py
@@ -40,6 +40,10 @@
     return support.signed_response(received, 500, b"error")
 
 
+async def _respond_busy(received: support.ReceivedRequest) -> bytes:
+    return support.signed_response(received, 429, b"busy")
+
+
 async def _never_respond(received: support.ReceivedRequest) -> None:
     await asyncio.sleep(5.0)
 
@@ -65,7 +69,13 @@
 
 @pytest.mark.parametrize(
     "responder",
-    [_shed_request, _close_connection, _respond_unsigned, _respond_error],
+    [
+        _shed_request,
+        _close_connection,
+        _respond_unsigned,
+        _respond_error,
+        _respond_busy,
+    ],
 )
 async def test_safe_request_is_retried_at_another_server(
     responder: support.Responder,
@@ -227,12 +237,22 @@
     assert len({one.server_id for one in harness.non_probe_requests()}) == 3
 
 
-async def test_last_error_of_a_server_is_forwarded_unchanged() -> None:
+@pytest.mark.parametrize(
+    ("responder", "status", "body"),
+    [(_respond_error, 500, b"error"), (_respond_busy, 429, b"busy")],
+)
+@pytest.mark.parametrize("attempts", [1, 2])
+async def test_last_error_of_a_server_is_forwarded_unchanged(
+    attempts: int, responder: support.Responder, status: int, body: bytes
+) -> None:
     async with support.handler_harness() as harness:
-        harness.configure(attempts=1)
-        await harness.add_server("a", _respond_error)
+        harness.configure(attempts=attempts)
+        await harness.add_server("a", responder)
+        await harness.add_server("b", responder)
         response = await harness.send()
-    assert (response.status, response.body) == (500, b"error")
+    assert (response.status, response.body) == (status, body)
+    assert response.header(b"x-upstream-signature") == b"s"
+    assert len(harness.non_probe_requests()) == attempts
 
 
 async def test_unresponsive_server_causes_a_504_in_time() -> None:
--- a/tests/entry/test_verdicts.py
+++ b/tests/entry/test_verdicts.py
@@ -45,6 +45,8 @@
         (404, False, [SIGNATURE], VERDICT.ANSWERED),
         (500, False, [SIGNATURE], VERDICT.FAILED),
         (503, True, [SIGNATURE], VERDICT.FAILED),
+        (408, True, [SIGNATURE], VERDICT.FAILED),
+        (429, True, [SIGNATURE], VERDICT.FAILED),
         (503, False, [NOT_EXECUTED], VERDICT.REJECTED),
         (429, True, [NOT_EXECUTED, SIGNATURE], VERDICT.REJECTED),
     ],
