Distrust a success that says "not run"

A response with a success status and X-Not-Executed counted as a rejection: an unsafe request was sent to another server, and a caller could be told 503, though a success says that it ran.

Such a response contradicts itself and now is a broken answer: 502, and a second attempt for safe routes only. Evidence: the case of the test failed before and passes now, 1 run each.

--- a/src/agatestile/entry/exchange.py
+++ b/src/agatestile/entry/exchange.py
@@ -41,7 +41,7 @@
 _REASON_BY_VERDICT = {
     _VERDICT.FAILED: "",
     _VERDICT.UNCONFIRMED: " and does not say that the request did not run",
-    _VERDICT.BROKEN: " without a signature",
+    _VERDICT.BROKEN: ", unsigned or contradicting itself",
 }
 
 
--- a/src/agatestile/entry/verdicts.py
+++ b/src/agatestile/entry/verdicts.py
@@ -30,7 +30,8 @@
         The status would guarantee the caller that the request did not run,
         which the server does not say. It is not passed on.
     BROKEN
-        The response lacks its signature.
+        The response lacks its signature, or is a success that says that the
+        request did not run.
     """
 
     ANSWERED = enum.auto()
@@ -75,7 +76,7 @@
         Whether the request may run more than once.
     """
     if server_headers.did_not_run:
-        return Verdict.REJECTED
+        return Verdict.REJECTED if status >= 400 else Verdict.BROKEN
     if 200 <= status < 300 and not server_headers.has_signature:
         return Verdict.BROKEN
     if status in refusals.NOT_RUN_STATUSES:
--- a/tests/entry/test_verdicts.py
+++ b/tests/entry/test_verdicts.py
@@ -49,6 +49,7 @@
         (429, True, [SIGNATURE], VERDICT.FAILED),
         (503, False, [NOT_EXECUTED], VERDICT.REJECTED),
         (429, True, [NOT_EXECUTED, SIGNATURE], VERDICT.REJECTED),
+        (200, False, [NOT_EXECUTED, SIGNATURE], VERDICT.BROKEN),
     ],
 )
 def test_response_gets_its_verdict(
