Answer waiting requests before a stop closes

Callers that had sent several requests on a connection lost the second one when their host stopped: it was passed on to a server and cut off without an answer, also if it may not be repeated.

Cause: while a host stops, each response closes its connection, but the next request that waited on it was handled before the close took effect.

The connection now closes with the response to the last request that waits; the others are answered before, by a server or by the schedule of the stop.

--- a/src/agatestile/transport/server_connection.py
+++ b/src/agatestile/transport/server_connection.py
@@ -449,7 +449,8 @@
         transport = self._transport
         if transport is None or transport.is_closing() or self._is_rejected:
             return
-        keep_alive = keep_alive and not self._listener.is_draining
+        if self._listener.is_draining and not self._pending:
+            keep_alive = False
         headers = list(response.headers)
         if (
             response.status not in _STATUSES_WITHOUT_BODY
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -109,13 +109,19 @@
             await ended.wait()
 
 
-async def test_draining_listener_responds_and_then_closes() -> None:
-    """Guards against a request that is cut off by a shutdown."""
+@pytest.mark.parametrize("count", [1, 3])
+async def test_draining_listener_responds_and_then_closes(count: int) -> None:
+    """Guards against a request that is cut off by a shutdown.
+
+    All that have arrived are answered: one that waits behind another would
+    otherwise be handled although its response can no longer be sent.
+    """
     async with _listening(_echo) as (listener, reader, writer):
         listener.start_draining()
-        writer.write(GET)
-        head, _ = await _read(reader)
-        assert b"connection: close" in head
+        writer.write(count * GET)
+        for left in reversed(range(count)):
+            head, _ = await _read(reader)
+            assert (b"connection: close" in head) == (not left)
         assert await reader.read() == b""
 
 
