Let servers of the soak fail what they run

Servers without keys now fail a fifth of what they run with 408, 429, 500 or 503, chosen by the request's identifier so that the random numbers of a seed stay, and each status that says "not run" is checked.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -24,6 +24,7 @@
 import click
 import msgspec
 
+from agatestile.entry import refusals
 from agatestile.transport import client
 from agatestile.transport import messages
 from bench import link_faults
@@ -46,6 +47,9 @@
 REQUESTS_PER_SECOND = 40
 DEADLINE_MS = 1500
 SERVICE_SECONDS = 0.02
+FAILED_PERCENT = 20
+"""Percentage of requests that servers without keys run and then fail."""
+
 WORK_SPREAD = 0.8
 """Standard deviation of the logarithm of the service time."""
 
@@ -290,6 +294,7 @@
             self._checker,
             self._service_time,
         )
+        server.failed_percent = 0 if is_keyed else FAILED_PERCENT
         server.clock_rate = self._random.uniform(
             1.0, 1.0 + ownership_faults.MAX_CLOCK_ERROR
         )
@@ -349,7 +354,7 @@
             if ended < now + DEADLINE_MS / 1000.0 - CUT_SECONDS:
                 self._cut_at_by_request[name] = ended
             return False
-        if response.status == 503:
+        if response.status in refusals.NOT_RUN_STATUSES:
             self._refused_ids.add(name)
         if response.status == 200 and response.body != name.encode():
             self._violations.append(
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -8,6 +8,7 @@
 import random
 import time
 import typing
+import zlib
 
 import msgspec
 
@@ -34,6 +35,9 @@
 UNANSWERED_SECONDS = 30.0
 """Time for which a server keeps a call open that it does not answer."""
 
+FAILURE_STATUSES = (408, 429, 500, 503)
+"""Statuses with which a server fails requests that it has run."""
+
 
 class KeyLease(typing.NamedTuple):
     """A range of keys that a server may process until a time.
@@ -281,6 +285,9 @@
         Whether its responses say that it leaves.
     paused_until : float
         Clock of the event loop until which it wants no requests, seconds.
+    failed_percent : int
+        Percentage of requests that it runs and then fails with a status of
+        its own.
     """
 
     SLOTS = 2
@@ -309,6 +316,7 @@
         self.rate_limit: float | None = None
         self.says_it_leaves = False
         self.paused_until = -math.inf
+        self.failed_percent = 0
         self._service = service
         self.is_partitioned = is_partitioned
         self._checker = checker
@@ -532,7 +540,12 @@
             (b"x-upstream-signature", self.id.encode()),
             *self._notices(),
         ]
-        return messages.Response(200, headers, request_id.encode())
+        status = 200
+        # By its identifier, so that the random numbers of a seed stay.
+        number = zlib.crc32(request_id.encode())
+        if number % 100 < self.failed_percent:
+            status = FAILURE_STATUSES[number // 100 % len(FAILURE_STATUSES)]
+        return messages.Response(status, headers, request_id.encode())
 
     def _notices(self) -> messages.Headers:
         """Return what a response says of the server itself."""
