Close connections after a refusal of an identifier

A caller of `agatestile serve` whose request was shed and sent again could be told "not run" for the second attempt while the server ran it, if the server sent its refusal a second time.

Cause: responses are matched by the identifier, which all attempts of a caller share, and the second attempt used the connection of the first.

The connection is closed after such a refusal, so that a late copy finds no request that it fits. Evidence: the new test failed before and passes now, 1 run each, with the tests of the gateway.

--- a/src/agatestile/gateway/server_client.py
+++ b/src/agatestile/gateway/server_client.py
@@ -119,8 +119,10 @@
         cause = response.header(b"x-refused")
         if cause is not None:
             refusal = _parse_refusal(call, attempt, response, cause)
-            is_reusable = await transfers.read_short_body(response) is not None
-            return refusal, is_reusable
+            is_complete = await transfers.read_short_body(response) is not None
+            # The caller's next attempt has the same identifier, so a late
+            # copy of this response would be taken for its refusal.
+            return refusal, is_complete and not call.request.identifier
         self._update_incarnation(response)
         failure = await transfers.forward_response(
             call, response, self._result_headers
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -277,6 +277,34 @@
     )
 
 
+async def test_repeated_refusal_is_not_that_of_the_next_attempt() -> None:
+    """Guards against a "not run" for an attempt that the server runs.
+
+    A caller's next attempt has the same identifier, so that a late copy of the
+    refusal of the first one fits it.
+    """
+
+    async def refuse_then_run(request: harness.Request) -> None:
+        named = b"x-request-id: d-1\r\ncontent-length"
+        if len(gateway.server.requests) == 1 or request.connection == 1:
+            await request.respond(
+                SHED_RESPONSE.replace(b"content-length", named)
+            )
+        else:
+            await request.respond()
+
+    async with harness.running_gateway(refuse_then_run) as gateway:
+        codes_in_order = [
+            (
+                await gateway.send_request(
+                    method="POST", x_agatestile_request_id="d-1"
+                )
+            ).code
+            for _ in range(2)
+        ]
+    assert codes_in_order == [CODES.SERVER_SHED, CODES.ANSWERED]
+
+
 async def test_refused_fence_is_retried_once_and_not_run() -> None:
     """Guards against endless retries after a refused fence."""
 
