--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -69,7 +69,7 @@
     def callers(self):
         return HOST, self.ports[0]
 
-    def configure(self, seeds):
+    def configure(self, seeds, memory_mb=560, descriptors=1000):
         zones = "\n".join(f'{zone} = "accra-metro"' for zone in self._zones)
         self._path.write_text(
             f'nodeName = "{self.name}"\nrole = "router"\n'
@@ -85,8 +85,9 @@
             f'[listen]\nedgeAddr = "{HOST}:{self.ports[0]}"\n'
             f'ready = "{HOST}:{self.ports[1]}"\n'
             f'control = "{self.control}"\n'
-            "[limits]\ncpuShare = 0.86\ncores = 2\nmemoryMb = 560\n"
-            "maxFds = 1000\nlinkMbps = 2000.0\ndiskMb = 0\n"
+            "[limits]\ncpuShare = 0.86\ncores = 2\n"
+            f"memoryMb = {memory_mb}\nmaxFds = {descriptors}\n"
+            "linkMbps = 2000.0\ndiskMb = 0\n"
             "[faultTolerance]\nmachines = 2\nzones = 1\nregions = 0\n"
             f'[platform]\naddress = "{HOST}:{self._store_port}"\n'
             'form = "log"\nwritesPerS = 400\nreadsPerS = 2000\nparts = 24\n'
