--- a/review/common-3/upstream.py
+++ b/review/common-3/upstream.py
@@ -24,6 +24,7 @@
         self._sequence = 0
         self._holds = []
         self._fences = []
+        self._granted = []
         self._running = {}
         self._slots = asyncio.Semaphore(SLOTS)
         self._waiting = 0
@@ -47,6 +48,10 @@
         """Return the (first, last, fence) that it holds."""
         return [h[:3] for h in self._holds if h[3] > now]
 
+    def granted(self):
+        """Return the (first, last, fence) that it has taken."""
+        return list(self._granted)
+
     async def _report(self):
         while True:
             self.report()
@@ -112,6 +117,7 @@
         self._holds.append((first, last, fence, until))
         if is_new:
             self._fences.append((first, last, fence))
+            self._granted.append((first, last, fence))
             self._note(
                 "grant", server=self.id, first=first, last=last, fence=fence
             )
