Name the era in keys of stored records

Cause: an append without an answer was carried out in the next era, where offsets are assigned again and its expected end came up by chance. Its map was the newest record of its key and counted as valid, as the era was known of the leadership alone. A late write of everything also hid the epoch in use, so that the next leader used it again.

Ruled out by the record of the run: grants that were late, a second leader (one host led all the time) and the restoration itself, which had stored the right map 0.02 s before.

Keys name the era that the writer has read, from the second era on.

Readers take the newest era that has a leadership. A leader that meets a late append goes on and logs it instead of giving up.

--- a/src/agatestile/assignment/assignment_writer.py
+++ b/src/agatestile/assignment/assignment_writer.py
@@ -116,22 +116,39 @@
 
     async def append(self, *added: port.Record) -> bool:
         """Store records; return whether this host may act on them."""
+        return await self._store(
+            added[0].key, lambda: self._journal.append(*added)
+        )
+
+    async def store_settled(self, leadership: records.Leadership) -> bool:
+        """Store a settled leadership; return whether this was possible.
+
+        By then, no append of an earlier leader is in progress.
+        """
+        return await self._store(
+            records.LEADER_KEY,
+            lambda: self._journal.forget_earlier_eras(leadership),
+        )
+
+    async def _store(
+        self,
+        name: str,
+        append: typing.Callable[[], typing.Awaitable[outcomes.Refusal | None]],
+    ) -> bool:
         epoch = self._leader.epoch
         if not epoch or self._now() < self._retry_at:
             return False
         if self._leader_lease.is_withheld():
             return False
         sent = self._now()
-        refusal = await self._journal.append(*added)
+        refusal = await append()
         if epoch != self._leader.epoch:
             return False
         if refusal is None:
             self._leader_lease.confirm(sent)
             return True
         self._retry_at = self._now() + STORE_RETRY_DELAY_SECONDS
-        events.emit(
-            "assignment_not_stored", record=added[0].key, reason=str(refusal)
-        )
+        events.emit("assignment_not_stored", record=name, reason=str(refusal))
         if refusal.code == codes.ResultCode.RECORD_STALE:
             # The condition also fails if an unanswered append of this host
             # was applied late; taking the leadership again reads it.
@@ -141,6 +158,6 @@
         elif refusal.code == codes.ResultCode.LOG_OUTCOME_UNKNOWN:
             if await self._journal.is_current() is False:
                 self._leader.lose_leadership(
-                    f"unanswered append of {added[0].key} was applied late"
+                    f"unanswered append of {name} was applied late"
                 )
         return False
--- a/src/agatestile/assignment/coordinator.py
+++ b/src/agatestile/assignment/coordinator.py
@@ -11,6 +11,7 @@
 from agatestile.assignment import admission
 from agatestile.assignment import announcements
 from agatestile.assignment import assignment_writer
+from agatestile.assignment import era_keys
 from agatestile.assignment import eras
 from agatestile.assignment import grant_sender
 from agatestile.assignment import journal
@@ -110,6 +111,11 @@
         """Number of changes of the assignment that hosts were told of."""
         return self._announcements.version
 
+    @property
+    def late_record_count(self) -> int:
+        """Number of records that appends of earlier eras have left."""
+        return self._journal.late_record_count
+
     @property
     def leader_lease(self) -> leases.LeaderLease:
         """Lease of this host on the leadership."""
@@ -146,9 +152,7 @@
             stored.leadership, stored.maps, era, self._address
         )
         sent = self._now()
-        refusal = await self._journal.append(
-            records.encode_leadership(leadership)
-        )
+        refusal = await self._journal.take_over(stored, leadership)
         if refusal is not None:
             return refusal
         now = appended_at = self._now()
@@ -173,7 +177,7 @@
                 )
             now = self._now()
             self._grant_sender.key_leases.take_over(now, predecessor)
-            if era > eras.FIRST_ERA and not predecessor.is_settled:
+            if era > era_keys.FIRST_ERA and not predecessor.is_settled:
                 self._assume_unknown_holders(now)
             if predecessor.is_settled:
                 leadership = leadership.settled()
@@ -194,7 +198,7 @@
                         leadership, services, maps
                     )
                 else:
-                    refusal = await self._check_current()
+                    refusal = await self._journal.check_current()
             if refusal is not None:
                 return refusal
         if self._superseded_by_epoch > leadership.epoch:
@@ -322,14 +326,6 @@
         )
         await anyio.sleep(max(0.0, until - self._now()))
 
-    async def _check_current(self) -> outcomes.Refusal | None:
-        if await self._journal.is_current():
-            return None
-        return outcomes.Refusal(
-            codes.ResultCode.RECORD_STALE,
-            "the leadership was not confirmed during the takeover",
-        )
-
     async def confirm(self) -> None:
         """Extend the leader lease if the store confirms the leadership.
 
@@ -390,13 +386,9 @@
     async def _settle(self) -> None:
         """Record that no earlier leader can renew grants any longer."""
         async with self._leadership_lock:
-            await self._store_leadership(self._leadership.settled())
-
-    async def _store_leadership(self, changed: records.Leadership) -> bool:
-        if not await self._writer.append(records.encode_leadership(changed)):
-            return False
-        self._leadership = changed
-        return True
+            settled = self._leadership.settled()
+            if await self._writer.store_settled(settled):
+                self._leadership = settled
 
     async def store_quota_hosts(self, epoch: int, hosts: list[str]) -> bool:
         """Store the hosts that may use shares in the quotas of tenants."""
@@ -404,9 +396,12 @@
             changed = msgspec.structs.replace(
                 self._leadership, quota_hosts=hosts
             )
-            return epoch == self.epoch and await self._store_leadership(
-                changed
-            )
+            if epoch != self.epoch or not await self._writer.append(
+                records.encode_leadership(changed)
+            ):
+                return False
+            self._leadership = changed
+            return True
 
     def supersede(self, epoch: int) -> ports.SupersedeReply:
         """Give up the leadership to a later epoch and return the leases.
--- a/src/agatestile/assignment/eras.py
+++ b/src/agatestile/assignment/eras.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from agatestile.assignment import era_keys
 from agatestile.assignment import leases
 from agatestile.assignment import ranges
 from agatestile.assignment import records
@@ -12,11 +13,6 @@
 """Epochs that are skipped for each era: more than a store can lose in the
 seconds since its copy, as a leadership lasts half a second at least."""
 
-FIRST_ERA = 1
-"""Era up to which a store without a leadership counts as new. In a later one
-the copy may be older than the first leadership."""
-
-
 UNKNOWN_HOST = "unknown"
 """Stands in the list of hosts that may use quotas for those that were listed
 after the copy. It never reports, so that their leases are waited for."""
@@ -89,7 +85,8 @@
 
 def is_outdated(leadership: records.Leadership, era: int) -> bool:
     """Return whether what is stored may be older than what was granted."""
-    if not leadership.epoch and era <= FIRST_ERA:
+    if not leadership.epoch and era <= era_keys.FIRST_ERA:
+        # A new store; in a later era the copy may lack the first leadership.
         return False
     return leadership.era < era
 
--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -1,7 +1,8 @@
 """Stored records of the leadership and of the range maps.
 
 All records are in one topic. Each append names the end of the topic that it
-expects, so that a host that lost the leadership cannot change anything.
+expects, so that a host that lost the leadership cannot change anything. The
+keys below are names within an era of the store, see `era_keys`.
 """
 
 from __future__ import annotations
@@ -10,6 +11,8 @@
 
 import msgspec
 
+from agatestile.assignment import era_keys
+from agatestile.assignment import leases
 from agatestile.assignment import ports
 from agatestile.assignment import ranges
 from agatestile.results import decoding
@@ -20,6 +23,8 @@
 SERVICE_PREFIX = "service/"
 SERVERS_PREFIX = "servers/"
 
+T = typing.TypeVar("T")
+
 
 class Leadership(msgspec.Struct, frozen=True, array_like=True):
     """The host that assigns keys.
@@ -56,6 +61,16 @@
         """Return it with no earlier leader that can renew grants."""
         return msgspec.structs.replace(self, is_settled=True)
 
+    def is_later_than(self, other: Leadership) -> bool:
+        """Return whether it can't have been written before another one.
+
+        A host of an earlier release may use an epoch that a host of this one
+        has used.
+        """
+        if self.epoch == other.epoch:
+            return self.host != other.host
+        return self.epoch > other.epoch
+
 
 class ServiceRanges(msgspec.Struct, array_like=True):
     """Stored range map of a service.
@@ -231,39 +246,137 @@
         Servers that may hold keys by service.
     end : int
         Offset that the next append has to expect.
+    is_unmarked : bool
+        Whether a host of an earlier release wrote the leadership in an era
+        that its keys don't name.
     """
 
     leadership: Leadership
     maps: dict[str, ranges.RangeMap]
     servers: dict[str, ServiceServers]
     end: int
+    is_unmarked: bool = False
+
+
+class _UndecodableError(ValueError):
+    """A record that can't be decoded."""
 
 
 def decode(page: port.Page) -> StoredAssignments | str:
-    """Return the content of the topic, or why it cannot be decoded."""
-    leadership = Leadership(0, "")
+    """Return the content of the topic, or why it cannot be decoded.
+
+    Of each key, only the record of the newest era counts. An append that was
+    delayed into a later era has left the others, or the era before it.
+    """
+    value_by_name_by_era: dict[int, dict[str, bytes]] = {}
+    for record in page.records:
+        key = era_keys.StoredKey.parse(record.key)
+        values = value_by_name_by_era.setdefault(key.era, {})
+        values[key.name] = record.value
+    try:
+        era, leadership = _newest_leadership(value_by_name_by_era)
+        is_unmarked = era == era_keys.FIRST_ERA < leadership.era
+        # A leader stores its epoch before it stores maps in a new era.
+        maps_era = max(era_keys.FIRST_ERA, min(era, leadership.era))
+        maps, servers = _decode_services(
+            value_by_name_by_era.get(maps_era, {})
+        )
+    except _UndecodableError as error:
+        return str(error)
+    return StoredAssignments(leadership, maps, servers, page.end, is_unmarked)
+
+
+def _newest_leadership(
+    value_by_name_by_era: dict[int, dict[str, bytes]],
+) -> tuple[int, Leadership]:
+    """Return the newest leadership, and the era that its key names."""
+    by_era = {
+        era: _decode_value(LEADER_KEY, values[LEADER_KEY], Leadership)
+        for era, values in value_by_name_by_era.items()
+        if values.get(LEADER_KEY)
+    }
+    if not by_era:
+        return era_keys.FIRST_ERA, Leadership(0, "")
+    era = max(by_era)
+    newest = by_era[era]
+    unmarked = by_era.get(era_keys.FIRST_ERA, newest)
+    if unmarked.is_later_than(newest):
+        return era_keys.FIRST_ERA, unmarked
+    return era, newest
+
+
+def _decode_services(
+    value_by_name: dict[str, bytes],
+) -> tuple[dict[str, ranges.RangeMap], dict[str, ServiceServers]]:
     maps = {}
     servers = {}
-    for record in page.records:
-        try:
-            if record.key == LEADER_KEY:
-                leadership = msgspec.msgpack.decode(
-                    record.value, type=Leadership
-                )
-            elif record.key.startswith(SERVICE_PREFIX) and record.value:
-                stored = msgspec.msgpack.decode(
-                    record.value, type=ServiceRanges
-                )
-                name = record.key.removeprefix(SERVICE_PREFIX)
-                maps[name] = stored.to_map()
-            elif record.key.startswith(SERVERS_PREFIX) and record.value:
-                name = record.key.removeprefix(SERVERS_PREFIX)
-                servers[name] = msgspec.msgpack.decode(
-                    record.value, type=ServiceServers
-                )
-        except decoding.DECODE_ERRORS as error:
-            return f"record {record.key!r} cannot be decoded: {error}"
-    return StoredAssignments(leadership, maps, servers, page.end)
+    for name, value in value_by_name.items():
+        if not value:
+            continue
+        if name.startswith(SERVICE_PREFIX):
+            service = name.removeprefix(SERVICE_PREFIX)
+            stored = _decode_value(name, value, ServiceRanges)
+            try:
+                maps[service] = stored.to_map()
+            except ValueError as error:
+                raise _undecodable(name, error) from error
+        elif name.startswith(SERVERS_PREFIX):
+            service = name.removeprefix(SERVERS_PREFIX)
+            servers[service] = _decode_value(name, value, ServiceServers)
+    return maps, servers
+
+
+def _decode_value(name: str, value: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.msgpack.decode(value, type=kind)
+    except decoding.DECODE_ERRORS as error:
+        raise _undecodable(name, error) from error
+
+
+def _undecodable(name: str, error: Exception) -> _UndecodableError:
+    return _UndecodableError(f"record {name!r} cannot be decoded: {error}")
+
+
+def is_late(record: port.Record, era: int, epoch: int) -> bool:
+    """Return whether an append was delayed from an earlier era.
+
+    Parameters
+    ----------
+    record : port.Record
+        Record of the append as it was read.
+    era : int
+        Era of the store in which it was carried out.
+    epoch : int
+        Newest epoch that is known.
+    """
+    key = era_keys.StoredKey.parse(record.key)
+    if key.era >= era:
+        return False
+    if key.names_era or key.name != LEADER_KEY or not record.value:
+        return True
+    # A host of an earlier release that takes over now has a later epoch.
+    try:
+        return _decode_value(key.name, record.value, Leadership).epoch < epoch
+    except _UndecodableError:
+        return False
+
+
+def epoch_of(record: port.Record) -> int:
+    """Return the newest epoch that a record names; 0 if it names none.
+
+    Tokens name the epoch of the leader that has issued them.
+    """
+    name = era_keys.StoredKey.parse(record.key).name
+    try:
+        if name == LEADER_KEY:
+            return _decode_value(name, record.value, Leadership).epoch
+        if not name.startswith(SERVICE_PREFIX):
+            return 0
+        stored = _decode_value(name, record.value, ServiceRanges)
+    except _UndecodableError:
+        return 0
+    fence = max((row[2] for row in stored.rows), default=0)
+    return leases.FencingTokens.epoch_of(fence)
 
 
 def encode_leadership(leadership: Leadership) -> port.Record:
@@ -286,3 +399,21 @@
     return port.Record(
         SERVERS_PREFIX + service, msgspec.msgpack.encode(servers)
     )
+
+
+def encode_all(
+    maps: dict[str, ranges.RangeMap], servers: dict[str, ServiceServers]
+) -> list[port.Record]:
+    """Return the records that store all maps and servers."""
+    return [encode_map(name, key_map) for name, key_map in maps.items()] + [
+        encode_servers(name, one) for name, one in servers.items()
+    ]
+
+
+def encode_for_earlier_releases(leadership: Leadership) -> port.Record:
+    """Return the record that a host of an earlier release reads.
+
+    Such a host reads no keys that name an era. It learns the epoch, and that
+    the maps that it reads are of an earlier era, so that it waits.
+    """
+    return encode_leadership(Leadership(leadership.epoch, leadership.host))
--- a/src/agatestile/node/node.py
+++ b/src/agatestile/node/node.py
@@ -443,6 +443,7 @@
             lambda: len(fleet.directory.services_with_rate_limits()),
         )
         gauge("store_era", lambda: self._store.era)
+        gauge("late_records_total", lambda: self.coordinator.late_record_count)
         gauge("servers_known", lambda: len(fleet.directory.by_id))
         gauge("hosts_known", lambda: fleet.host_count)
         gauge("assignment_epoch", lambda: self.view.epoch)
--- a/tests/assignment/test_eras.py
+++ b/tests/assignment/test_eras.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from agatestile.assignment import era_keys
 from agatestile.assignment import eras
 from agatestile.assignment import journal
 from agatestile.assignment import leases
@@ -352,7 +353,7 @@
     """Guards against a slow start of a store that names its first era."""
 
     async def scenario(harness: support.CoordinatorHarness) -> None:
-        harness.store.era = eras.FIRST_ERA
+        harness.store.era = era_keys.FIRST_ERA
         await _lead(harness, "a")
         assert harness.orders.received("grant", "a")
 
