Delay appends into later eras in the explorer

The motif `late_append` keeps an append without an answer, restores a copy that ends three to six records before it, and carries it out as soon as the topic ends where it expects. Servers that service discovery drops for a moment make it name earlier owners.

Without `late_records_skipped` none is broken: it costs a leadership only. Draws of the other motifs remain the same.

--- a/bench/explorer/hosts.py
+++ b/bench/explorer/hosts.py
@@ -36,6 +36,11 @@
 
 LATENCIES = (0.001, 0.02)
 
+LONGEST_APPEND_SECONDS = 6.0
+"""Longest time in which an append without an answer may be carried out."""
+
+HELD_APPEND_POLL_SECONDS = 0.005
+
 WAKE_SECONDS = 0.002
 """Time in which a server reads its sockets after a pause."""
 
@@ -208,6 +213,15 @@
             await trio.sleep(0.6)
             await self._host.wait_running()
             return OUTCOME_UNKNOWN
+        if self._world.held_appends.fails(self._host.name):
+            self._world.held_appends.end(self._host.name)
+            self._world.held_end = expected_end
+            self._world.tasks.start_soon(
+                self._append_in_later_era, records, expected_end
+            )
+            await trio.sleep(0.6)
+            await self._host.wait_running()
+            return OUTCOME_UNKNOWN
         era = self._world.store.era
         result = self._world.store.append(records, expected_end)
         answer = await self._answer(era, result)
@@ -221,6 +235,19 @@
         if era == self._world.store.era:
             self._world.store.append(records, expected_end)
 
+    async def _append_in_later_era(
+        self, records: list[port.Record], expected_end: int
+    ) -> None:
+        """Append once the store is restored and ends where expected."""
+        store = self._world.store
+        era = store.era
+        with trio.move_on_after(LONGEST_APPEND_SECONDS):
+            while era == store.era or len(store.records) != expected_end:
+                await trio.sleep(HELD_APPEND_POLL_SECONDS)
+            store.append(records, expected_end)
+            keys = [record.key for record in records]
+            self._world.note(f"append of era {era} carried out: {keys}")
+
     async def join(
         self, group: str, member: str, ttl: float, generation: int
     ) -> port.Membership | outcomes.Refusal:
--- a/bench/explorer/mutations.py
+++ b/bench/explorer/mutations.py
@@ -25,6 +25,7 @@
 `unknown_holders`              `restored_store`       2 of 25
 `era_of_leadership`            `restored_store`       3 of 25
 `proof_of_owners`              `lost_successor`       8 of 25
+`era_in_keys`                  `late_append`          4 of 25
 =============================  =====================  ========
 
 Not found: `wait_of_successor` (25 seeds of `quick_successor`),
@@ -38,7 +39,8 @@
 `assignment/test_eras.py` fails without it). Not to be found by holdings alone,
 as they cost keys that nobody serves: `exclusion_of_owing_servers` (12 of
 `twice_succeeded`) and `release_check`. `new_fences_at_takeover` alone is
-covered by the check of the epoch.
+covered by the check of the epoch. `late_records_skipped` costs a leadership
+(none of 25 seeds of `late_append`).
 """
 
 from __future__ import annotations
@@ -49,6 +51,7 @@
 from unittest import mock
 
 from agatestile.assignment import coordinator
+from agatestile.assignment import era_keys
 from agatestile.assignment import eras
 from agatestile.assignment import grant_sender
 from agatestile.assignment import journal
@@ -268,6 +271,11 @@
     "proof_of_owners": (
         Replacement(restoration.Restoration, "_is_certain", _always),
     ),
+    "era_in_keys": (
+        Replacement(era_keys.StoredKey, "format", lambda self: self.name),
+        Replacement(records, "is_late", _never),
+    ),
+    "late_records_skipped": (Replacement(records, "is_late", _never),),
     "era_of_leadership": (Replacement(eras, "is_outdated", _never),),
     "delayed_leases": (
         Replacement(leases.KeyLeases, "delayed_until", _expired),
--- a/bench/explorer/schedule.py
+++ b/bench/explorer/schedule.py
@@ -47,7 +47,8 @@
     peer : str
         Other end of a link.
     amount : float
-        Capacity of a server, depth of a queue or time of its work.
+        Capacity of a server, depth of a queue, time of its work, age of a
+        copy, or records that a copy lacks.
     """
 
     at: float
@@ -408,9 +409,38 @@
     return events
 
 
+def _late_append(draw: random.Random, at: float) -> list[Event]:
+    """Carry an unanswered append out after the store was restored.
+
+    The append is due to a server that service discovery drops. Others are
+    dropped later and return, so that it names owners that have lost keys.
+    """
+    restored_at = at + draw.uniform(2.0, 3.2)
+    records = draw.choice((3, 3, 4, 5, 6))
+    events = [
+        Event(at, "hold_append", LEADER, 3.0),
+        Event(restored_at, "restore_before_held", "", 0.2, amount=records),
+    ]
+    first, *others = draw.sample(SERVERS, 3)
+    dropped_at = at - draw.uniform(1.8, 2.2)
+    events.append(Event(dropped_at, "cut_registration", first, 3.0))
+    for server in others:
+        cut_at = at - draw.uniform(0.7, 1.6)
+        seconds = draw.uniform(3.0, 4.5)
+        events.append(Event(cut_at, "cut_registration", server, seconds))
+    if draw.random() < 0.5:
+        ended_at = restored_at + draw.uniform(0.0, 5.0)
+        events.append(Event(ended_at, "kill", LEADER, draw.choice((0.3, 3.0))))
+    if draw.random() < 0.2:
+        again = restored_at + draw.uniform(0.3, 2.0)
+        events.append(Event(again, "restore_store", seconds=0.2, amount=3.0))
+    return events
+
+
 ERA_MOTIF_BY_NAME = {
     "restored_store": _restored_store,
     "lost_successor": _lost_successor,
+    "late_append": _late_append,
 }
 """Motifs with restorations of the store, which are drawn only if they are
 named: the draws of other schedules remain the same."""
--- a/bench/explorer/world.py
+++ b/bench/explorer/world.py
@@ -57,7 +57,10 @@
     def restore(self, age: float) -> None:
         """Return to the copy of some seconds ago, without any members."""
         copied_at = trio.current_time() - age
-        end = bisect.bisect_right(self._appended_at, copied_at)
+        self.truncate(bisect.bisect_right(self._appended_at, copied_at))
+
+    def truncate(self, end: int) -> None:
+        """Return to the copy that ends at an offset, without any members."""
         del self.records[end:]
         del self._appended_at[end:]
         self._expiry_by_member.clear()
@@ -129,6 +132,9 @@
     def fails_until(self, key: typing.Hashable) -> float:
         return self._until_by_key.get(key, -math.inf)
 
+    def end(self, key: typing.Hashable) -> None:
+        self._until_by_key.pop(key, None)
+
 
 class World:
     """Everything outside the hosts.
@@ -159,6 +165,8 @@
         self.store_cuts = Link()
         self.slow_stores = Link()
         self.delayed_appends = Link()
+        self.held_appends = Link()
+        self.held_end: int | None = None
         self.server_cuts = Link()
         self.host_cuts = Link()
         self.delayed_orders = Link()
@@ -282,12 +290,31 @@
         self.store_cuts.fail("all", event.seconds)
         self.tasks.start_soon(start)
 
+    def _restore_before_held(self, event: schedule_module.Event) -> None:
+        """Stop the store, and start it from a copy older than a held append.
+
+        The copy lacks some records before the offset at which that append is
+        carried out.
+        """
+
+        async def start() -> None:
+            await trio.sleep(event.seconds)
+            if self.held_end is not None:
+                self.store.truncate(max(0, self.held_end - int(event.amount)))
+                self.note(f"store in era {self.store.era}")
+
+        self.store_cuts.fail("all", event.seconds)
+        self.tasks.start_soon(start)
+
     def _slow_store(self, event: schedule_module.Event) -> None:
         self.slow_stores.fail(event.target, event.seconds)
 
     def _delay_appends(self, event: schedule_module.Event) -> None:
         self.delayed_appends.fail(event.target, event.seconds)
 
+    def _hold_append(self, event: schedule_module.Event) -> None:
+        self.held_appends.fail(event.target, event.seconds)
+
     def _revoke(self, event: schedule_module.Event) -> None:
         self.store.revoke()
 
--- a/tests/bench/test_explorer.py
+++ b/tests/bench/test_explorer.py
@@ -105,6 +105,7 @@
     "unknown_holders": (11, "restored_store"),
     "era_of_leadership": (10, "restored_store"),
     "proof_of_owners": (6, "lost_successor"),
+    "era_in_keys": (12, "late_append"),
 }
 """The same for guards of a restored store. Tokens that are used twice show as
 grants below those of other servers."""
