--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -30,6 +30,7 @@
 from bench import link_faults
 from bench import links
 from bench import ownership_faults
+from bench import store_faults
 from standins import platform_log
 from standins import platform_server
 from standins import server_notices
@@ -41,6 +42,9 @@
 LINK_FAULT_WEIGHT = 3
 """How much likelier a fault of links is than another."""
 
+DRILL_WEIGHT = 2
+"""The same for a drill of the store."""
+
 PROCESS_SERVERS = 3
 """Keyed servers that are processes of their own."""
 
@@ -100,12 +104,16 @@
 
 
 class Outcome(typing.NamedTuple):
-    """Requests, faults and violated invariants of a run."""
+    """Requests, faults and violated invariants of a run.
+
+    Late appends are those that were carried out in a later era of the store.
+    """
 
     sent: int
     served: int
     faults: list[str]
     violations: list[str]
+    late_appends: int = 0
 
 
 class Host:
@@ -185,6 +193,8 @@
     has_links : bool, optional
         Whether proxies stand on all links and some servers are processes, so
         that the faults of `link_faults` are among those injected.
+    has_drills : bool, optional
+        Whether the store may return from older copies.
     """
 
     def __init__(
@@ -195,8 +205,10 @@
         faults: list[str] | None = None,
         service_time: float = SERVICE_SECONDS,
         has_links: bool = False,
+        has_drills: bool = False,
     ) -> None:
         self._host_count = hosts
+        self._has_drills = has_drills
         self._has_links = has_links
         self._service_time = service_time
         self._fault_names = faults
@@ -244,13 +256,19 @@
             await self._tear_down()
         self._check()
         return Outcome(
-            self._sent, self._served, self._faults, self._violations
+            self._sent,
+            self._served,
+            self._faults,
+            self._violations,
+            self._log.late_appends,
         )
 
     async def _set_up(self) -> None:
         store_port = free_port()
         await self._log.start(store_port)
-        self._log.put("keyed.op", "config", _configuration())
+        if self._has_drills:
+            self._log.era = 1
+        self._write_configuration()
         for number in range(self._host_count):
             proxy = links.Proxy(store_port)
             self._proxies.append(proxy)
@@ -273,6 +291,9 @@
             await host.start()
         await self._wait_served()
 
+    def _write_configuration(self) -> None:
+        self._log.put("keyed.op", "config", _configuration())
+
     async def _wait_served(self) -> None:
         loop = asyncio.get_running_loop()
         limit = loop.time() + START_SECONDS
@@ -437,6 +458,18 @@
             )
             added = link_faults.LinkFaults(self._random, run).faults()
             faults += added * LINK_FAULT_WEIGHT
+        if self._has_drills:
+            drills = store_faults.StoreFaults(
+                self._random,
+                self._log,
+                self._servers,
+                self._unsettle_store,
+                self._write_configuration,
+            )
+            faults += (
+                drills.restore_store,
+                drills.restore_store_under_append,
+            ) * DRILL_WEIGHT
         chosen = [
             fault
             for fault in faults
@@ -748,11 +781,14 @@
     faults: list[str] | None = None,
     service_time: float = SERVICE_SECONDS,
     has_links: bool = False,
+    has_drills: bool = False,
 ) -> Outcome:
     """Run one seed; its logs are kept if an invariant was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="agatestile-soak-"))
     outcome = asyncio.run(
-        Soak(seed, folder, hosts, faults, service_time, has_links).run(seconds)
+        Soak(
+            seed, folder, hosts, faults, service_time, has_links, has_drills
+        ).run(seconds)
     )
     if outcome.violations:
         click.echo(f"logs kept in {folder}")
@@ -779,6 +815,12 @@
     multiple=True,
     help="Name of a fault to inject; all by default.",
 )
+@click.option(
+    "--drills/--no-drills",
+    "has_drills",
+    default=False,
+    help="Whether the store may return from older copies.",
+)
 @click.option(
     "--links/--no-links",
     "has_links",
@@ -793,17 +835,25 @@
     service_time: float,
     faults: tuple[str, ...],
     has_links: bool,
+    has_drills: bool,
 ) -> None:
     """Run the seeds; exit with 1 if an invariant was violated."""
     failed = False
     chosen = list(faults) or None
     for number in range(seed, seed + runs):
         outcome = run_soak(
-            number, seconds, hosts, chosen, service_time, has_links
+            number,
+            seconds,
+            hosts,
+            chosen,
+            service_time,
+            has_links,
+            has_drills,
         )
         click.echo(
             f"seed {number}: {outcome.served} of {outcome.sent} served, "
             f"{len(outcome.faults)} faults, "
+            f"{outcome.late_appends} late appends, "
             f"{len(outcome.violations)} violations"
         )
         for violation in outcome.violations[:10]:
--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -15,6 +15,12 @@
 from agatestile.transport import server
 
 
+LATEST_APPEND_SECONDS = 6.0
+"""Longest time in which an append without an answer may be carried out."""
+
+HELD_APPEND_POLL_SECONDS = 0.005
+
+
 class _Topic:
     def __init__(self) -> None:
         self.records: list[bytes] = []
@@ -35,6 +41,16 @@
         self.changed = asyncio.Event()
 
 
+class _HeldAppend(typing.NamedTuple):
+    """An append without an answer, which is carried out in a later era."""
+
+    topic: str
+    expected_end: int
+    records: list[bytes]
+    era: int
+    deadline: float
+
+
 class _Group:
     def __init__(self) -> None:
         self.generation = 0
@@ -65,6 +81,8 @@
         Address under which hosts reach a member of a group.
     era : int or None
         Number in the header Store-Era of each response, None to leave it out.
+    late_appends : int
+        Number of appends that were carried out in a later era.
     """
 
     def __init__(self) -> None:
@@ -72,6 +90,10 @@
         self.loses_answers = False
         self.delay = 0.0
         self.era: int | None = None
+        self.late_appends = 0
+        self._holds_next = False
+        self._held: _HeldAppend | None = None
+        self._carrying_out: asyncio.Task[None] | None = None
         self.address_by_member: dict[str, str] = {}
         self._topics: dict[str, _Topic] = {}
         self._groups: dict[str, _Group] = {}
@@ -95,6 +117,13 @@
         record = bytes((len(name),)) + name + value
         self._topic(topic).append([record])
 
+    def keys(self, topic: str) -> set[str]:
+        """Return the keys of a topic."""
+        return {
+            record[1 : 1 + record[0]].decode()
+            for record in self._topic(topic).records
+        }
+
     def restore(self, age: float) -> None:
         """Return to the copy of `age` seconds ago, without memberships."""
         copied_at = time.monotonic() - age
@@ -103,6 +132,54 @@
         self._groups.clear()
         self.era = (self.era or 0) + 1
 
+    def hold_next_append(self) -> None:
+        """Leave the next conditional append without an answer.
+
+        It is carried out once the store is in a later era and the topic ends
+        where it is expected to, within `LATEST_APPEND_SECONDS`.
+        """
+        self._holds_next = True
+
+    @property
+    def holds_append(self) -> bool:
+        """Whether an append waits to be carried out."""
+        return self._held is not None
+
+    def copies_before_held(
+        self, lost: range, longest_age: float
+    ) -> list[float]:
+        """Return the ages of copies that end shortly before the held append.
+
+        Parameters
+        ----------
+        lost : range
+            How many records before it they may end.
+        longest_age : float
+            Age of the oldest copy, seconds.
+        """
+        if self._held is None:
+            return []
+        appended_at = self._topic(self._held.topic).appended_at
+        ages = []
+        for count in lost:
+            end = self._held.expected_end - count
+            if end > 0 and appended_at[end - 1] < appended_at[end]:
+                # The newest copy that lacks the next record.
+                copied_at = (appended_at[end - 1] + 3 * appended_at[end]) / 4
+                ages.append(time.monotonic() - copied_at)
+        return [age for age in ages if age <= longest_age]
+
+    async def _carry_out_held(self, held: _HeldAppend) -> None:
+        topic = self._topic(held.topic)
+        while time.monotonic() < held.deadline:
+            is_later = (self.era or 0) > held.era
+            if is_later and len(topic.records) == held.expected_end:
+                topic.append(held.records)
+                self.late_appends += 1
+                break
+            await asyncio.sleep(HELD_APPEND_POLL_SECONDS)
+        self._held = None
+
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
 
@@ -139,6 +216,21 @@
             length = int.from_bytes(body[position : position + 4], "big")
             records.append(body[position + 4 : position + 4 + length])
             position += 4 + length
+        if self._holds_next and expected is not None:
+            self._holds_next = False
+            self._held = _HeldAppend(
+                query["topic"],
+                int(expected),
+                records,
+                self.era or 0,
+                time.monotonic() + LATEST_APPEND_SECONDS,
+            )
+            # The caller may close the connection meanwhile.
+            self._carrying_out = asyncio.create_task(
+                self._carry_out_held(self._held)
+            )
+            await asyncio.shield(self._carrying_out)
+            return messages.Response(503, [], b"")
         offset = len(topic.records)
         topic.append(records)
         return _json(200, {"offset": offset, "end": len(topic.records)})
--- a/tests/system/test_platform_soak.py
+++ b/tests/system/test_platform_soak.py
@@ -59,3 +59,21 @@
     )
     assert outcome.violations == []
     assert len(outcome.faults) > 2
+
+
+@pytest.mark.slow
+@pytest.mark.parametrize("seed", [11])
+def test_append_from_before_a_drill_gives_no_keys(seed: int) -> None:
+    """Guards against a late append that counts as the newest (OWNER).
+
+    The store returns from older copies, and an append without an answer is
+    carried out after that, while leaders change.
+    """
+    outcome = platform_soak.run_soak(
+        seed,
+        20.0,
+        faults=["restore_store_under_append", "change_leaders"],
+        has_drills=True,
+    )
+    assert outcome.violations == []
+    assert outcome.late_appends
