End no caller that takes nothing

Cause: unread responses lower the limit on requests. If the requests that are complete exceed it, CallerMemory.excess returned the caller of the call, whatever it took, and the guard ended it again and again. The first time, this cut off a response that had just been written.

A caller is now chosen only if it is counted, and one whose requests are complete only if it has just taken more. Each step of the loop removes one that is counted. The guard of the listener for other hosts is the same class and is tested too.

--- a/src/agatestile/transport/caller_memory.py
+++ b/src/agatestile/transport/caller_memory.py
@@ -40,6 +40,7 @@
 
     def __init__(self, now: float) -> None:
         self.size = 0
+        self.has_grown = True
         self.is_unfinished = True
         self._recent = 0.0
         self._counted_at = now
@@ -164,6 +165,7 @@
         if use is None:
             use = self._use_by_caller[caller] = _Use(now)
         self._remove(use)
+        use.has_grown = size > use.size
         use.size = size
         use.is_unfinished = is_unfinished
         use.add_progress(progress, now)
@@ -178,16 +180,17 @@
             self._remove(use)
 
     def excess(self, caller: Caller, now: float) -> Caller | None:
-        """Return who has to end, None while the limit is kept.
+        """Return who has to end, None if the limit is kept or nobody has to.
 
         It is the unfinished caller with the least progress, so that callers
         that stall end before those that send. Requests that are complete go
-        on; if there are only such ones, it is the caller that takes more.
+        on. If there are only such ones, it is the caller that has just taken
+        more, if it has: the limit may also be lower than before.
 
         Parameters
         ----------
         caller : hashable
-            Caller that takes more than before.
+            Caller that was updated last.
         now : float
             Clock, seconds.
         """
@@ -197,14 +200,17 @@
             only_large = False
         else:
             return None
-        chosen, least = caller, math.inf
-        for other, use in self._use_by_caller.items():
-            if not use.is_unfinished or (only_large and not use.is_large):
-                continue
-            progress = use.progress(now)
-            if progress < least:
-                chosen, least = other, progress
-        return chosen
+        candidates = [
+            (use.progress(now), other)
+            for other, use in self._use_by_caller.items()
+            if use.is_unfinished and (use.is_large or not only_large)
+        ]
+        if candidates:
+            return min(candidates, key=lambda one: one[0])[1]
+        updated = self._use_by_caller.get(caller)
+        if updated is None or not updated.has_grown:
+            return None
+        return caller if updated.is_large or not only_large else None
 
     def _remove(self, use: _Use) -> None:
         self.total -= use.size
--- a/tests/transport/test_memory_pressure.py
+++ b/tests/transport/test_memory_pressure.py
@@ -5,6 +5,8 @@
 import pathlib
 import typing
 
+import pytest
+
 from agatestile.transport import caller_guard
 from agatestile.transport import caller_memory
 from agatestile.transport import memory_pressure
@@ -47,6 +49,7 @@
         return 0
 
     def refuse(self, status: int, cause: str) -> None:
+        assert not self.ended, "the caller is ended again"
         self.ended.append(f"{status} {cause}")
 
     def abort_for(self, cause: str) -> None:
@@ -105,6 +108,33 @@
     assert not late.ended
 
 
+@pytest.mark.parametrize("size", [0, 200_000])
+@pytest.mark.parametrize("is_peer", [False, True])
+def test_lower_limit_does_not_end_complete_requests(
+    size: int, is_peer: bool
+) -> None:
+    """Guards against a loop without end, and responses that are cut off.
+
+    Callers that read slowly lower the limit below what requests take that
+    servers work on (review, case 11). The request of the caller of the call
+    is complete too, or has just been answered.
+    """
+    guard = caller_guard.CallerGuard(MACHINE)
+    if is_peer:
+        pressure = memory_pressure.MemoryPressure(None)
+        guard = caller_guard.CallerGuard.for_peers(MACHINE, 1638, pressure)
+    handled, answered = _Caller(), _Caller()
+    guard.on_request_memory(handled, 20 * MB, 20 * MB, 1.0, False)
+    guard.on_request_memory(answered, 200_000, 200_000, 1.0, False)
+    for _ in range(20):
+        guard.on_unread(_Caller(7 * MB), 1.0)
+    guard.on_request_memory(answered, size, 0, 1.0, False)
+    assert not handled.ended and not answered.ended
+    stalled = _Caller()
+    guard.on_request_memory(stalled, 200_000, 200_000, 2.0, True)
+    assert stalled.ended == ["503 memory"]
+
+
 def test_small_requests_are_served_under_pressure() -> None:
     """Guards against a host that refuses everybody."""
     process = _Process(159 * MB)
