End idle connections before those that are used

Cause: the limit on connections ended the one that was not used for longest and had no handler, and a response that is still read had none and did not count as use.

The connection now ends whose end costs its caller least: the longest idle one, then one whose request is received. None that is handled or read ends; the new one is refused if all are. The choice is a module of its own without I/O.

--- a/src/agatestile/transport/server.py
+++ b/src/agatestile/transport/server.py
@@ -6,6 +6,7 @@
 import typing
 
 from agatestile.transport import caller_guard
+from agatestile.transport import connection_choice
 from agatestile.transport import messages
 from agatestile.transport import server_connection
 
@@ -83,18 +84,9 @@
         self.connections[connection] = None
 
     def limit_connections(self) -> None:
-        """End the connection that was not used for longest, if too many.
-
-        Connections whose request is handled go on, unless all are.
-        """
-        if len(self.connections) <= self.guard.connection_limit:
-            return
-        newest = next(reversed(self.connections))
-        for connection in self.connections:
-            if not connection.is_handling:
-                newest = connection
-                break
-        newest.end_for_connections()
+        """End the connection whose end costs its caller least, if too many."""
+        if len(self.connections) > self.guard.connection_limit:
+            connection_choice.choose(self.connections).end_for_connections()
 
     @property
     def busy_connections(self) -> int:
--- a/src/agatestile/transport/server_connection.py
+++ b/src/agatestile/transport/server_connection.py
@@ -9,6 +9,7 @@
 import httptools
 
 from agatestile.observability import events
+from agatestile.transport import connection_choice
 from agatestile.transport import framing_counter
 from agatestile.transport import messages
 from agatestile.transport import parsing_turns
@@ -109,9 +110,13 @@
         return self._task is not None or self._is_in_message
 
     @property
-    def is_handling(self) -> bool:
-        """Whether a request is being handled."""
-        return self._task is not None
+    def activity(self) -> connection_choice.Activity:
+        """What the connection is used for."""
+        if self._task is not None or self.unread.unread_bytes:
+            return connection_choice.Activity.ANSWERING
+        if self._is_in_message:
+            return connection_choice.Activity.RECEIVING
+        return connection_choice.Activity.IDLE
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for a request."""
@@ -178,6 +183,8 @@
     def resume_writing(self) -> None:
         """Continue with the pending requests."""
         self._can_write.set()
+        if not self._is_rejected:
+            self._listener.on_used(self)
         self._guard.responses.discard(self)
         self.unread.on_resumed()
 
@@ -381,7 +388,8 @@
         transport = self._transport
         if transport is None:
             return
-        if self.is_handling or self._is_rejected or self.unread.unread_bytes:
+        is_answering = self.activity is connection_choice.Activity.ANSWERING
+        if is_answering or self._is_rejected:
             self.abort_for("connections")
             return
         self._reject(503, "connections")
@@ -494,7 +502,7 @@
         self._timer = None
         if self in self._guard.turns:
             self._progress_at = self._loop.time()
-        if self.is_handling:
+        if self._task is not None:
             self._timer = self._loop.call_later(
                 BUSY_CHECK_SECONDS, self._check_body_progress
             )
--- a/tests/transport/test_hostile_input.py
+++ b/tests/transport/test_hostile_input.py
@@ -206,6 +206,29 @@
         assert len(setup.listener.connections) == 3
 
 
+@pytest.mark.parametrize("sent", [GET, POST + b"content-length: 1\r\n\r\n"])
+async def test_idle_connections_end_before_used_ones(sent: bytes) -> None:
+    """Guards against answers that are cut off for idle callers (LOST).
+
+    The response is still read, or the request received, when others connect
+    and stay (review, case 15).
+    """
+    size = 8 * 1024 * 1024
+    async with _listening(response_bytes=size) as setup:
+        setup.guard.max_connections = 3
+        reader, writer = await setup.connect()
+        writer.write(sent)
+        crowd = []
+        for _ in range(6):
+            await asyncio.sleep(0.02)
+            crowd.append(await setup.connect())
+        assert len(setup.listener.connections) == 3
+        if sent != GET:
+            writer.write(b"b")
+        assert await _status(reader) == b"200"
+        assert setup.ended == [("refused", "connections")] * 4
+
+
 async def test_handled_requests_keep_their_connections() -> None:
     """Guards against the lost answer of a request that runs."""
     async with _listening(delay=0.3) as setup:
