Keep uploads to servers that have no room

Cause: TCP_USER_TIMEOUT, meant for servers that are gone, also ends a connection whose peer is alive and announces a closed window.

While a request of 4 KiB or more is not acknowledged, the peer is checked each 0.25 s instead. It is gone if the last acknowledgement is older than 2 s and than 1.5 intervals of the packets that are sent again. A peer without room answers each of them. Keep-alive probes stand in where TCP_INFO does not tell.

--- a/src/agatestile/transport/client_connection.py
+++ b/src/agatestile/transport/client_connection.py
@@ -12,9 +12,7 @@
 from agatestile.transport import body_sender
 from agatestile.transport import buffered_bytes
 from agatestile.transport import messages
-
-TCP_USER_TIMEOUT_MS = 2000
-"""Longest time that sent data may stay unacknowledged (TCP_USER_TIMEOUT)."""
+from agatestile.transport import peer_liveness
 
 DEFAULT_IDLE_TIMEOUT = 4.0
 """Seconds that a connection may stay idle if its server announces no
@@ -149,7 +147,9 @@
         self._max_body = MAX_BODY_BYTES if max_body is None else max_body
         self._received_size = 0
         self._first_data_at = None
-        self._sender = body_sender.BodySender(self._transport, content, body)
+        self._sender = body_sender.BodySender(
+            self._transport, content, body, self._on_peer_gone
+        )
         self._sender.send()
         self._waiter = asyncio.get_running_loop().create_future()
         try:
@@ -193,11 +193,10 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         raw = transport.get_extra_info("socket")
         if raw is not None:
-            raw.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                TCP_USER_TIMEOUT_MS,
-            )
+            peer_liveness.limit_unacknowledged(raw)
+
+    def _on_peer_gone(self) -> None:
+        self.fail("the peer acknowledges nothing")
 
     def pause_writing(self) -> None:
         """Stop to send the body until the server has read more."""
