--- a/src/agatestile/transport/peer_liveness.py
+++ b/src/agatestile/transport/peer_liveness.py
@@ -97,7 +97,7 @@
         """Return the value of an option."""
 
     def fileno(self) -> int:
-        """Return the file descriptor."""
+        """Return the file descriptor, negative once it is closed."""
 
 
 def limit_unacknowledged(raw: Socket) -> None:
@@ -107,13 +107,7 @@
 
 
 def queued_bytes(raw: Socket) -> int:
-    """Return how much the peer has not acknowledged, bytes.
-
-    Raises
-    ------
-    OSError
-        If the socket is closed.
-    """
+    """Return how much the peer has not acknowledged, bytes."""
     queued = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(_QUEUED.size))
     return int(_QUEUED.unpack(queued)[0])
 
@@ -161,12 +155,12 @@
             return
         self._timer.cancel()
         self._timer = None
-        try:
+        if self._is_open():
             self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
             limit_unacknowledged(self._raw)
-        except OSError:
-            # The connection has been closed.
-            pass
+
+    def _is_open(self) -> bool:
+        return self._raw.fileno() >= 0
 
     def _schedule(self) -> None:
         self._timer = asyncio.get_running_loop().call_later(
@@ -174,6 +168,9 @@
         )
 
     def _check(self) -> None:
+        if not self._is_open():
+            self._timer = None
+            return
         try:
             if not self._has_unsent() and not queued_bytes(self._raw):
                 self.stop()
--- a/tests/transport/test_peer_liveness.py
+++ b/tests/transport/test_peer_liveness.py
@@ -111,7 +111,11 @@
     assert raw.value_by_option[socket.SO_KEEPALIVE] == (not limit)
     watch.stop()
     assert raw.value_by_option[socket.TCP_USER_TIMEOUT] == 2000
+    watch.start()
     raw.close()
+    await asyncio.sleep(0.05)
+    assert len(gone) == gone_count
+    watch.stop()
 
 
 @pytest.mark.parametrize("pause", [2.8, 4.5])
