--- a/src/agatestile/transport/messages.py
+++ b/src/agatestile/transport/messages.py
@@ -11,6 +11,8 @@
 COPIED_BODY_BYTES = 64 * 1024
 """Largest received body that is copied into one of fixed size, bytes."""
 
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
 REASON_PHRASES_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -150,6 +152,29 @@
     return encode_head(start, headers)
 
 
+def encode_response_head(
+    method: bytes, response: Response, keep_alive: bool
+) -> bytes:
+    """Encode the head of a response with its length.
+
+    Parameters
+    ----------
+    method : bytes
+        Method of the request; a response to HEAD has no body.
+    response : Response
+        The response.
+    keep_alive : bool
+        Whether the connection stays open.
+    """
+    headers = list(response.headers)
+    if response.status not in _STATUSES_WITHOUT_BODY and method != b"HEAD":
+        headers.append((b"content-length", b"%d" % len(response.body)))
+    if not keep_alive:
+        headers.append((b"connection", b"close"))
+    reason = REASON_PHRASES_BY_STATUS.get(response.status, b"Status")
+    return encode_head(b"HTTP/1.1 %d %b" % (response.status, reason), headers)
+
+
 def fixed_body(received: bytearray) -> bytes | bytearray:
     """Return a received body, as `bytes` unless it is large."""
     if len(received) <= COPIED_BODY_BYTES:
--- a/src/agatestile/transport/server_connection.py
+++ b/src/agatestile/transport/server_connection.py
@@ -56,8 +56,6 @@
 TIMER_SLACK_SECONDS = 0.005
 """Time by which a timer may be early."""
 
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
-
 
 class ServerConnection(asyncio.BufferedProtocol):
     """A connection from a caller.
@@ -459,15 +457,9 @@
             return
         if self._listener.is_draining and not self._pending:
             keep_alive = False
-        headers = list(response.headers)
-        if (
-            response.status not in _STATUSES_WITHOUT_BODY
-            and request.method != b"HEAD"
-        ):
-            headers.append((b"content-length", b"%d" % len(response.body)))
-        if not keep_alive:
-            headers.append((b"connection", b"close"))
-        head = _encode_head(response.status, headers)
+        head = messages.encode_response_head(
+            request.method, response, keep_alive
+        )
         self._listener.on_used(self)
         self.unread.on_write(len(head) + len(response.body))
         if len(response.body) <= JOINED_BODY_BYTES:
@@ -544,12 +536,9 @@
             transport.close()
             return
         self._guard.on_ended("refused", cause, status=status)
-        headers = [
-            *self._guard.refusal_headers(status, time_left),
-            (b"content-length", b"0"),
-            (b"connection", b"close"),
-        ]
-        transport.write(_encode_head(status, headers))
+        headers = self._guard.refusal_headers(status, time_left)
+        refusal = messages.Response(status, headers, b"")
+        transport.write(messages.encode_response_head(b"", refusal, False))
         self._set_reading(True)
         # An immediate close would reset the connection while the caller is
         # still sending, and the reset would discard the response.
@@ -573,8 +562,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _encode_head(status: int, headers: messages.Headers) -> bytes:
-    reason = messages.REASON_PHRASES_BY_STATUS.get(status, b"Status")
-    return messages.encode_head(b"HTTP/1.1 %d %b" % (status, reason), headers)
