Believe health responses that a server is cold

A host that can't read service discovery sent at full rate to a server that had become cold meanwhile, although each of the server's health responses said so.

X-Warmup-Ms was not read. A server that names it in a probe counts as cold on that host for this time. What is known of cold servers has a module of its own.

Evidence: test_server_that_says_in_a_probe_that_it_is_cold_keeps_its_bound failed before with 1, 12 and 32 hosts and passes.

--- a/src/agatestile/assignment/records.py
+++ b/src/agatestile/assignment/records.py
@@ -275,7 +275,8 @@
         values[key.name] = record.value
     try:
         era, leadership = _newest_leadership(value_by_name_by_era)
-        is_unmarked = era == era_keys.FIRST_ERA < leadership.era
+        names_no_era = era == era_keys.FIRST_ERA
+        is_unmarked = names_no_era and leadership.era > era_keys.FIRST_ERA
         # A leader stores its epoch before it stores maps in a new era.
         maps_era = max(era_keys.FIRST_ERA, min(era, leadership.era))
         maps, servers = _decode_services(
--- a/src/agatestile/entry/fleet.py
+++ b/src/agatestile/entry/fleet.py
@@ -13,6 +13,7 @@
 from agatestile.balancing import choice
 from agatestile.balancing import load
 from agatestile.catalog import directory as directory_module
+from agatestile.entry import cold_servers
 from agatestile.entry import send_times
 from agatestile.entry import server_notices
 from agatestile.entry import subsets
@@ -52,10 +53,6 @@
 """How long the largest reported number of hosts is used: until all hosts
 have reported to a new coordinator."""
 
-COLD_CONFIRMATION_SECONDS = 2.0
-"""Time by which a server's report of a cold start would have arrived: the
-interval of reports, of reads and of messages between hosts."""
-
 PROBE_COUNT = 2
 """Number of servers whose load is probed before one of them is chosen."""
 
@@ -132,12 +129,11 @@
         self._subsets = subsets.ServerSubsets(self.directory, failure_domain)
         self.configuration: configuration.Configuration | None = None
         self.evacuated_since: dict[str, float] = {}
-        self._evacuation_ended: dict[str, float] = {}
         self._loads: dict[directory_module.Instance, load.ServerLoad] = {}
         self._send_times = send_times.SendTimes()
         self.notices = server_notices.ServerNotices(self.directory, now)
         self._demand: collections.Counter[str] = collections.Counter()
-        self._possibly_cold_since: dict[directory_module.Instance, float] = {}
+        self._cold_servers = cold_servers.ColdServers()
         self._generator = random.Random()
         self._shares = shares.HostShares(self._generator.getrandbits(32))
         self.host_count = INITIAL_HOST_COUNT
@@ -194,7 +190,7 @@
         before = set(self.evacuated_since)
         for domain in before - domains:
             del self.evacuated_since[domain]
-            self._evacuation_ended[domain] = now
+            self._cold_servers.on_evacuation_ended(domain, now)
         for domain in domains - before:
             self.evacuated_since[domain] = now if since is None else since
         return before != domains
@@ -226,17 +222,16 @@
                 self.directory.delete(name)
         known = {one.instance for one in self.directory.by_id.values()}
         self._send_times.retain(known)
-        for by_instance in (self._loads, self._possibly_cold_since):
-            for instance in list(by_instance):
-                if instance not in known:
-                    del by_instance[instance]
+        self._cold_servers.retain(known)
+        for instance in self._loads.keys() - known:
+            del self._loads[instance]
 
     def on_unreachable(
         self, entry: directory_module.ServerEntry, now: float
     ) -> None:
         """Record a failed connection: the server may have restarted cold."""
         self.load_of(entry).on_unreachable(now)
-        self._possibly_cold_since[entry.id, entry.incarnation] = now
+        self._cold_servers.suspect((entry.id, entry.incarnation), now)
 
     def on_probe_response(
         self,
@@ -251,6 +246,9 @@
         if headers.server_id not in (None, entry.id):
             return
         self.load_of(entry).on_report(now, headers.report)
+        self._cold_servers.on_warmup(
+            (entry.id, entry.incarnation), headers.warmup_left, now
+        )
         self.on_server_headers(entry, headers, now)
 
     def on_server_headers(
@@ -303,17 +301,7 @@
 
     def is_cold(self, server: directory_module.Server, now: float) -> bool:
         """Return whether a server is cold or may have restarted cold."""
-        entry = server.entry
-        if entry.warmup_left > 0 and now < server.received + entry.warmup_left:
-            return True
-        instance = (entry.id, entry.incarnation)
-        since = self._possibly_cold_since.get(instance)
-        if since is not None:
-            if now < since + COLD_CONFIRMATION_SECONDS:
-                return True
-            del self._possibly_cold_since[instance]
-        ended = self._evacuation_ended.get(entry.failure_domain)
-        return ended is not None and now < ended + COLD_CONFIRMATION_SECONDS
+        return self._cold_servers.is_cold(server, now)
 
     def has_cold_quota(
         self, server: directory_module.Server, now: float
--- a/src/agatestile/entry/header_port.py
+++ b/src/agatestile/entry/header_port.py
@@ -52,6 +52,9 @@
         None if it names no limit.
     server_id : str or None
         Server that answers a probe, None if the response does not say.
+    warmup_left : float or None
+        Time for which the server stays cold, seconds, None if the response
+        does not say.
     """
 
     did_not_run: bool
@@ -62,6 +65,7 @@
     pause: float | None = None
     rate_limit: float | None = None
     server_id: str | None = None
+    warmup_left: float | None = None
 
 
 class HeaderFormat(typing.Protocol):
--- a/src/agatestile/platform/headers.py
+++ b/src/agatestile/platform/headers.py
@@ -6,6 +6,7 @@
 
 from agatestile.balancing import load
 from agatestile.entry import header_port
+from agatestile.platform import records
 
 if typing.TYPE_CHECKING:
     from agatestile.transport import messages
@@ -25,6 +26,7 @@
 _RATE_LIMIT = b"server-limit"
 _ANSWERING_INSTANCE = b"x-upstream-instance"
 _RETRY_AFTER = b"retry-after"
+_WARMUP = b"x-warmup-ms"
 
 _KEY_COUNT = 65536
 _KEY_DIGITS = 5
@@ -91,6 +93,7 @@
         pause = None
         rate_limit = None
         server_id = None
+        warmup = None
         did_not_run = response.status == _MISDIRECTED_STATUS
         for name, value in response.headers:
             if name == _LOAD:
@@ -107,6 +110,8 @@
                 rate_limit = _parse_number(value)
             elif name == _ANSWERING_INSTANCE:
                 server_id = value.decode("latin-1")
+            elif name == _WARMUP:
+                warmup = _parse_warmup(value)
         return header_port.ServerHeaders(
             did_not_run,
             response.status == _MISDIRECTED_STATUS,
@@ -116,6 +121,7 @@
             pause,
             rate_limit,
             server_id,
+            warmup,
         )
 
     def refusal_headers(self, retry_after: float | None) -> messages.Headers:
@@ -140,6 +146,14 @@
     return number if 0 <= number < 1e9 else None
 
 
+def _parse_warmup(value: bytes) -> float | None:
+    """Parse how long a server stays cold, seconds."""
+    milliseconds = _parse_number(value)
+    if milliseconds is None or milliseconds > records.MAX_WARMUP_MS:
+        return None
+    return milliseconds / 1000.0
+
+
 def _parse_load(value: bytes) -> load.LoadReport | None:
     """Parse running, waiting, slots and an optional slowdown in percent."""
     figures = [_parse_number(part) for part in value.split(b",")]
--- a/tests/entry/test_fleet.py
+++ b/tests/entry/test_fleet.py
@@ -132,6 +132,37 @@
     assert not fleet.is_cold(server, 3.1)
 
 
+@pytest.mark.parametrize("hosts", [1, 12, 32])
+def test_server_that_says_in_a_probe_that_it_is_cold_keeps_its_bound(
+    hosts: int,
+) -> None:
+    """Guards against a full load on a server that turned cold (FAILBACK).
+
+    The hosts can't read its reports, as the store is down. Each probes the
+    server before it sends, and the server is warm again after 3 s.
+    """
+    entry = test_directory.entry()
+    sent_at: list[float] = []
+    for rank in range(hosts):
+        fleet = _fleet(hosts, rank)
+        fleet.directory.put(entry, 0.0)
+        server = fleet.directory.by_id["a"]
+        for step in range(40):
+            now = 10.0 + 0.1 * step
+            answer = header_port.ServerHeaders(
+                False, False, True, None, warmup_left=max(0.0, 13.0 - now)
+            )
+            fleet.on_probe_response(entry, answer, now)
+            is_cold = fleet.is_cold(server, now)
+            assert is_cold == (now < 13.0)
+            if not is_cold or fleet.has_cold_quota(server, now):
+                fleet.on_sent(entry, now)
+                sent_at.append(now)
+    for start in (10.0, 11.0, 11.9):
+        in_second = [at for at in sent_at if start <= at < start + 1.0]
+        assert 0 < len(in_second) <= 12.5
+
+
 def test_servers_may_be_cold_after_an_evacuation() -> None:
     """Guards against a full load on servers that return cold.
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -100,3 +100,16 @@
 ) -> None:
     response = messages.Response(503, [(b"server-limit", value)], b"")
     assert headers.PlatformHeaders().read_response(response).rate_limit == rate
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [(b"1500", 1.5), (b"0", 0.0), (b"soon", None), (b"9e8", None)],
+)
+def test_warmup_is_read_in_milliseconds(
+    value: bytes, seconds: float | None
+) -> None:
+    """Guards against a server that never counts as warm again."""
+    response = messages.Response(200, [(b"x-warmup-ms", value)], b"")
+    parsed = headers.PlatformHeaders().read_response(response)
+    assert parsed.warmup_left == seconds
